--- /dev/null
+++ b/cmd/poppypass/job.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"poppypass/internal/httpjson"
+	"poppypass/internal/wire"
+)
+
+// clientTimeout is how long the client commands wait for an answer: as long
+// as the protocol has users wait.
+const clientTimeout = 5 * time.Second
+
+func jobCommand() *cobra.Command {
+	var addr string
+	c := &cobra.Command{Use: "job", Short: "Submit, query and cancel jobs"}
+	c.PersistentFlags().StringVar(&addr, "addr", "127.0.0.1:8080", "address of a controller or load balancer")
+	c.AddCommand(
+		&cobra.Command{
+			Use:   "submit FILE",
+			Short: "Submit the job described in a JSON file (-: standard input)",
+			Args:  cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				raw, err := readInput(cmd, args[0])
+				if err != nil {
+					return err
+				}
+				if _, err := wire.ParseJob(raw); err != nil {
+					return fmt.Errorf("%s: %w", args[0], err)
+				}
+				return callService(cmd, http.MethodPost, addr, wire.PathJobs, json.RawMessage(raw))
+			},
+		},
+		&cobra.Command{
+			Use:   "get ID",
+			Short: "Show a job's state",
+			Args:  cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				return callService(cmd, http.MethodGet, addr, wire.PathJobs+"/"+args[0], nil)
+			},
+		},
+		&cobra.Command{
+			Use:   "cancel ID",
+			Short: "Cancel a job",
+			Args:  cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				return callService(cmd, http.MethodPost, addr, wire.PathJobs+"/"+args[0]+"/"+wire.EndCancel, nil)
+			},
+		},
+	)
+	return c
+}
+
+func readInput(cmd *cobra.Command, path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(cmd.InOrStdin())
+	}
+	return os.ReadFile(path)
+}
+
+func callService(cmd *cobra.Command, method, addr, path string, in any) error {
+	ctx, cancel := context.WithTimeout(cmd.Context(), clientTimeout)
+	defer cancel()
+	var out json.RawMessage
+	status, err := httpjson.Call(ctx, httpjson.NewClient(1, 1, clientTimeout), method, "http://"+addr+path, in,
+		func(int) any { return &out })
+	if err != nil {
+		return err
+	}
+	if status >= http.StatusBadRequest {
+		var e wire.Error
+		if json.Unmarshal(out, &e) == nil && e.Error != "" {
+			return fmt.Errorf("status %d: %s", status, e.Error)
+		}
+		return errors.New(http.StatusText(status))
+	}
+	_, err = fmt.Fprintln(cmd.OutOrStdout(), string(out))
+	return err
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,192 @@
+// Package controller wires the slices into one process: it serves users,
+// workers and peers, and runs the leader's loop while this member leads.
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/net/netutil"
+
+	"poppypass/internal/cloud"
+	"poppypass/internal/config"
+	"poppypass/internal/httpjson"
+	"poppypass/internal/leadership"
+	"poppypass/internal/mesh"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Controller is one member of the service.
+type Controller struct {
+	settings *config.Settings
+	knobs    tuning.Knobs
+	clock    clockwork.Clock
+	log      *slog.Logger
+
+	store    *statestore.Client
+	cloud    *cloud.Client
+	elector  *leadership.Elector
+	peers    *mesh.Client
+	workers  *http.Client
+	endpoint map[string]string // mesh addresses by member
+	teams    map[string]config.Team
+
+	leading atomic.Pointer[leader] // the leader's loop, while this member leads
+	types   atomic.Pointer[[]wire.MachineType]
+	finals  *finals
+}
+
+// New makes a controller from its settings.
+func New(s *config.Settings, k tuning.Knobs, clock clockwork.Clock, log *slog.Logger) *Controller {
+	c := &Controller{
+		settings: s, knobs: k, clock: clock, log: log,
+		store:    statestore.New(s.Outside.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS),
+		cloud:    cloud.New(s.Outside.Cloud, s.Cluster.Cloud.RPS),
+		peers:    mesh.NewClient(),
+		workers:  httpjson.NewClient(2, 1, tuning.CommandTimeout),
+		endpoint: map[string]string{}, teams: map[string]config.Team{},
+		finals: newFinals(tuning.FinalCache),
+	}
+	c.elector = leadership.New(c.store, s.Member, clock, log)
+	for _, m := range s.Members {
+		c.endpoint[m.Name] = m.Endpoint
+	}
+	for _, t := range s.Cluster.Teams {
+		c.teams[t.Name] = t
+	}
+	c.setShares(false)
+	return c
+}
+
+// setShares divides the limits that all controllers share.
+func (c *Controller) setShares(leads bool) {
+	share := tuning.LeaderShare
+	if n := len(c.settings.Members); n == 0 {
+		share = 1
+	} else if !leads {
+		share = (1 - tuning.LeaderShare) / float64(n)
+	}
+	c.store.SetShare(share)
+	c.cloud.SetShare(share)
+}
+
+// Run serves until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	users, err := net.Listen("tcp", c.settings.Bind)
+	if err != nil {
+		return fmt.Errorf("bind: %w", err)
+	}
+	defer users.Close()
+	peers, err := net.Listen("tcp", c.settings.MeshAddr)
+	if err != nil {
+		return fmt.Errorf("mesh_addr: %w", err)
+	}
+	defer peers.Close()
+	if limit := int(float64(c.settings.Cluster.Limits.FDLimit) * tuning.ConnShare); limit > 0 {
+		users = netutil.LimitListener(users, limit)
+	}
+	srv := &http.Server{
+		Handler: c.routes(), ReadHeaderTimeout: tuning.HeaderTimeout, ReadTimeout: tuning.BodyTimeout,
+		WriteTimeout: tuning.AnswerTimeout, IdleTimeout: tuning.IdleTimeout, MaxHeaderBytes: tuning.MaxHeader,
+		ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { mesh.Serve(ctx, peers, c.servePeer, c.log) })
+	wg.Go(func() { c.readTypes(ctx) })
+	wg.Go(func() { c.elector.Run(ctx, c.lead) })
+	wg.Go(func() {
+		<-ctx.Done()
+		srv.Close()
+	})
+	c.log.Info("serving", "member", c.settings.Member, "bind", c.settings.Bind)
+	err = srv.Serve(users)
+	stop()
+	wg.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (c *Controller) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathJobs, c.serveSubmit)
+	mux.HandleFunc("GET "+wire.PathJobs+"/{id}", c.serveGet)
+	mux.HandleFunc("POST "+wire.PathJobs+"/{id}/"+wire.EndCancel, c.serveCancel)
+	mux.HandleFunc("GET "+wire.PathHealth, c.serveHealth)
+	mux.HandleFunc("POST "+wire.PathReport, c.serveReport)
+	return mux
+}
+
+// readTypes keeps the machine types and their prices.
+func (c *Controller) readTypes(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := tuning.TypesRefresh
+		types, err := c.cloud.Types(ctx)
+		if err != nil {
+			c.log.Debug("machine types unreadable", "err", err)
+			pause = tuning.CloudRetry
+		} else {
+			c.types.Store(&types)
+		}
+		c.sleep(ctx, pause)
+	}
+}
+
+func (c *Controller) machineTypes() []wire.MachineType {
+	if t := c.types.Load(); t != nil {
+		return *t
+	}
+	return nil
+}
+
+// leader gives the leader's loop when this member has the right to act now.
+func (c *Controller) leader() *leader {
+	if l := c.leading.Load(); l != nil && c.elector.Valid(l.tenure.Term) {
+		return l
+	}
+	return nil
+}
+
+// finals remembers the final states of jobs, which never change. When full it
+// forgets the oldest; the state service still knows them.
+type finals struct {
+	mu    sync.Mutex
+	byID  map[string]wire.JobStatus
+	order []string
+	next  int
+}
+
+func newFinals(size int) *finals {
+	return &finals{byID: make(map[string]wire.JobStatus), order: make([]string, size)}
+}
+
+func (f *finals) add(s wire.JobStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, known := f.byID[s.ID]; known {
+		return
+	}
+	delete(f.byID, f.order[f.next])
+	f.order[f.next] = s.ID
+	f.next = (f.next + 1) % len(f.order)
+	f.byID[s.ID] = s
+}
+
+func (f *finals) get(id string) (wire.JobStatus, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.byID[id]
+	return s, ok
+}
--- /dev/null
+++ b/internal/controller/leader_fleet.go
@@ -0,0 +1,245 @@
+package controller
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"poppypass/internal/cloud"
+	"poppypass/internal/fleet"
+	"poppypass/internal/placement"
+	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// fleetState is what the leader's loop keeps for renting and returning.
+type fleetState struct {
+	next     time.Time
+	nextList time.Time
+	listing  bool
+	bookings int                        // request names used in this term
+	asked    map[string]fleet.Want      // rentals on their way, by request name
+	refused  map[fleet.Option]time.Time // not asked before
+}
+
+func newFleetState() fleetState {
+	return fleetState{asked: map[string]fleet.Want{}, refused: map[fleet.Option]time.Time{}}
+}
+
+func (l *leader) stepFleet(now time.Time) {
+	if now.Before(l.fleet.next) || l.c.machineTypes() == nil {
+		return
+	}
+	l.fleet.next = now.Add(tuning.FleetEvery)
+	l.returnMachines(now)
+	l.rent(now)
+	if !l.fleet.listing && !now.Before(l.fleet.nextList) {
+		l.fleet.listing = true
+		go l.list()
+	}
+}
+
+func (l *leader) rent(now time.Time) {
+	items, _ := l.items(now)
+	var want []*placement.Item
+	for _, it := range items {
+		// No machine is rented for a job that fails wherever it runs.
+		if j := l.book.Jobs[it.Job.ID]; len(j.Avoid) < tuning.BadJobMachines {
+			want = append(want, it)
+		}
+	}
+	if len(want) == 0 {
+		return
+	}
+	placement.Sort(want, now)
+	in := fleet.Input{
+		Now: now, Items: want, Teams: l.teams(), Types: l.c.machineTypes(),
+		Refused: func(o fleet.Option) bool { return now.Before(l.fleet.refused[o]) },
+		Room:    l.c.knobs.MaxMachines - len(l.roster.Machines), Count: map[fleet.Option]int{},
+	}
+	for _, m := range l.roster.Machines {
+		in.Count[fleet.Option{Type: m.Type, Zone: m.Zone, Spot: m.Spot}]++
+		if m.Heard.IsZero() && !m.Returning && m.Session == 0 && now.Sub(m.Rented) < l.bootTime(m.Type, tuning.BootFactor) {
+			if v, ok := l.view(m); ok {
+				in.Booting = append(in.Booting, v)
+			}
+		}
+	}
+	for name, w := range l.fleet.asked {
+		in.Room -= w.Count
+		for i := range w.Count {
+			v, ok := l.view(&roster.Machine{Name: fmt.Sprint(name, "/", i), Type: w.Type, Zone: w.Zone, Spot: w.Spot})
+			if ok {
+				in.Booting = append(in.Booting, v)
+				in.Count[w.Option]++
+			}
+		}
+	}
+	for _, w := range fleet.Plan(in) {
+		for w.Count > 0 {
+			part := w
+			part.Count = min(w.Count, wire.MaxRent)
+			w.Count -= part.Count
+			// The term is in the name: no other controller, nor this one in
+			// another term, ever uses it again.
+			l.fleet.bookings++
+			name := fmt.Sprintf("pp-%d-%d", l.tenure.Term, l.fleet.bookings)
+			l.fleet.asked[name] = part
+			go l.rental(name, part)
+		}
+	}
+}
+
+func (l *leader) bootTime(typ string, factor float64) time.Duration {
+	for _, t := range l.c.machineTypes() {
+		if t.Name == typ {
+			return time.Duration(t.BootS*factor*float64(time.Second)) + tuning.BootExtra
+		}
+	}
+	return tuning.BootUnknown
+}
+
+// rental asks for machines until it has a definite answer: a request without
+// one may have been executed, and the same name gives the same machines.
+func (l *leader) rental(name string, w fleet.Want) {
+	req := wire.Rent{Request: name, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Count: w.Count}
+	for l.ended.Err() == nil {
+		names, err := l.c.cloud.Rent(l.ended, req)
+		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+			l.log.Debug("rental repeated", "request", name, "err", err)
+			l.c.sleep(l.ended, tuning.CloudRetry)
+			continue
+		}
+		l.post(func() {
+			now := l.c.clock.Now()
+			delete(l.fleet.asked, name)
+			for _, m := range names {
+				if !l.roster.Was(m) {
+					l.roster.Know(m, w.Type, w.Zone, w.Spot, now, now)
+				}
+			}
+			if len(names) < w.Count {
+				l.fleet.refused[w.Option] = now.Add(tuning.RefusedFor)
+			}
+			l.log.Info("rented", "type", w.Type, "zone", w.Zone, "spot", w.Spot, "asked", w.Count, "got", len(names))
+		})
+		return
+	}
+}
+
+// returnMachines gives back what is idle, never came up, or fell silent.
+func (l *leader) returnMachines(now time.Time) {
+	var names []string
+	for _, m := range l.roster.Machines {
+		if m.Returning || len(m.Places) > 0 {
+			continue
+		}
+		var why string
+		switch {
+		case m.Heard.IsZero() && m.Session == 0:
+			if now.Sub(m.Rented) > l.bootTime(m.Type, tuning.BootGiveUp) && now.Sub(m.Added) > tuning.AdoptWait {
+				why = "never came up"
+			}
+		case !m.Alive():
+			if now.Sub(m.LeaseEnd) > tuning.SilentRelease {
+				why = "silent"
+			}
+		case m.HasStrays():
+		case m.Bad:
+			why = "faulty"
+		case now.Sub(m.IdleSince) > l.c.knobs.IdleKeep:
+			why = "idle"
+		}
+		if why == "" {
+			continue
+		}
+		m.Returning = true
+		names = append(names, m.Name)
+		l.log.Info("returning machine", "machine", m.Name, "why", why)
+	}
+	l.deleteMachines(names)
+}
+
+func (l *leader) deleteMachines(names []string) {
+	for len(names) > 0 {
+		part := names[:min(len(names), wire.MaxDelete)]
+		names = names[len(part):]
+		go func() {
+			for l.ended.Err() == nil {
+				if err := l.c.cloud.Delete(l.ended, part); err != nil {
+					l.log.Debug("deletion repeated", "err", err)
+					l.c.sleep(l.ended, tuning.CloudRetry)
+					continue
+				}
+				l.post(func() { l.lost(part) })
+				return
+			}
+		}()
+	}
+}
+
+// lost takes in that machines are gone with all that was on them.
+func (l *leader) lost(names []string) {
+	now := l.c.clock.Now()
+	for _, name := range names {
+		l.settle(l.roster.Lost(name, now), now)
+	}
+}
+
+// list compares the cloud's list with the machines known.
+func (l *leader) list() {
+	listed, err := l.c.cloud.List(l.ended)
+	l.post(func() {
+		now := l.c.clock.Now()
+		l.fleet.listing = false
+		l.fleet.nextList = now.Add(tuning.ListEvery)
+		if err != nil {
+			l.log.Debug("machine list unreadable", "err", err)
+			return
+		}
+		l.compare(listed, now)
+	})
+}
+
+func (l *leader) compare(listed []wire.ListedMachine, now time.Time) {
+	there := make(map[string]bool, len(listed))
+	var failed []string
+	for _, lm := range listed {
+		there[lm.Name] = true
+		if l.roster.Was(lm.Name) {
+			continue
+		}
+		m := l.roster.Machines[lm.Name]
+		switch {
+		case lm.State == wire.MachineFailed:
+			if m == nil || !m.Returning {
+				failed = append(failed, lm.Name)
+			}
+		case m == nil || m.Type == "":
+			// Not expected, or inherited from records: it is used or returned like any other.
+			l.roster.Know(lm.Name, lm.Type, lm.Zone, lm.Spot, now.Add(-seconds(lm.AgeS)), now)
+			if m == nil {
+				l.log.Info("machine found", "machine", lm.Name, "state", lm.State)
+			}
+		}
+	}
+	if len(failed) > 0 {
+		l.log.Info("machines failed", "machines", failed)
+		// A failed machine has stopped by itself, with all that was on it.
+		l.lost(failed)
+		l.deleteMachines(failed)
+	}
+	lag := seconds(2*l.c.settings.Cluster.Cloud.ListLagS) + tuning.ListEvery
+	for _, m := range l.roster.Machines {
+		if there[m.Name] || m.Alive() || now.Sub(m.Added) < lag {
+			m.Unlisted = 0
+			continue
+		}
+		// Its lease ran out, or it never came up, and list after list lacks
+		// it: it was taken.
+		if m.Unlisted++; m.Unlisted >= tuning.UnlistedLists && len(m.Places) == 0 && !m.Returning {
+			l.roster.Drop(m.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/users.go
@@ -0,0 +1,329 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"poppypass/internal/fleet"
+	"poppypass/internal/httpjson"
+	"poppypass/internal/jobs"
+	"poppypass/internal/mesh"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+func fail(w http.ResponseWriter, status int, text string) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfterS))
+	}
+	httpjson.Write(w, status, wire.Error{Error: text})
+}
+
+func unavailable(w http.ResponseWriter, text string) { fail(w, http.StatusServiceUnavailable, text) }
+
+// serveHealth answers the load balancer. The node can take requests once it
+// knows the machine types; whether the state service answers is not weighed,
+// since in its outages all nodes would leave the balance for minutes.
+func (c *Controller) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if c.machineTypes() == nil {
+		unavailable(w, "the machine types are not known yet")
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveSubmit accepts a job: it is accepted once it is stored. Any member may
+// store it, so that accepting goes on while nobody leads.
+func (c *Controller) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	body, err := httpjson.ReadBody(r, wire.MaxBody)
+	if err != nil {
+		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
+		return
+	}
+	job, err := wire.ParseJob(body)
+	if err != nil {
+		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
+		return
+	}
+	if s, ok := c.finals.get(job.ID); ok {
+		httpjson.Write(w, http.StatusOK, wire.Accepted{ID: s.ID, State: s.State})
+		return
+	}
+	types := c.machineTypes()
+	if types == nil {
+		unavailable(w, "the machine types are not known yet")
+		return
+	}
+	reason := c.impossible(job, types)
+	if reason == "" {
+		value, err := json.Marshal(jobs.Record{Job: *job, AtMS: c.clock.Now().UnixMilli()})
+		if err != nil || float64(len(value)) > c.settings.Cluster.State.ValueKB*1024 {
+			fail(w, http.StatusBadRequest, "the job's description is too long")
+			return
+		}
+		_, err = c.store.Commit(r.Context(), wire.Txn{
+			If:   []wire.Condition{{Key: jobs.KeyJob(job.ID)}, {Key: jobs.KeyEnd(job.ID)}},
+			Then: []wire.Change{{Put: jobs.KeyJob(job.ID), Value: value}},
+		})
+		var conflict *statestore.Conflict
+		if err == nil {
+			c.log.Debug("accepted", "job", job.ID, "class", job.Class, "team", job.Team, "tasks", job.Tasks)
+			httpjson.Write(w, http.StatusCreated, wire.Accepted{ID: job.ID, State: wire.StateQueued})
+			return
+		}
+		if !errors.As(err, &conflict) {
+			c.log.Debug("submission not stored", "job", job.ID, "err", err)
+			unavailable(w, "the job could not be stored; submit it again")
+			return
+		}
+	}
+	// The job is known, or can never run. A job that was accepted before must
+	// never be refused, whatever the machine types are by now.
+	status, s := c.status(r.Context(), job.ID)
+	switch {
+	case status == http.StatusOK:
+		httpjson.Write(w, http.StatusOK, wire.Accepted{ID: s.ID, State: s.State})
+	case status == http.StatusNotFound && reason != "":
+		fail(w, http.StatusUnprocessableEntity, reason)
+	default:
+		unavailable(w, "the job's state cannot be read now")
+	}
+}
+
+// impossible says why a job can never run, or nothing.
+func (c *Controller) impossible(j *wire.Job, types []wire.MachineType) string {
+	team, ok := c.teams[j.Team]
+	if !ok {
+		return "the team is unknown"
+	}
+	n := 1.0
+	if j.Kind == wire.KindService {
+		n = float64(j.Tasks)
+	}
+	const slack = 1e-9
+	switch {
+	case n*j.CPUs > team.CPUsMax+slack || n*j.GPUs > team.GPUsMax+slack:
+		return "the job needs more than its team's limit"
+	case !fleet.Fits(j, types):
+		return "a task fits no allowed machine type"
+	}
+	return ""
+}
+
+// serveGet answers a poll.
+func (c *Controller) serveGet(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if !wire.ValidJobID(id) {
+		fail(w, http.StatusNotFound, "no such job")
+		return
+	}
+	status, s := c.status(r.Context(), id)
+	switch status {
+	case http.StatusOK:
+		httpjson.Write(w, status, s)
+	case http.StatusNotFound:
+		fail(w, status, "no such job")
+	default:
+		unavailable(w, "the job's state cannot be read now")
+	}
+}
+
+// status finds a job's state: 200, 404, or 503 when it cannot be told now. It
+// comes from a final state, from the leader's memory within its right, or
+// from a fresh read of the state service.
+func (c *Controller) status(ctx context.Context, id string) (int, wire.JobStatus) {
+	if s, ok := c.finals.get(id); ok {
+		return http.StatusOK, s
+	}
+	if l := c.leader(); l != nil {
+		if s, ok := l.status(ctx, id); ok {
+			return http.StatusOK, s
+		}
+	} else if resp, ok := c.relay(ctx, mesh.Request{Verb: mesh.Query, Job: id}); ok {
+		resp.Job.ID = id
+		if resp.Status == http.StatusOK {
+			c.learn(resp.Job)
+		}
+		return resp.Status, resp.Job
+	}
+	return c.storedStatus(ctx, id)
+}
+
+func (c *Controller) learn(s wire.JobStatus) {
+	if s.State.Final() {
+		c.finals.add(s)
+	}
+}
+
+// storedStatus reads a job's state from the state service. The order matters:
+// a job's record is dropped in the transaction that stores its end, so a job
+// that has no record when it is read either ended before or was never accepted.
+func (c *Controller) storedStatus(ctx context.Context, id string) (int, wire.JobStatus) {
+	s := wire.JobStatus{ID: id, State: wire.StateQueued}
+	item, live, err := c.store.Get(ctx, jobs.KeyJob(id))
+	if err == nil && live {
+		var rec jobs.Record
+		if err := json.Unmarshal(item.Value, &rec); err == nil && rec.Cancelled {
+			s.State = wire.StateCancelled
+		}
+		return http.StatusOK, s
+	}
+	var end wire.Item
+	if err == nil {
+		end, live, err = c.store.Get(ctx, jobs.KeyEnd(id))
+	}
+	if err != nil {
+		c.log.Debug("state unreadable", "job", id, "err", err)
+		return http.StatusServiceUnavailable, s
+	}
+	if !live {
+		return http.StatusNotFound, s
+	}
+	var e jobs.End
+	if err := json.Unmarshal(end.Value, &e); err != nil || !e.State.Final() {
+		c.log.Error("end record is malformed", "job", id)
+		return http.StatusServiceUnavailable, s
+	}
+	s = e.Status(id)
+	c.learn(s)
+	return http.StatusOK, s
+}
+
+// relay asks the leader; ok is false when it gives no usable answer.
+func (c *Controller) relay(ctx context.Context, req mesh.Request) (mesh.Response, bool) {
+	addr := c.endpoint[c.elector.Leader()]
+	if addr == "" {
+		return mesh.Response{}, false
+	}
+	resp, err := c.peers.Call(ctx, addr, req)
+	if err != nil {
+		c.log.Debug("relay", "job", req.Job, "err", err)
+		return resp, false
+	}
+	return resp, resp.Status == http.StatusOK || resp.Status == http.StatusNotFound
+}
+
+// serveCancel cancels a job. Only the leader writes that.
+func (c *Controller) serveCancel(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if !wire.ValidJobID(id) {
+		fail(w, http.StatusNotFound, "no such job")
+		return
+	}
+	status, s := c.cancel(r.Context(), id)
+	if status < 0 {
+		if resp, ok := c.relay(r.Context(), mesh.Request{Verb: mesh.Cancel, Job: id}); ok {
+			status, s = resp.Status, resp.Job
+			s.ID = id
+		}
+	}
+	switch {
+	case status == http.StatusOK && s.State.Final():
+		c.learn(s)
+		httpjson.Write(w, status, wire.Accepted{ID: id, State: s.State})
+	case status == http.StatusNotFound:
+		fail(w, status, "no such job")
+	default:
+		unavailable(w, "the job cannot be cancelled now; ask again")
+	}
+}
+
+// cancel cancels a job if this member leads; the status is -1 if it does not.
+func (c *Controller) cancel(ctx context.Context, id string) (int, wire.JobStatus) {
+	if s, ok := c.finals.get(id); ok {
+		return http.StatusOK, s
+	}
+	l := c.leader()
+	if l == nil {
+		return -1, wire.JobStatus{}
+	}
+	state, known, err := l.cancel(ctx, id)
+	switch {
+	case err != nil:
+		return http.StatusServiceUnavailable, wire.JobStatus{}
+	case known:
+		return http.StatusOK, wire.JobStatus{ID: id, State: state}
+	}
+	// The leader learns of accepted jobs a moment late: one that is stored
+	// but unknown to it is asked for again.
+	status, s := c.storedStatus(ctx, id)
+	if status == http.StatusOK && !s.State.Final() {
+		status = http.StatusServiceUnavailable
+	}
+	return status, s
+}
+
+// servePeer answers a follower on the leader's behalf.
+func (c *Controller) servePeer(ctx context.Context, req mesh.Request) mesh.Response {
+	ctx, cancel := context.WithTimeout(ctx, tuning.RelayTimeout)
+	defer cancel()
+	if !wire.ValidJobID(req.Job) || c.leader() == nil {
+		return mesh.Response{Status: http.StatusServiceUnavailable}
+	}
+	var status int
+	var s wire.JobStatus
+	switch req.Verb {
+	case mesh.Query:
+		if l := c.leader(); l != nil {
+			var ok bool
+			if s, ok = l.status(ctx, req.Job); ok {
+				return mesh.Response{Status: http.StatusOK, Job: s}
+			}
+		}
+		if f, ok := c.finals.get(req.Job); ok {
+			return mesh.Response{Status: http.StatusOK, Job: f}
+		}
+		status, s = c.storedStatus(ctx, req.Job)
+	case mesh.Cancel:
+		status, s = c.cancel(ctx, req.Job)
+	default:
+		status = http.StatusBadRequest
+	}
+	if status < 0 {
+		status = http.StatusServiceUnavailable
+	}
+	return mesh.Response{Status: status, Job: s}
+}
+
+// serveReport takes a worker's report. Only a leader within its right answers
+// 200; the others name the leader, as far as they know it.
+func (c *Controller) serveReport(w http.ResponseWriter, r *http.Request) {
+	body, err := httpjson.ReadBody(r, tuning.MaxReport)
+	if err != nil {
+		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
+		return
+	}
+	l := c.leader()
+	if l == nil {
+		if name := c.elector.Leader(); name != "" && name != c.settings.Member {
+			httpjson.Write(w, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: name})
+			return
+		}
+		unavailable(w, "nobody leads")
+		return
+	}
+	var rep wire.Report
+	if err := json.Unmarshal(body, &rep); err != nil {
+		fail(w, http.StatusBadRequest, httpjson.OneLine(fmt.Errorf("malformed report: %w", err)))
+		return
+	}
+	if err := rep.Check(); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	commands, err := l.report(r.Context(), &rep)
+	// The right to act is checked again now that the answer is ready.
+	if err != nil || !c.elector.Valid(l.tenure.Term) {
+		unavailable(w, "the report cannot be answered now")
+		return
+	}
+	if commands == nil {
+		commands = []wire.Command{}
+	}
+	httpjson.Write(w, http.StatusOK, wire.ReportAnswer{Token: l.tenure.Term, Commands: commands})
+}
--- /dev/null
+++ b/internal/controller/util.go
@@ -0,0 +1,43 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+
+	"poppypass/internal/statestore"
+)
+
+type conflictError = statestore.Conflict
+
+var (
+	errUnknown     = statestore.ErrUnknown
+	errNotExecuted = statestore.ErrNotExecuted
+	errCompacted   = statestore.ErrCompacted
+)
+
+func (c *Controller) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-c.clock.After(d):
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// sameJSON tells whether two values are the same, however they are written.
+func sameJSON(a, b json.RawMessage) bool {
+	var x, y any
+	return json.Unmarshal(a, &x) == nil && json.Unmarshal(b, &y) == nil && reflect.DeepEqual(x, y)
+}
+
+func cloneCounts(m map[string]int) map[string]int {
+	out := make(map[string]int, len(m))
+	maps.Copy(out, m)
+	return out
+}
+
+func valuesOf[K comparable, V any](m map[K]V) []V { return slices.Collect(maps.Values(m)) }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,136 @@
+// Package fleet decides which machines are wanted beyond those that are there:
+// what to rent for the tasks that found no room, and what to return. It does
+// no I/O and keeps no state.
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"poppypass/internal/placement"
+	"poppypass/internal/wire"
+)
+
+// Option is a type, zone and kind of machine that can be asked for.
+type Option struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Want is a wish for machines.
+type Want struct {
+	Option
+	Count int
+}
+
+// Input is what a plan is made from. Plan changes it.
+type Input struct {
+	Now     time.Time
+	Items   []*placement.Item    // with the tasks that found no room
+	Booting []*placement.Machine // machines that will be there soon
+	Teams   map[string]*placement.Team
+	Types   []wire.MachineType
+	Refused func(Option) bool // not to be asked for now
+	Room    int               // how many machines more may be rented
+	Count   map[Option]int    // machines there or booting
+}
+
+// Plan wants machines for the tasks that fit neither on the machines there
+// (the caller has placed what fits) nor on those that boot.
+func Plan(in Input) []Want {
+	placement.Pass(in.Now, in.Items, in.Booting, in.Teams)
+	wants := map[Option]int{}
+	var order []Option
+	for _, it := range in.Items {
+		// Each round rents one machine for the item and fills it with it and
+		// with those behind it.
+		for in.Room > 0 && placement.Left(it, in.Teams) > 0 {
+			o, t, ok := cheapest(&in, it)
+			if !ok {
+				break
+			}
+			total := placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+			m := &placement.Machine{Name: "", Type: o.Type, Zone: o.Zone, Spot: o.Spot, Total: total, Free: total}
+			if len(placement.Pass(in.Now, in.Items, []*placement.Machine{m}, in.Teams)) == 0 {
+				break
+			}
+			if wants[o] == 0 {
+				order = append(order, o)
+			}
+			wants[o]++
+			in.Count[o]++
+			in.Room--
+		}
+	}
+	out := make([]Want, 0, len(order))
+	for _, o := range order {
+		out = append(out, Want{o, wants[o]})
+	}
+	return out
+}
+
+// cheapest finds the option with the least price for each task that it would
+// hold; among equals the zone with the fewest machines.
+func cheapest(in *Input, it *placement.Item) (best Option, typ wire.MachineType, found bool) {
+	left := float64(placement.Left(it, in.Teams))
+	need := it.Need()
+	var bestCost float64
+	var bestCount int
+	for _, t := range in.Types {
+		per := perMachine(t, need)
+		if per < 1 {
+			continue
+		}
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				o := Option{t.Name, zone, spot}
+				if !it.Allowed(t.Name, zone, spot) || in.Refused(o) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				cost := price / min(per, left)
+				count := in.zoneCount(zone)
+				if it.Job.Spread {
+					count = it.Zones[zone]
+				}
+				if !found || cost < bestCost || cost == bestCost && count < bestCount {
+					best, typ, bestCost, bestCount, found = o, t, cost, count, true
+				}
+			}
+		}
+	}
+	return best, typ, found
+}
+
+func (in *Input) zoneCount(zone string) int {
+	n := 0
+	for o, c := range in.Count {
+		if o.Zone == zone {
+			n += c
+		}
+	}
+	return n
+}
+
+// perMachine is how many tasks of a size a machine of a type holds.
+func perMachine(t wire.MachineType, need placement.Room) float64 {
+	per := float64(wire.MaxTasks)
+	for _, r := range [][2]float64{{t.CPUs, need.CPUs}, {t.GPUs, need.GPUs}, {t.MemoryGB, need.MemoryGB}} {
+		if r[1] > 0 {
+			per = min(per, float64(int(r[0]/r[1]+1e-9)))
+		}
+	}
+	return per
+}
+
+// Fits tells whether a task of the job fits some type that the job allows.
+func Fits(j *wire.Job, types []wire.MachineType) bool {
+	need := placement.Room{CPUs: j.CPUs, GPUs: j.GPUs, MemoryGB: j.MemoryGB}
+	return slices.ContainsFunc(types, func(t wire.MachineType) bool {
+		return (j.Types == nil || slices.Contains(j.Types, t.Name)) &&
+			(j.Zone == "" || slices.Contains(t.Zones, j.Zone)) && perMachine(t, need) >= 1
+	})
+}
--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,105 @@
+// Package httpjson makes single HTTP calls whose bodies are JSON.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"poppypass/internal/tuning"
+)
+
+// NewClient makes a client that keeps a few connections open to each host.
+func NewClient(maxConns, idleConns int, dial time.Duration) *http.Client {
+	d := &net.Dialer{Timeout: dial}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         d.DialContext,
+		MaxConnsPerHost:     maxConns,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     tuning.IdleTimeout,
+		DisableCompression:  true,
+	}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+}
+
+// Call sends in (nil: no body) and decodes an answer whose status decode
+// accepts into out. It returns the status; an error means that no usable
+// answer came.
+func Call(ctx context.Context, c *http.Client, method, url string, in any, decode func(status int) any) (int, error) {
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return 0, fmt.Errorf("encode: %w", err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return 0, err
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, tuning.MaxResponse+1))
+	if err != nil {
+		return 0, fmt.Errorf("read answer: %w", err)
+	}
+	if len(raw) > tuning.MaxResponse {
+		return 0, errors.New("the answer is too large")
+	}
+	if out := decode(resp.StatusCode); out != nil {
+		if err := json.Unmarshal(raw, out); err != nil {
+			return 0, fmt.Errorf("malformed answer: %w", err)
+		}
+	}
+	return resp.StatusCode, nil
+}
+
+// On decodes into out when the status is 200.
+func On(out any) func(int) any {
+	return func(status int) any {
+		if status == http.StatusOK {
+			return out
+		}
+		return nil
+	}
+}
+
+// Write sends v as the answer to a request.
+func Write(w http.ResponseWriter, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, `{"error":"internal"}`, http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(raw) // the client may be gone; nothing to do about it
+}
+
+// ReadBody reads a request's body of at most limit bytes.
+func ReadBody(r *http.Request, limit int64) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(raw)) > limit {
+		return nil, fmt.Errorf("the body is over %d bytes", limit)
+	}
+	return raw, nil
+}
+
+// OneLine makes an error's text fit one line of an answer.
+func OneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
--- /dev/null
+++ b/internal/jobs/records.go
@@ -0,0 +1,126 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Keys of the state service.
+const (
+	// PrefixJob holds accepted jobs until they are over; any controller may
+	// add one, only the leader changes or drops it.
+	PrefixJob = "job/"
+	// PrefixRun holds the progress of live jobs, in chunks of tasks; only the leader writes it.
+	PrefixRun = "run/"
+	// PrefixEnd holds the final states of jobs, for ever.
+	PrefixEnd = "end/"
+)
+
+// KeyJob is the key of an accepted job.
+func KeyJob(id string) string { return PrefixJob + id }
+
+// KeyEnd is the key of a job's final state.
+func KeyEnd(id string) string { return PrefixEnd + id }
+
+func keyRun(id string, chunk int) string { return fmt.Sprintf("%s%s/%04d", PrefixRun, id, chunk) }
+
+func parseRunKey(key string) (id string, chunk int, ok bool) {
+	id, num, found := strings.Cut(strings.TrimPrefix(key, PrefixRun), "/")
+	chunk, err := strconv.Atoi(num)
+	return id, chunk, found && err == nil && chunk >= 0 && chunk <= wire.MaxTasks/tuning.ChunkTasks
+}
+
+// Record is an accepted job as it is stored.
+type Record struct {
+	Job       wire.Job `json:"job"`
+	AtMS      int64    `json:"at_ms"` // time of day when it was accepted
+	Cancelled bool     `json:"cancelled,omitempty"`
+}
+
+// End is the final state of a job as it is stored.
+type End struct {
+	State wire.JobState `json:"state"`
+	Done  int           `json:"done"`
+}
+
+// Status is the answer to a user that the record gives.
+func (e End) Status(id string) wire.JobStatus {
+	return wire.JobStatus{ID: id, State: e.State, Done: e.Done}
+}
+
+// chunkRecord is the progress of ChunkTasks tasks of a job. Done tasks are
+// ranges; every other task that was ever placed has an entry, so that no
+// attempt is used twice.
+type chunkRecord struct {
+	Done  string      `json:"d,omitempty"`
+	Tasks []taskEntry `json:"t,omitempty"`
+}
+
+type taskEntry struct {
+	Index   int    `json:"i"`
+	Attempt uint64 `json:"a"`
+	Machine string `json:"m,omitempty"` // where it may be; empty: nowhere
+	Session uint64 `json:"s,omitempty"`
+	Zone    string `json:"z,omitempty"`
+}
+
+func encodeRanges(idx []int) string {
+	var b strings.Builder
+	for i := 0; i < len(idx); {
+		j := i
+		for j+1 < len(idx) && idx[j+1] == idx[j]+1 {
+			j++
+		}
+		if b.Len() > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.Itoa(idx[i]))
+		if j > i {
+			b.WriteByte('-')
+			b.WriteString(strconv.Itoa(idx[j]))
+		}
+		i = j + 1
+	}
+	return b.String()
+}
+
+func decodeRanges(s string) ([]int, error) {
+	var idx []int
+	if s == "" {
+		return nil, nil
+	}
+	for part := range strings.SplitSeq(s, ",") {
+		from, to, isRange := strings.Cut(part, "-")
+		if !isRange {
+			to = from
+		}
+		a, err := strconv.Atoi(from)
+		if err != nil {
+			return nil, err
+		}
+		b, err := strconv.Atoi(to)
+		if err != nil {
+			return nil, err
+		}
+		if a < 0 || b < a || b >= wire.MaxTasks {
+			return nil, fmt.Errorf("range %q", part)
+		}
+		for i := a; i <= b; i++ {
+			idx = append(idx, i)
+		}
+	}
+	return idx, nil
+}
+
+func mustJSON(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("records are always encodable: %v", err))
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/leadership/leadership.go
@@ -0,0 +1,258 @@
+// Package leadership decides which controller leads: the one whose lease the
+// leader key in the state service hangs on. Each leadership has a term that
+// only grows; it is the token that workers obey.
+package leadership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+const (
+	keyHolder = "lead/holder" // attached to the leader's lease
+	keyTerm   = "lead/term"   // never deleted: terms only grow
+)
+
+// Store is what leadership needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (wire.Item, bool, error)
+	CommitNow(ctx context.Context, t wire.Txn) (uint64, error)
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Renew(ctx context.Context, lease uint64) error
+	Revoke(ctx context.Context, lease uint64) error
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (wire.WatchResult, error)
+}
+
+// Tenure is one leadership. Its guard makes a transaction fail once the
+// leadership is over, however late it is applied.
+type Tenure struct {
+	Term  uint64
+	Guard wire.Condition
+}
+
+type holder struct {
+	Member string `json:"member"`
+	Term   uint64 `json:"term"`
+	Lease  uint64 `json:"lease"`
+}
+
+// Elector campaigns for the leadership and keeps it.
+type Elector struct {
+	store  Store
+	member string
+	clock  clockwork.Clock
+	log    *slog.Logger
+
+	mu         sync.Mutex
+	term       uint64    // of our own tenure; 0: we do not lead
+	validUntil time.Time // our right to act ends here, by the local steady clock
+	leader     string    // the member that leads, as far as we know
+}
+
+// New makes an elector for a member.
+func New(store Store, member string, clock clockwork.Clock, log *slog.Logger) *Elector {
+	return &Elector{store: store, member: member, clock: clock, log: log}
+}
+
+// Valid tells whether this controller may act as the leader of the term now.
+func (e *Elector) Valid(term uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return term != 0 && e.term == term && e.clock.Now().Before(e.validUntil)
+}
+
+// Leader names the leading member, as far as this one knows; "" if unknown.
+func (e *Elector) Leader() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader
+}
+
+func (e *Elector) setLeader(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leader = name
+}
+
+// publish sets our own right to act. sent is when the request that gained it
+// was sent: the lease cannot have begun earlier, and our clock may run fast or slow.
+func (e *Elector) publish(term uint64, sent time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.term = term
+	e.validUntil = sent.Add(time.Duration(float64(tuning.LeaseTTL) * (1 - tuning.ClockDrift)))
+}
+
+func (e *Elector) clear() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.term, e.leader = 0, ""
+}
+
+// Run campaigns until ctx ends. It calls lead in a goroutine of its own for
+// each tenure; lead's context ends when the tenure is lost, and Run waits for it.
+func (e *Elector) Run(ctx context.Context, lead func(context.Context, Tenure)) {
+	for ctx.Err() == nil {
+		h, revision, held, err := e.readHolder(ctx)
+		if err != nil {
+			e.log.Debug("leader key unreadable", "err", err)
+			e.pause(ctx, tuning.RetryLeader)
+			continue
+		}
+		if held {
+			e.setLeader(h.Member)
+			e.waitForChange(ctx, revision)
+			continue
+		}
+		e.setLeader("")
+		lease, tenure, ok := e.campaign(ctx)
+		if !ok {
+			e.pause(ctx, time.Duration(rand.Int64N(int64(tuning.RetryLeader))))
+			continue
+		}
+		e.reign(ctx, lease, tenure, lead)
+	}
+}
+
+func (e *Elector) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-e.clock.After(d):
+	}
+}
+
+func (e *Elector) readHolder(ctx context.Context) (h holder, revision uint64, held bool, err error) {
+	item, ok, err := e.store.Get(ctx, keyHolder)
+	if err != nil || !ok {
+		return h, 0, false, err
+	}
+	if err := json.Unmarshal(item.Value, &h); err != nil {
+		// Held by something that we cannot read: still held.
+		return holder{}, item.Version, true, nil
+	}
+	return h, item.Version, true, nil
+}
+
+// waitForChange returns when the leader key may have changed.
+func (e *Elector) waitForChange(ctx context.Context, revision uint64) {
+	r, err := e.store.Watch(ctx, keyHolder, revision, tuning.LeaderWatch)
+	if err != nil {
+		e.pause(ctx, tuning.RetryLeader)
+		return
+	}
+	e.log.Debug("leader key watched", "events", len(r.Events))
+}
+
+// campaign tries once to become the leader. When the outcome of its
+// transaction is unknown it gives the lease back and reports failure: a late
+// success then holds a dead lease, and nobody acts on it.
+func (e *Elector) campaign(ctx context.Context) (lease uint64, t Tenure, ok bool) {
+	sent := e.clock.Now()
+	lease, err := e.store.Grant(ctx, tuning.LeaseTTL)
+	if err != nil {
+		e.log.Debug("no lease granted", "err", err)
+		return 0, t, false
+	}
+	var last struct {
+		Term uint64 `json:"term"`
+	}
+	item, known, err := e.store.Get(ctx, keyTerm)
+	if err == nil && known {
+		err = json.Unmarshal(item.Value, &last)
+	}
+	if err != nil {
+		e.log.Error("term unreadable", "err", err)
+		e.giveBack(ctx, lease)
+		return 0, t, false
+	}
+	last.Term++
+	termValue, err := json.Marshal(last)
+	if err != nil {
+		return 0, t, false
+	}
+	holderValue, err := json.Marshal(holder{Member: e.member, Term: last.Term, Lease: lease})
+	if err != nil {
+		return 0, t, false
+	}
+	revision, err := e.store.CommitNow(ctx, wire.Txn{
+		If: []wire.Condition{{Key: keyHolder}, {Key: keyTerm, Version: item.Version}},
+		Then: []wire.Change{
+			{Put: keyHolder, Value: holderValue, Lease: lease},
+			{Put: keyTerm, Value: termValue},
+		},
+	})
+	if err != nil {
+		e.log.Debug("campaign failed", "err", err)
+		e.giveBack(ctx, lease)
+		return 0, t, false
+	}
+	e.publish(last.Term, sent)
+	e.setLeader(e.member)
+	return lease, Tenure{Term: last.Term, Guard: wire.Condition{Key: keyHolder, Version: revision}}, true
+}
+
+func (e *Elector) giveBack(ctx context.Context, lease uint64) {
+	if err := e.store.Revoke(ctx, lease); err != nil {
+		e.log.Debug("lease not given back", "err", err)
+	}
+}
+
+// reign keeps the lease until it is lost. While the state service does not
+// answer, the right to act runs out by the local clock, but the leadership is
+// kept: after an outage the lease has its full time again, nobody else can
+// have written anything, and a renewal brings the right back.
+func (e *Elector) reign(ctx context.Context, lease uint64, t Tenure, lead func(context.Context, Tenure)) {
+	e.log.Info("leading", "term", t.Term)
+	leadCtx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lead(leadCtx, t)
+	}()
+	defer func() {
+		e.clear()
+		stop()
+		<-done
+		e.log.Info("no longer leading", "term", t.Term)
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-done:
+			// The leader's work ended by itself: let another lead.
+			e.giveBack(ctx, lease)
+			return
+		case <-e.clock.After(tuning.RenewEvery):
+		}
+		for ctx.Err() == nil {
+			sent := e.clock.Now()
+			err := e.store.Renew(ctx, lease)
+			if err == nil {
+				e.publish(t.Term, sent)
+				break
+			}
+			if errors.Is(err, statestore.ErrNoLease) {
+				return
+			}
+			e.log.Debug("lease not renewed", "err", err)
+			select {
+			case <-done:
+				e.giveBack(ctx, lease)
+				return
+			case <-e.clock.After(tuning.RetryLeader):
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,310 @@
+// Package mesh carries what controllers say among themselves: FlatBuffers in
+// frames with a length, over TCP. A follower hands the leader what only the
+// leader may answer.
+package mesh
+
+//go:generate flatc --go mesh.fbs
+
+// The compiler is flatc 2.0.8, as Debian 12 packages it; its output in fb/ is
+// committed, so that building needs no compiler.
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+
+	"poppypass/internal/mesh/fb"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Verb is what a request asks.
+type Verb byte
+
+// The verbs.
+const (
+	Query  = Verb(fb.VerbQuery)
+	Cancel = Verb(fb.VerbCancel)
+)
+
+// Request asks the leader about a job.
+type Request struct {
+	Verb Verb
+	Job  string
+}
+
+// Response is the leader's answer; Status is an HTTP status.
+type Response struct {
+	Status int
+	Job    wire.JobStatus
+}
+
+// Handler answers a request.
+type Handler func(context.Context, Request) Response
+
+var errFrame = errors.New("malformed mesh frame")
+
+func readFrame(r io.Reader) ([]byte, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n == 0 || n > tuning.MeshFrame {
+		return nil, errFrame
+	}
+	buf := make([]byte, n)
+	_, err := io.ReadFull(r, buf)
+	return buf, err
+}
+
+func frame(b *flatbuffers.Builder) []byte {
+	body := b.FinishedBytes()
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(body)), uint32(len(body))), body...)
+}
+
+func encodeRequest(seq uint64, r Request) []byte {
+	b := flatbuffers.NewBuilder(64)
+	job := b.CreateString(r.Job)
+	fb.RequestStart(b)
+	fb.RequestAddSeq(b, seq)
+	fb.RequestAddVerb(b, fb.Verb(r.Verb))
+	fb.RequestAddJob(b, job)
+	b.Finish(fb.RequestEnd(b))
+	return frame(b)
+}
+
+func encodeResponse(seq uint64, r Response) []byte {
+	b := flatbuffers.NewBuilder(64)
+	state := b.CreateString(string(r.Job.State))
+	fb.ResponseStart(b)
+	fb.ResponseAddSeq(b, seq)
+	fb.ResponseAddStatus(b, uint16(r.Status))
+	fb.ResponseAddState(b, state)
+	fb.ResponseAddDone(b, uint32(r.Job.Done))
+	fb.ResponseAddRunning(b, uint32(r.Job.Running))
+	b.Finish(fb.ResponseEnd(b))
+	return frame(b)
+}
+
+// guard turns a panic of the FlatBuffers accessors, which do not verify what
+// they read, into an error: a peer's malformed bytes must not end a controller.
+func guard(fn func()) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: %v", errFrame, p)
+		}
+	}()
+	fn()
+	return nil
+}
+
+func decodeRequest(buf []byte) (seq uint64, r Request, err error) {
+	err = guard(func() {
+		m := fb.GetRootAsRequest(buf, 0)
+		seq, r = m.Seq(), Request{Verb: Verb(m.Verb()), Job: string(m.Job())}
+	})
+	return seq, r, err
+}
+
+func decodeResponse(buf []byte) (seq uint64, r Response, err error) {
+	err = guard(func() {
+		m := fb.GetRootAsResponse(buf, 0)
+		seq = m.Seq()
+		r = Response{Status: int(m.Status()), Job: wire.JobStatus{
+			State: wire.JobState(m.State()), Done: int(m.Done()), Running: int(m.Running()),
+		}}
+	})
+	return seq, r, err
+}
+
+// Serve answers peers on a listener until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h Handler, log *slog.Logger) {
+	context.AfterFunc(ctx, func() { l.Close() })
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			log.Error("mesh accept", "err", err)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(tuning.RetryLeader):
+			}
+			continue
+		}
+		go serveConn(ctx, conn, h, log)
+	}
+}
+
+func serveConn(ctx context.Context, conn net.Conn, h Handler, log *slog.Logger) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(ctx, func() { conn.Close() })
+	var writing sync.Mutex
+	in := bufio.NewReader(conn)
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(tuning.MeshIdle))
+		buf, err := readFrame(in)
+		if err != nil {
+			return
+		}
+		seq, req, err := decodeRequest(buf)
+		if err != nil {
+			log.Error("mesh request", "err", err)
+			return
+		}
+		go func() {
+			out := encodeResponse(seq, h(ctx, req))
+			writing.Lock()
+			defer writing.Unlock()
+			_ = conn.SetWriteDeadline(time.Now().Add(tuning.RelayTimeout))
+			if _, err := conn.Write(out); err != nil {
+				conn.Close()
+			}
+		}()
+	}
+}
+
+// Client sends requests to peers, over one connection to each.
+type Client struct {
+	mu    sync.Mutex
+	conns map[string]*clientConn
+}
+
+// NewClient makes a client.
+func NewClient() *Client { return &Client{conns: map[string]*clientConn{}} }
+
+type clientConn struct {
+	ready   chan struct{} // closed when dialled
+	err     error
+	conn    net.Conn
+	mu      sync.Mutex
+	seq     uint64
+	waiting map[uint64]chan Response
+	dead    bool
+}
+
+// Call sends a request to the peer at addr and waits for its answer.
+func (c *Client) Call(ctx context.Context, addr string, r Request) (Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, tuning.RelayTimeout)
+	defer cancel()
+	cc := c.connection(addr)
+	select {
+	case <-cc.ready:
+	case <-ctx.Done():
+		return Response{}, ctx.Err()
+	}
+	if cc.err != nil {
+		return Response{}, cc.err
+	}
+	answer := make(chan Response, 1)
+	seq, err := cc.send(r, answer)
+	if err != nil {
+		c.drop(addr, cc)
+		return Response{}, err
+	}
+	select {
+	case resp, ok := <-answer:
+		if !ok {
+			return Response{}, io.ErrUnexpectedEOF
+		}
+		return resp, nil
+	case <-ctx.Done():
+		cc.forget(seq)
+		// A connection that does not answer in time may hang for ever: the
+		// next request takes a new one.
+		c.drop(addr, cc)
+		return Response{}, ctx.Err()
+	}
+}
+
+func (c *Client) connection(addr string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if cc := c.conns[addr]; cc != nil {
+		return cc
+	}
+	cc := &clientConn{ready: make(chan struct{}), waiting: map[uint64]chan Response{}}
+	c.conns[addr] = cc
+	go func() {
+		cc.conn, cc.err = net.DialTimeout("tcp", addr, tuning.RelayTimeout)
+		close(cc.ready)
+		if cc.err == nil {
+			cc.receive()
+		}
+		c.drop(addr, cc)
+	}()
+	return cc
+}
+
+func (c *Client) drop(addr string, cc *clientConn) {
+	c.mu.Lock()
+	if c.conns[addr] == cc {
+		delete(c.conns, addr)
+	}
+	c.mu.Unlock()
+	if cc.conn != nil {
+		cc.conn.Close()
+	}
+}
+
+func (cc *clientConn) send(r Request, answer chan Response) (uint64, error) {
+	cc.mu.Lock()
+	if cc.dead {
+		cc.mu.Unlock()
+		return 0, io.ErrClosedPipe
+	}
+	cc.seq++
+	seq := cc.seq
+	cc.waiting[seq] = answer
+	cc.mu.Unlock()
+	// One Write call is atomic for a net.Conn, and its deadline keeps it short.
+	_ = cc.conn.SetWriteDeadline(time.Now().Add(tuning.RelayTimeout))
+	_, err := cc.conn.Write(encodeRequest(seq, r))
+	return seq, err
+}
+
+func (cc *clientConn) forget(seq uint64) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	delete(cc.waiting, seq)
+}
+
+func (cc *clientConn) receive() {
+	in := bufio.NewReader(cc.conn)
+	for {
+		buf, err := readFrame(in)
+		var seq uint64
+		var r Response
+		if err == nil {
+			seq, r, err = decodeResponse(buf)
+		}
+		cc.mu.Lock()
+		if err != nil {
+			cc.dead = true
+			for _, ch := range cc.waiting {
+				close(ch)
+			}
+			clear(cc.waiting)
+			cc.mu.Unlock()
+			return
+		}
+		if ch := cc.waiting[seq]; ch != nil {
+			delete(cc.waiting, seq)
+			ch <- r
+		}
+		cc.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,221 @@
+// Package placement decides what runs where: the order of the waiting tasks,
+// the teams' limits, the choice of a machine. It does no I/O and keeps no
+// state: each pass works on the views that it is given.
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Room is what a machine has or a task takes.
+type Room struct{ CPUs, GPUs, MemoryGB float64 }
+
+// slack forgives the rounding of sums of decimal amounts.
+const slack = 1e-9
+
+func (r Room) holds(t Room) bool {
+	return t.CPUs <= r.CPUs+slack && t.GPUs <= r.GPUs+slack && t.MemoryGB <= r.MemoryGB+slack
+}
+
+// Sub takes n tasks' room away.
+func (r *Room) Sub(t Room, n float64) {
+	r.CPUs -= n * t.CPUs
+	r.GPUs -= n * t.GPUs
+	r.MemoryGB -= n * t.MemoryGB
+}
+
+// Machine is a machine that tasks can be placed on.
+type Machine struct {
+	Name, Type, Zone string
+	Spot             bool
+	Total, Free      Room
+	HasImage         func(image string) bool
+	held             string // the job that holds it against those behind
+}
+
+// Item is a job with waiting tasks.
+type Item struct {
+	Job     *wire.Job
+	Since   time.Time      // since when it waits
+	Waiting int            // tasks that wait
+	Zones   map[string]int // its placed tasks by zone; the pass counts on in it
+	Avoid   func(machine string) bool
+}
+
+// Need is what a task of the item takes.
+func (it *Item) Need() Room { return Room{it.Job.CPUs, it.Job.GPUs, it.Job.MemoryGB} }
+
+// Team is a team's use; the pass counts on in it.
+type Team struct {
+	CPUs, GPUs       float64 // used by all tasks that may be somewhere
+	CPUsMax, GPUsMax float64
+}
+
+func (t *Team) fits(n Room) bool {
+	return t.CPUs+n.CPUs <= t.CPUsMax+slack && t.GPUs+n.GPUs <= t.GPUsMax+slack
+}
+
+func (t *Team) add(n Room) { t.CPUs += n.CPUs; t.GPUs += n.GPUs }
+
+// Placement is a decision: one more task of the item goes to the machine.
+type Placement struct {
+	Item    *Item
+	Machine *Machine
+}
+
+// Level is an item's priority after aging: one step up past the wait bound.
+func Level(it *Item, now time.Time) int {
+	l := it.Job.Priority.Level()
+	if now.Sub(it.Since) >= tuning.AgeStep {
+		l++
+	}
+	return l
+}
+
+// Sort puts items in the order in which they are placed: by priority, then by
+// the time waited, then by name so that the order is always the same.
+func Sort(items []*Item, now time.Time) {
+	slices.SortStableFunc(items, func(a, b *Item) int {
+		return cmp.Or(cmp.Compare(Level(b, now), Level(a, now)), a.Since.Compare(b.Since), cmp.Compare(a.Job.ID, b.Job.ID))
+	})
+}
+
+// ZoneOpen tells whether one more task of the item may be in a zone, given
+// where its others may be.
+func (it *Item) ZoneOpen(zone string) bool {
+	j := it.Job
+	if j.Zone != "" && j.Zone != zone {
+		return false
+	}
+	if j.OneZone {
+		for z, n := range it.Zones {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return !j.Spread || it.Zones[zone] < (j.Tasks+1)/2
+}
+
+// Allowed tells whether the item may run on a type, in a zone and on a kind of machine.
+func (it *Item) Allowed(typ, zone string, spot bool) bool {
+	return (!spot || it.Job.Spot) && (it.Job.Types == nil || slices.Contains(it.Job.Types, typ)) && it.ZoneOpen(zone)
+}
+
+func (it *Item) fits(m *Machine, need Room) bool {
+	return m.Free.holds(need) && (m.held == "" || m.held == it.Job.ID) &&
+		it.Allowed(m.Type, m.Zone, m.Spot) && (it.Avoid == nil || !it.Avoid(m.Name))
+}
+
+// better tells whether a is a better place than b for the item. Work that may
+// run on spot machines goes there first and leaves the others to work that may
+// not; then a held image saves the fetch; then the most free room.
+func (it *Item) better(a, b *Machine) bool {
+	if a.Spot != b.Spot {
+		return a.Spot
+	}
+	if ia, ib := a.hasImage(it.Job.Image), b.hasImage(it.Job.Image); ia != ib {
+		return ia
+	}
+	if it.Job.Spread && a.Zone != b.Zone && it.Zones[a.Zone] != it.Zones[b.Zone] {
+		return it.Zones[a.Zone] < it.Zones[b.Zone]
+	}
+	if a.Free.CPUs != b.Free.CPUs {
+		return a.Free.CPUs > b.Free.CPUs
+	}
+	if a.Free.MemoryGB != b.Free.MemoryGB {
+		return a.Free.MemoryGB > b.Free.MemoryGB
+	}
+	return a.Name < b.Name
+}
+
+func (m *Machine) hasImage(image string) bool { return m.HasImage != nil && m.HasImage(image) }
+
+func (it *Item) best(machines []*Machine, need Room) *Machine {
+	var best *Machine
+	for _, m := range machines {
+		if it.fits(m, need) && (best == nil || it.better(m, best)) {
+			best = m
+		}
+	}
+	return best
+}
+
+func (it *Item) take(m *Machine, need Room, team *Team) {
+	m.Free.Sub(need, 1)
+	team.add(need)
+	it.Zones[m.Zone]++
+	it.Waiting--
+}
+
+// Pass tries the items in order, each with as many of its waiting tasks as fit
+// its team's limit and the machines. An item that cannot go on leaves the turn
+// to those behind; one that has waited long holds a machine against them, so
+// that small tasks do not take every slot before a large one fits.
+//
+// It changes the items' waiting counts and zones, the machines' free room and
+// the teams' use.
+func Pass(now time.Time, items []*Item, machines []*Machine, teams map[string]*Team) []Placement {
+	var placed []Placement
+	Sort(items, now)
+	holds := 0
+	for _, it := range items {
+		team := teams[it.Job.Team]
+		if team == nil {
+			continue
+		}
+		need := it.Need()
+		for it.Waiting > 0 && team.fits(need) {
+			m := it.best(machines, need)
+			if m == nil {
+				if holds == 0 && now.Sub(it.Since) >= tuning.HeadHold && it.hold(machines, need) {
+					holds++
+				}
+				break
+			}
+			it.take(m, need, team)
+			placed = append(placed, Placement{it, m})
+		}
+	}
+	return placed
+}
+
+// hold takes the machine that is nearest to having room for the item.
+func (it *Item) hold(machines []*Machine, need Room) bool {
+	var best *Machine
+	for _, m := range machines {
+		if m.held == "" && m.Total.holds(need) && it.Allowed(m.Type, m.Zone, m.Spot) &&
+			(it.Avoid == nil || !it.Avoid(m.Name)) && (best == nil || m.Free.CPUs > best.Free.CPUs) {
+			best = m
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.held = it.Job.ID
+	return true
+}
+
+// Left counts the waiting tasks of an item that its team's limit allows.
+func Left(it *Item, teams map[string]*Team) int {
+	t := teams[it.Job.Team]
+	if t == nil {
+		return 0
+	}
+	need := it.Need()
+	n := 0
+	probe := *t
+	for n < it.Waiting && probe.fits(need) {
+		probe.add(need)
+		n++
+		if need.CPUs == 0 && need.GPUs == 0 {
+			return it.Waiting
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,403 @@
+// Package roster keeps the machines: what their workers report, how long a
+// task on them may still be alive, and the commands that bring what runs in
+// line with what the book wants.
+//
+// The Roster belongs to the leader's loop and is not safe for concurrent use.
+package roster
+
+import (
+	"errors"
+	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Key is one attempt of a task.
+type Key struct {
+	Task    wire.TaskID
+	Attempt uint64
+}
+
+func keyOf(p *jobs.Place) Key { return Key{Task: p.Task(), Attempt: p.Attempt} }
+
+// Amount is what tasks take of a machine or a team.
+type Amount struct{ CPUs, GPUs, MemoryGB float64 }
+
+// Add adds n times another amount.
+func (a *Amount) Add(b Amount, n float64) {
+	a.CPUs += n * b.CPUs
+	a.GPUs += n * b.GPUs
+	a.MemoryGB += n * b.MemoryGB
+}
+
+// Of is what one task of a job takes.
+func Of(j *wire.Job) Amount { return Amount{j.CPUs, j.GPUs, j.MemoryGB} }
+
+// Machine is a rented machine, as far as it is known.
+type Machine struct {
+	Name, Address, Type, Zone string
+	Spot                      bool
+
+	Session uint64 // the newest session known
+	seq     uint64 // of the newest report of that session
+	Dead    uint64 // this session and the earlier ones are over, with all their tasks
+	Token   uint64 // the highest token that the worker is known to have seen
+
+	Heard    time.Time // when its newest report came; zero: it never reported to us
+	LeaseEnd time.Time // by then its session is over unless it reports again; zero: not counted
+	Notice   time.Time // when the cloud takes it, by its notice; zero: no notice
+
+	Places map[Key]*jobs.Place
+	strays map[Key]bool // reported tasks that no record places here
+	sent   map[Key]int  // starts sent by direct commands that had no answer (yet)
+
+	Images    map[string]time.Time // images that it has, as far as its tasks show, by last use
+	IdleSince time.Time
+	Added     time.Time // when we learned of it
+	Rented    time.Time // when it was rented, as far as known
+	Returning bool      // it gets no more tasks and is being deleted
+	Bad       bool      // tasks of several jobs failed on it
+	NoRoom    time.Time // it refused a task for room; not asked before
+	Unlisted  int       // lists in a row that lacked it, since it was last listed or heard
+	errorsOf  map[string]bool
+}
+
+// Alive tells whether the machine's present session can run tasks.
+func (m *Machine) Alive() bool { return !m.Heard.IsZero() && m.Session > m.Dead }
+
+// HasStrays tells whether tasks run there that no record places there.
+func (m *Machine) HasStrays() bool { return len(m.strays) > 0 }
+
+// Used is what the tasks that may be on the machine take.
+func (m *Machine) Used() Amount {
+	var a Amount
+	for _, p := range m.Places {
+		a.Add(Of(&p.Job.Job), 1)
+	}
+	return a
+}
+
+// NoteError counts a failed task; many jobs failing on a machine make it bad.
+func (m *Machine) NoteError(job string) {
+	if m.errorsOf == nil {
+		m.errorsOf = map[string]bool{}
+	}
+	m.errorsOf[job] = true
+	m.Bad = len(m.errorsOf) >= tuning.BadMachineJobs
+}
+
+// ClearError takes back a failure whose job turned out to be to blame.
+func (m *Machine) ClearError(job string) {
+	delete(m.errorsOf, job)
+	m.Bad = len(m.errorsOf) >= tuning.BadMachineJobs
+}
+
+// Roster holds the machines.
+type Roster struct {
+	Machines map[string]*Machine
+
+	term     uint64
+	lease    time.Duration // a worker's lease, with drift and margin
+	returned map[string]time.Time
+}
+
+// New makes the roster of a term. leaseS is the workers' lease in seconds.
+func New(term uint64, leaseS float64) *Roster {
+	return &Roster{
+		Machines: map[string]*Machine{}, term: term, returned: map[string]time.Time{},
+		lease: time.Duration(leaseS*(1+tuning.ClockDrift)*float64(time.Second)) + tuning.LeaseMargin,
+	}
+}
+
+var (
+	// ErrStale tells that a newer report of the machine is known.
+	ErrStale = errors.New("a newer report is known")
+	// ErrReturned tells that the machine was returned; it is gone.
+	ErrReturned = errors.New("the machine was returned")
+)
+
+// Was tells whether a machine was returned not long ago.
+func (r *Roster) Was(name string) bool { _, ok := r.returned[name]; return ok }
+
+func (r *Roster) ensure(name string, now time.Time) *Machine {
+	m := r.Machines[name]
+	if m == nil {
+		m = &Machine{
+			Name: name, Places: map[Key]*jobs.Place{}, strays: map[Key]bool{}, sent: map[Key]int{},
+			Images: map[string]time.Time{}, Added: now, IdleSince: now, Rented: now,
+		}
+		r.Machines[name] = m
+	}
+	return m
+}
+
+// Inherit takes in a place that a former leader recorded. Whoever answered
+// the machine last did so before our term began, so its lease runs from then at most.
+func (r *Roster) Inherit(p *jobs.Place, begun time.Time) {
+	m := r.ensure(p.Machine, begun)
+	m.Places[keyOf(p)] = p
+	m.Session = max(m.Session, p.Session)
+	m.Zone = p.Zone
+	if m.LeaseEnd.Before(begun.Add(r.lease)) {
+		m.LeaseEnd = begun.Add(r.lease)
+	}
+}
+
+// Know takes in a machine from the cloud: rented or listed.
+func (r *Roster) Know(name, typ, zone string, spot bool, rented, now time.Time) *Machine {
+	m := r.ensure(name, now)
+	m.Type, m.Zone, m.Spot, m.Rented = typ, zone, spot, rented
+	return m
+}
+
+// Add puts a new place on its machine.
+func (r *Roster) Add(p *jobs.Place, now time.Time) {
+	m := r.ensure(p.Machine, now)
+	m.Places[keyOf(p)] = p
+	m.Images[p.Job.Image] = now
+}
+
+// Remove takes a place that is proven gone off its machine.
+func (r *Roster) Remove(p *jobs.Place, now time.Time) {
+	if m := r.Machines[p.Machine]; m != nil {
+		delete(m.Places, keyOf(p))
+		if len(m.Places) == 0 {
+			m.IdleSince = now
+		}
+	}
+}
+
+// Outcome is the proven end of a task in a place.
+type Outcome struct {
+	Place *jobs.Place
+	Why   wire.Why // WhyStopped also when its machine's session is over
+}
+
+// Answer is what a report leads to.
+type Answer struct {
+	Machine  *Machine
+	Outcomes []Outcome
+	Commands []wire.Command
+	Changed  bool // something that matters to placement changed, outcomes apart
+}
+
+// MayForget tells whether an exited attempt that no place holds may be
+// forgotten: the stored record no longer names it.
+type MayForget func(Key) bool
+
+// Report takes in a worker's report. direct: it is the answer to a direct
+// command, so that no commands can be given back and it renews no lease; and
+// it proves nothing of tasks that it lacks, since a report's answer may still
+// be on its way to the worker.
+func (r *Roster) Report(rep *wire.Report, direct bool, now time.Time, mayForget MayForget) (Answer, error) {
+	var a Answer
+	if r.Was(rep.Machine) {
+		return a, ErrReturned
+	}
+	m := r.Machines[rep.Machine]
+	if m != nil {
+		older := rep.Session < m.Session || rep.Session == m.Session && rep.Seq <= m.seq && !m.Heard.IsZero()
+		// A session whose lease ran out is over, whatever a late report says.
+		if older || rep.Session <= m.Dead {
+			return a, ErrStale
+		}
+	} else if direct {
+		return a, ErrStale
+	}
+	m = r.ensure(rep.Machine, now)
+	a.Machine = m
+	a.Changed = m.Heard.IsZero() || rep.Session > m.Session
+	if rep.Session > m.Session {
+		m.Session = rep.Session
+		r.endSession(m, rep.Session-1, &a)
+	}
+	m.seq, m.Token = rep.Seq, rep.Token
+	m.Address, m.Type, m.Zone, m.Spot = rep.Address, rep.Type, rep.Zone, rep.Spot
+	if m.Heard.IsZero() && len(m.Places) == 0 {
+		m.IdleSince = now
+	}
+	m.Unlisted = 0
+	switch {
+	case rep.NoticeS == nil:
+		m.Notice = time.Time{}
+	case m.Notice.IsZero():
+		m.Notice = now.Add(time.Duration(max(0, *rep.NoticeS) * float64(time.Second)))
+		a.Changed = true
+	}
+	if !direct {
+		m.Heard = now
+		m.LeaseEnd = now.Add(r.lease)
+	}
+	// Whatever an older term's leader sent directly can no longer start once
+	// the worker has seen our token.
+	fenced := rep.Token >= r.term
+	listed := make(map[Key]bool, len(rep.Tasks))
+	var stops, forgets, starts []wire.Command
+	zero := 0.0
+	for i := range rep.Tasks {
+		t := &rep.Tasks[i]
+		id, ok := wire.ParseTaskID(t.Task)
+		if !ok {
+			continue
+		}
+		k := Key{Task: id, Attempt: t.Attempt}
+		listed[k] = true
+		p := m.Places[k]
+		switch {
+		case p == nil && t.State == wire.TaskExited:
+			if m.strays[k] {
+				delete(m.strays, k)
+				a.Changed = true
+			}
+			if !direct && fenced && m.sent[k] == 0 && mayForget(k) {
+				forgets = append(forgets, wire.Command{Op: wire.OpForget, Task: t.Task, Attempt: t.Attempt})
+			}
+		case p == nil:
+			// Nothing that we know of put it here. It counts until it is gone.
+			m.strays[k] = true
+			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		case t.State == wire.TaskExited:
+			a.Outcomes = append(a.Outcomes, Outcome{p, t.Why})
+		default:
+			if t.State == wire.TaskRunning && p.State != wire.TaskRunning {
+				p.Running = now
+				m.Images[p.Job.Image] = now
+			}
+			p.State = t.State
+			if p.Stop != nil && (t.State != wire.TaskSaving || p.Stop.GraceS == 0) {
+				stops = append(stops, stopCommand(p))
+			}
+		}
+	}
+	for k := range m.strays {
+		// A stray that the newest report lacks is gone.
+		if !listed[k] && !direct {
+			delete(m.strays, k)
+			a.Changed = true
+		}
+	}
+	for k, p := range m.Places {
+		if listed[k] || !p.Committed || p.Session != rep.Session {
+			continue
+		}
+		switch {
+		case p.Stop == nil:
+			// Starting the same attempt again has no effect if it is known there.
+			starts = append(starts, startCommand(p))
+		case direct || !fenced:
+		case m.sent[k] > 0:
+			// A direct start may still arrive. Started and stopped here, the
+			// attempt becomes known, and the late start has no effect.
+			starts = append(starts, startCommand(p), stopCommand(p))
+		default:
+			// The worker has one report in flight, so no answer of ours that
+			// held its start is still on the way: it is not there.
+			a.Outcomes = append(a.Outcomes, Outcome{p, wire.WhyStopped})
+		}
+	}
+	if !direct {
+		a.Commands = append(append(append(make([]wire.Command, 0, len(stops)+len(forgets)+len(starts)), stops...), forgets...), starts...)
+	}
+	return a, nil
+}
+
+func startCommand(p *jobs.Place) wire.Command {
+	return wire.Command{Op: wire.OpStart, Task: p.Task().String(), Attempt: p.Attempt}
+}
+
+func stopCommand(p *jobs.Place) wire.Command {
+	grace := p.Stop.GraceS
+	return wire.Command{Op: wire.OpStop, Task: p.Task().String(), Attempt: p.Attempt, GraceS: &grace}
+}
+
+// endSession records that a machine's sessions up to last are over: what was
+// started in them is gone.
+func (r *Roster) endSession(m *Machine, last uint64, a *Answer) {
+	m.Dead = max(m.Dead, last)
+	for _, p := range m.Places {
+		if p.Session <= last {
+			a.Outcomes = append(a.Outcomes, Outcome{p, wire.WhyStopped})
+		}
+	}
+	clear(m.strays)
+	clear(m.sent)
+}
+
+// Expire ends the sessions whose leases have surely run out.
+func (r *Roster) Expire(now time.Time) []Outcome {
+	var a Answer
+	for _, m := range r.Machines {
+		if !m.LeaseEnd.IsZero() && !now.Before(m.LeaseEnd) && m.Session > m.Dead {
+			r.endSession(m, m.Session, &a)
+		}
+	}
+	for name, at := range r.returned {
+		if now.Sub(at) > tuning.ForgetReleased {
+			delete(r.returned, name)
+		}
+	}
+	return a.Outcomes
+}
+
+// Lost records that a machine is gone with all that was on it: its deletion
+// was answered, or the cloud lists it as failed.
+func (r *Roster) Lost(name string, now time.Time) []Outcome {
+	r.returned[name] = now
+	m := r.Machines[name]
+	if m == nil {
+		return nil
+	}
+	var outs []Outcome
+	for _, p := range m.Places {
+		outs = append(outs, Outcome{p, wire.WhyStopped})
+	}
+	delete(r.Machines, name)
+	return outs
+}
+
+// Drop forgets a machine that no longer exists and holds nothing.
+func (r *Roster) Drop(name string) { delete(r.Machines, name) }
+
+// Direct makes the request that tells a machine at once what was decided for
+// some of its places: starts, or stops where they are wanted. It is nil when
+// the machine cannot be told. Sent must be told how it went.
+func (r *Roster) Direct(name string, places []*jobs.Place) (addr string, req *wire.DirectCommands) {
+	m := r.Machines[name]
+	if m == nil || m.Address == "" || !m.Alive() || m.Returning {
+		return "", nil
+	}
+	req = &wire.DirectCommands{Token: r.term, Session: m.Session}
+	for _, p := range places {
+		switch {
+		case p.Removed || !p.Committed || p.Session != m.Session:
+		case p.Stop == nil:
+			m.sent[keyOf(p)]++
+			req.Commands = append(req.Commands, startCommand(p))
+		case p.State != "":
+			req.Commands = append(req.Commands, stopCommand(p))
+		}
+	}
+	if len(req.Commands) == 0 {
+		return "", nil
+	}
+	return m.Address, req
+}
+
+// Sent records that a direct request had a definite answer: it will not be
+// executed again. Without one its starts stay open for the session's rest.
+func (r *Roster) Sent(name string, req *wire.DirectCommands) {
+	m := r.Machines[name]
+	if m == nil || m.Session != req.Session {
+		return
+	}
+	for _, c := range req.Commands {
+		if id, ok := wire.ParseTaskID(c.Task); ok && c.Op == wire.OpStart {
+			k := Key{Task: id, Attempt: c.Attempt}
+			if m.sent[k]--; m.sent[k] <= 0 {
+				delete(m.sent, k)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/statestore/statestore.go
@@ -0,0 +1,257 @@
+// Package statestore is the client of the state service: the only place where
+// controllers can keep state.
+package statestore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"poppypass/internal/httpjson"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+var (
+	// ErrNotExecuted tells that the service refused a request without executing it.
+	ErrNotExecuted = errors.New("state service refused the request")
+	// ErrUnknown tells that a request may have been executed, or may still be.
+	ErrUnknown = errors.New("state service gave no usable answer")
+	// ErrNoLease tells that the lease has ended.
+	ErrNoLease = errors.New("no such lease")
+	// ErrCompacted tells that a watch asked for changes that are no longer kept.
+	ErrCompacted = errors.New("revision is too old to watch")
+	// ErrMalformed tells that the service did not understand the request.
+	ErrMalformed = errors.New("state service calls the request malformed")
+)
+
+// Conflict tells that a transaction's conditions did not hold.
+type Conflict struct{ Failed []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("conditions failed: %v", c.Failed) }
+
+// Client talks to the state service. It is safe for concurrent use.
+type Client struct {
+	base    string
+	rps     float64
+	wps     float64
+	http    *http.Client
+	watches *http.Client
+	calls   *rate.Limiter
+	writes  *rate.Limiter
+}
+
+// New makes a client; rps and writeRPS are the limits that all controllers share.
+func New(addr string, rps, writeRPS float64) *Client {
+	c := &Client{
+		base: "http://" + addr, rps: rps, wps: writeRPS,
+		http:    httpjson.NewClient(16, 8, tuning.StateTimeout),
+		watches: httpjson.NewClient(4, 2, tuning.StateTimeout),
+		calls:   rate.NewLimiter(1, 1), writes: rate.NewLimiter(1, 1),
+	}
+	c.SetShare(1)
+	return c
+}
+
+// SetShare sets which share of the limits this controller may use.
+func (c *Client) SetShare(share float64) {
+	set := func(l *rate.Limiter, limit float64) {
+		limit *= share * tuning.LimitMargin
+		l.SetLimit(rate.Limit(limit))
+		l.SetBurst(max(1, int(limit)))
+	}
+	set(c.calls, c.rps)
+	set(c.writes, c.wps)
+}
+
+func (c *Client) call(ctx context.Context, hc *http.Client, timeout time.Duration, method, path string, in any, decode func(int) any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	status, err := httpjson.Call(ctx, hc, method, c.base+path, in, decode)
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return status, fmt.Errorf("%w: status %d", ErrNotExecuted, status)
+	}
+	return status, nil
+}
+
+func unexpected(status int) error {
+	if status == http.StatusBadRequest {
+		return ErrMalformed
+	}
+	return fmt.Errorf("%w: status %d", ErrUnknown, status)
+}
+
+func (c *Client) wait(ctx context.Context) error {
+	if err := c.calls.Wait(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotExecuted, err)
+	}
+	return nil
+}
+
+// Get reads a key; ok is false when it does not exist.
+func (c *Client) Get(ctx context.Context, key string) (item wire.Item, ok bool, err error) {
+	if err := c.wait(ctx); err != nil {
+		return item, false, err
+	}
+	status, err := c.call(ctx, c.http, tuning.StateTimeout, http.MethodGet, wire.PathKV+"/"+key, nil, httpjson.On(&item))
+	switch {
+	case err != nil:
+		return item, false, err
+	case status == http.StatusOK:
+		return item, true, nil
+	case status == http.StatusNotFound:
+		return item, false, nil
+	}
+	return item, false, unexpected(status)
+}
+
+// List reads one page of the keys with a prefix, beginning behind after.
+func (c *Client) List(ctx context.Context, prefix, after string, page int) (p wire.ItemPage, err error) {
+	if err := c.wait(ctx); err != nil {
+		return p, err
+	}
+	q := url.Values{"starts": {prefix}, "page": {strconv.Itoa(page)}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	status, err := c.call(ctx, c.http, tuning.StateTimeout, http.MethodGet, wire.PathKV+"?"+q.Encode(), nil, httpjson.On(&p))
+	if err == nil && status != http.StatusOK {
+		err = unexpected(status)
+	}
+	return p, err
+}
+
+// ListAll reads all keys with a prefix, page by page, and hands each page to
+// fn. It returns the revision of the first page: a watch behind it misses nothing.
+func (c *Client) ListAll(ctx context.Context, prefix string, fn func([]wire.Item) error) (uint64, error) {
+	var revision uint64
+	after := ""
+	for first := true; ; first = false {
+		p, err := c.List(ctx, prefix, after, tuning.LoadPage)
+		if err != nil {
+			return 0, err
+		}
+		if first {
+			revision = p.Revision
+		}
+		if err := fn(p.Items); err != nil {
+			return 0, err
+		}
+		if !p.More || len(p.Items) == 0 {
+			return revision, nil
+		}
+		after = p.Items[len(p.Items)-1].Key
+	}
+}
+
+// Commit executes a transaction and returns its revision. The error is a
+// *Conflict, ErrNoLease, ErrMalformed, ErrNotExecuted or ErrUnknown.
+func (c *Client) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	if err := c.wait(ctx); err != nil {
+		return 0, err
+	}
+	if n := min(len(t.Then), c.writes.Burst()); n > 0 {
+		if err := c.writes.WaitN(ctx, n); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
+		}
+	}
+	return c.commit(ctx, t)
+}
+
+// CommitNow is Commit for the few transactions, such as an election, that no limit of our own may hold up.
+func (c *Client) CommitNow(ctx context.Context, t wire.Txn) (uint64, error) { return c.commit(ctx, t) }
+
+func (c *Client) commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	if t.If == nil {
+		t.If = []wire.Condition{}
+	}
+	var res wire.TxnResult
+	var refused wire.Error
+	status, err := c.call(ctx, c.http, tuning.StateTimeout, http.MethodPost, wire.PathTxn, t, func(status int) any {
+		switch status {
+		case http.StatusOK, http.StatusConflict:
+			return &res
+		case http.StatusBadRequest:
+			return &refused
+		}
+		return nil
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case status == http.StatusOK:
+		return res.Revision, nil
+	case status == http.StatusConflict:
+		return 0, &Conflict{Failed: res.Failed}
+	case status == http.StatusBadRequest && refused.Error == "no such lease":
+		return 0, ErrNoLease
+	}
+	return 0, unexpected(status)
+}
+
+// Grant asks for a lease. Leases are not held up by our own limit: the right
+// to act hangs on them.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var g wire.LeaseGrant
+	status, err := c.call(ctx, c.http, tuning.RenewTimeout, http.MethodPost, wire.PathLeases,
+		wire.LeaseRequest{TTLMS: ttl.Milliseconds()}, httpjson.On(&g))
+	if err == nil && status != http.StatusOK {
+		err = unexpected(status)
+	}
+	return g.Lease, err
+}
+
+// Renew gives a lease its full time again.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	status, err := c.call(ctx, c.http, tuning.RenewTimeout, http.MethodPost, c.leasePath(lease)+"/"+wire.EndRenew, nil, httpjson.On(nil))
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusNotFound:
+		return ErrNoLease
+	case status != http.StatusOK:
+		return unexpected(status)
+	}
+	return nil
+}
+
+// Revoke ends a lease at once.
+func (c *Client) Revoke(ctx context.Context, lease uint64) error {
+	_, err := c.call(ctx, c.http, tuning.RenewTimeout, http.MethodDelete, c.leasePath(lease), nil, httpjson.On(nil))
+	return err
+}
+
+func (c *Client) leasePath(lease uint64) string {
+	return wire.PathLeases + "/" + strconv.FormatUint(lease, 10)
+}
+
+// Watch waits until a key with the prefix has changed after the revision, or
+// until wait is over.
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (r wire.WatchResult, err error) {
+	if err := c.wait(ctx); err != nil {
+		return r, err
+	}
+	q := url.Values{
+		"starts": {prefix}, "after": {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	status, err := c.call(ctx, c.watches, wait+tuning.WatchGrace, http.MethodGet, wire.PathWatch+"?"+q.Encode(), nil, httpjson.On(&r))
+	switch {
+	case err != nil:
+		return r, err
+	case status == http.StatusGone:
+		return r, ErrCompacted
+	case status != http.StatusOK:
+		return r, unexpected(status)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,204 @@
+// Package tuning holds every constant of the service, each with its unit and
+// the reason for its value. What an operator may want to change is also a
+// Knob, which the properties file can set.
+package tuning
+
+import "time"
+
+// Leadership.
+const (
+	// LeaseTTL is the life of the leader's lease. Shorter ends a dead
+	// leader's reign sooner; longer survives slow answers of the state service
+	// (now and then several hundred ms) and a starved processor.
+	LeaseTTL = 4 * time.Second
+	// RenewEvery is the time between renewals: three may fail within a TTL.
+	RenewEvery = 1 * time.Second
+	// RenewTimeout ends a renewal that gets no answer, so that another can follow.
+	RenewTimeout = 1 * time.Second
+	// RetryLeader is the pause after a failed step of the leadership.
+	RetryLeader = 250 * time.Millisecond
+	// LeaderWatch is how long a follower's watch of the leader key waits.
+	LeaderWatch = 10 * time.Second
+	// WatchGrace is added to a watch's own wait before it is given up.
+	WatchGrace = 3 * time.Second
+	// ClockDrift is the share by which two steady clocks may drift apart: the
+	// protocol's 0.05 % on each side.
+	ClockDrift = 0.001
+)
+
+// Calls to outside systems.
+const (
+	// StateTimeout ends a call to the state service: most take 10 ms, a few
+	// some hundred, and a user waits 2 to 5 s for the answer behind it.
+	StateTimeout = 1500 * time.Millisecond
+	// StateRetry is the first pause before a call is repeated; it doubles.
+	StateRetry = 100 * time.Millisecond
+	// StateRetryMax bounds that doubling.
+	StateRetryMax = 1 * time.Second
+	// CloudTimeout ends a call to the cloud. A rental may take long.
+	CloudTimeout = 5 * time.Second
+	// CloudRetry is the pause after a failed call to the cloud.
+	CloudRetry = 1 * time.Second
+	// CommandTimeout ends a direct command to a worker; the next report repeats it anyway.
+	CommandTimeout = 2 * time.Second
+	// RelayTimeout ends a request to the leader through the mesh: a user waits 2 s for a poll.
+	RelayTimeout = 800 * time.Millisecond
+	// MeshIdle closes a mesh connection that was silent for so long.
+	MeshIdle = 30 * time.Second
+	// MeshFrame is the largest mesh message in bytes; ours are far smaller.
+	MeshFrame = 1 << 16
+	// MaxResponse is the largest response body read from outside, in bytes:
+	// a watch has no limit of its own, a list page is 512 KiB.
+	MaxResponse = 4 << 20
+	// LeaderShare is the leader's share of the state service's and the
+	// cloud's limits; the other controllers divide the rest.
+	LeaderShare = 0.6
+	// LimitMargin keeps our own rate below the published limit, since its
+	// window and ours do not start together.
+	LimitMargin = 0.9
+	// TypesRefresh is how often the machine types (and spot prices) are read again.
+	TypesRefresh = 60 * time.Second
+)
+
+// Users.
+const (
+	// RetryAfterS is the Retry-After, in seconds, of an answer that cannot be given now.
+	RetryAfterS = 1
+	// HeaderTimeout ends a client that does not send its request.
+	HeaderTimeout = 5 * time.Second
+	// BodyTimeout ends a client that does not finish its request, head and body.
+	BodyTimeout = 10 * time.Second
+	// AnswerTimeout ends an answer that its client does not read; users wait 5 s at most.
+	AnswerTimeout = 15 * time.Second
+	// MaxHeader is the largest request head in bytes.
+	MaxHeader = 16 << 10
+	// MaxReport is the largest report of a worker in bytes: the protocol
+	// bounds a request body, reports included.
+	MaxReport = 64 << 10
+	// CancelWait is how long a cancellation may wait to be stored: a user waits 5 s.
+	CancelWait = 3 * time.Second
+	// IdleTimeout closes a connection on which nothing is asked. Users poll
+	// every 5 s and workers report every few seconds.
+	IdleTimeout = 60 * time.Second
+	// ConnShare is the share of the socket limit that incoming connections may take.
+	ConnShare = 0.6
+	// FinalCache is how many final states of jobs are kept in memory.
+	FinalCache = 4096
+)
+
+// Jobs and their records.
+const (
+	// ChunkTasks is how many tasks share one progress record: a task takes up
+	// to about 90 bytes, so a full record stays under 6 KiB.
+	ChunkTasks = 64
+	// MinValueKB is the least size of a value, in KiB, that such a record needs.
+	MinValueKB = 8
+	// LazyFlush is how long a change that nobody waits for (one finished task
+	// of many, a lost task) may stay unwritten, to share a write with others.
+	LazyFlush = 500 * time.Millisecond
+	// CommitBytes bounds a transaction's size in bytes, under the protocol's 64 KiB.
+	CommitBytes = 48 << 10
+	// JobWatch is how long the leader's watch for new jobs waits.
+	JobWatch = 10 * time.Second
+	// LoadPage is how many keys a new leader reads in one call.
+	LoadPage = 500
+)
+
+// Workers.
+const (
+	// LeaseMargin is added to a worker's lease before its tasks count as gone.
+	LeaseMargin = 100 * time.Millisecond
+	// SilentReports is after how many report intervals without a report a
+	// machine gets no new task.
+	SilentReports = 2.5
+	// BadMachineJobs is how many jobs must fail on a machine before it is avoided.
+	BadMachineJobs = 2
+	// ErrorPause is the first pause of a job whose task failed; it doubles.
+	ErrorPause = 2 * time.Second
+	// ErrorPauseMax bounds it.
+	ErrorPauseMax = 60 * time.Second
+	// BadJobMachines is on how many machines a job must fail to be blamed itself.
+	BadJobMachines = 3
+	// NoRoomPause is how long a machine that refused a task for room gets none.
+	NoRoomPause = 2 * time.Second
+	// AvoidFor is how long a job avoids a machine on which its task failed.
+	AvoidFor = 300 * time.Second
+)
+
+// Placement.
+const (
+	// AgeStep is the wait after which a job rises one step of priority.
+	AgeStep = 120 * time.Second
+	// HeadHold is the wait after which the queue's head holds a machine against those behind.
+	HeadHold = 30 * time.Second
+	// PassWaitMin and PassWaitMax bound the pause between passes that place
+	// nothing: the design's 1 s doubling to 10 s. Any change wakes the loop early.
+	PassWaitMin = 1 * time.Second
+	PassWaitMax = 10 * time.Second
+	// PassGap is the least time between two passes: changes that come
+	// together share one.
+	PassGap = 10 * time.Millisecond
+	// PreemptSettle is how long a task must have run before it may be stopped
+	// for others: a start that is stopped within 30 s does not count.
+	PreemptSettle = 31 * time.Second
+	// GraceExtra is added to a task's own saving time when it is asked to save.
+	GraceExtra = 1 * time.Second
+)
+
+// Fleet.
+const (
+	// FleetEvery is how often the wanted machines are compared with the rented ones.
+	FleetEvery = 1 * time.Second
+	// ListEvery is how often the cloud's list is read.
+	ListEvery = 5 * time.Second
+	// RefusedFor is how long a type, zone and kind is not asked again after "no capacity".
+	RefusedFor = 10 * time.Second
+	// BootFactor times the nominal boot time is when a machine counts as
+	// late and is replaced; most are up after 1.5 times.
+	BootFactor = 2.0
+	// BootGiveUp times the nominal boot time is when a booting machine is deleted.
+	BootGiveUp = 3.0
+	// BootExtra is added to both, for the list's lag and the first report.
+	BootExtra = 5 * time.Second
+	// BootUnknown is the boot time allowed a machine of a type no longer known.
+	BootUnknown = 120 * time.Second
+	// AdoptWait is how long a new leader waits for the first report of a
+	// machine found in the list, before it can count as never up.
+	AdoptWait = 15 * time.Second
+	// SilentRelease is how long a machine may be silent after its lease ran
+	// out before it is returned.
+	SilentRelease = 20 * time.Second
+	// ForgetReleased is how long the name of a returned machine is remembered, against late messages.
+	ForgetReleased = 15 * time.Minute
+	// UnlistedLists is how many lists in a row must lack a silent machine before it counts as taken.
+	UnlistedLists = 3
+)
+
+// Controller.
+const (
+	// Tick is the leader's own clock for expiries and timed work.
+	Tick = 100 * time.Millisecond
+	// Inbox is how many messages may wait for the leader's loop.
+	Inbox = 1024
+	// MemoryShare is the share of the machine's memory that the Go runtime aims to stay under.
+	MemoryShare = 0.65
+)
+
+// Knobs are the settings that operators may change.
+type Knobs struct {
+	// IdleKeep is how long a machine without tasks is kept before it is returned.
+	IdleKeep time.Duration
+	// MaxMachines bounds how many machines are rented at a time.
+	MaxMachines int
+}
+
+// Defaults gives the knobs' values when no properties are given.
+func Defaults() Knobs {
+	return Knobs{
+		// A machine costs at least 60 s and boots for 20 s or more; work comes
+		// every few seconds, so a short idle time is cheaper than a new boot.
+		IdleKeep: 30 * time.Second,
+		// No deployment known is larger than a few dozen.
+		MaxMachines: 1000,
+	}
+}
--- /dev/null
+++ b/internal/wire/job.go
@@ -0,0 +1,231 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+)
+
+// Paths that users call.
+const (
+	PathJobs   = "/v2/runs"
+	PathHealth = "/up"
+	EndCancel  = "cancel"
+)
+
+// MaxBody is the largest request body that the protocol allows, in bytes.
+const MaxBody = 64 << 10
+
+// MaxTasks is the largest number of tasks of one job.
+const MaxTasks = 100_000
+
+// Kind tells how the tasks of a job run.
+type Kind string
+
+// The kinds of jobs.
+const (
+	KindArray   Kind = "array"
+	KindService Kind = "service"
+)
+
+// Priority is the urgency of a job.
+type Priority string
+
+// The priorities, highest first.
+const (
+	PriorityProduction Priority = "production"
+	PriorityHigh       Priority = "urgent"
+	PriorityNormal     Priority = "standard"
+	PriorityLow        Priority = "low"
+)
+
+var priorityLevels = map[Priority]int{
+	PriorityProduction: 3, PriorityHigh: 2, PriorityNormal: 1, PriorityLow: 0,
+}
+
+// Level orders priorities: a larger one goes first.
+func (p Priority) Level() int { return priorityLevels[p] }
+
+// Job is a job as its user describes it.
+type Job struct {
+	ID          string   `json:"ref"`
+	Class       string   `json:"lane"`
+	Team        string   `json:"desk"`
+	Kind        Kind     `json:"shape"`
+	Priority    Priority `json:"urgency"`
+	Tasks       int      `json:"seats"`
+	CPUs        float64  `json:"cpus"`
+	GPUs        float64  `json:"gpus"`
+	MemoryGB    float64  `json:"mem_gb"`
+	Image       string   `json:"bundle"`
+	ImageGB     float64  `json:"image_gb"`
+	Types       []string `json:"builds"`
+	Zone        string   `json:"yard"`
+	OneZone     bool     `json:"same_place"`
+	Spread      bool     `json:"apart"`
+	Spot        bool     `json:"standby"`
+	EstimateS   float64  `json:"ride_s"`
+	CheckpointS float64  `json:"stub_s"`
+	SaveS       float64  `json:"stamp_s"`
+	DeadlineS   *float64 `json:"departure_s"`
+}
+
+// jobDraft finds out which fields a submission has: a field that is missing
+// or null is nil.
+type jobDraft struct {
+	ID          *string   `json:"ref"`
+	Class       *string   `json:"lane"`
+	Team        *string   `json:"desk"`
+	Kind        *Kind     `json:"shape"`
+	Priority    *Priority `json:"urgency"`
+	Tasks       *int      `json:"seats"`
+	CPUs        *float64  `json:"cpus"`
+	GPUs        *float64  `json:"gpus"`
+	MemoryGB    *float64  `json:"mem_gb"`
+	Image       *string   `json:"bundle"`
+	ImageGB     *float64  `json:"image_gb"`
+	Types       []*string `json:"builds"`
+	Zone        *string   `json:"yard"`
+	OneZone     *bool     `json:"same_place"`
+	Spread      *bool     `json:"apart"`
+	Spot        *bool     `json:"standby"`
+	EstimateS   *float64  `json:"ride_s"`
+	CheckpointS *float64  `json:"stub_s"`
+	SaveS       *float64  `json:"stamp_s"`
+	DeadlineS   *float64  `json:"departure_s"`
+}
+
+var jobID = regexp.MustCompile(`^job-[0-9]{1,32}$`)
+
+// ValidJobID tells whether id has the form of a job id.
+func ValidJobID(id string) bool { return jobID.MatchString(id) }
+
+const maxName = 200 // bytes: the longest name (team, class, image, type, zone) that a job may carry
+
+// ParseJob reads a submission. An error says in one line what is malformed.
+func ParseJob(body []byte) (*Job, error) {
+	if b := bytes.TrimSpace(body); len(b) == 0 || b[0] != '{' {
+		return nil, errors.New("the body is not a JSON object")
+	}
+	var d jobDraft
+	if err := json.Unmarshal(body, &d); err != nil {
+		return nil, fmt.Errorf("malformed JSON: %w", err)
+	}
+	p := &presence{}
+	j := &Job{
+		ID: need(p, "ref", d.ID), Class: need(p, "lane", d.Class), Team: need(p, "desk", d.Team),
+		Kind: need(p, "shape", d.Kind), Priority: need(p, "urgency", d.Priority),
+		Tasks: need(p, "seats", d.Tasks), CPUs: need(p, "cpus", d.CPUs), GPUs: need(p, "gpus", d.GPUs),
+		MemoryGB: need(p, "mem_gb", d.MemoryGB), Image: need(p, "bundle", d.Image),
+		ImageGB: need(p, "image_gb", d.ImageGB), OneZone: need(p, "same_place", d.OneZone),
+		Spread: need(p, "apart", d.Spread), Spot: need(p, "standby", d.Spot),
+		EstimateS: need(p, "ride_s", d.EstimateS), CheckpointS: need(p, "stub_s", d.CheckpointS),
+		SaveS: need(p, "stamp_s", d.SaveS), DeadlineS: d.DeadlineS,
+	}
+	if p.missing != "" {
+		return nil, fmt.Errorf("field %q is missing", p.missing)
+	}
+	if d.Zone != nil {
+		j.Zone = *d.Zone
+		if j.Zone == "" || len(j.Zone) > maxName {
+			return nil, errors.New(`field "yard" is invalid`)
+		}
+	}
+	if d.Types != nil {
+		j.Types = make([]string, 0, len(d.Types))
+		for _, t := range d.Types {
+			if t == nil || len(*t) > maxName {
+				return nil, errors.New(`field "builds" is invalid`)
+			}
+			j.Types = append(j.Types, *t)
+		}
+	}
+	return j, j.check()
+}
+
+type presence struct{ missing string }
+
+func need[T any](p *presence, name string, v *T) T {
+	if v == nil {
+		if p.missing == "" {
+			p.missing = name
+		}
+		var zero T
+		return zero
+	}
+	return *v
+}
+
+func (j *Job) check() error {
+	_, known := priorityLevels[j.Priority]
+	switch {
+	case !ValidJobID(j.ID):
+		return errors.New(`field "ref" is not a job id`)
+	case j.Kind != KindArray && j.Kind != KindService:
+		return errors.New(`field "shape" is unknown`)
+	case !known:
+		return errors.New(`field "urgency" is unknown`)
+	case j.Tasks < 1 || j.Tasks > MaxTasks:
+		return fmt.Errorf(`field "seats" is not between 1 and %d`, MaxTasks)
+	}
+	amounts := []struct {
+		name string
+		v    float64
+	}{
+		{"cpus", j.CPUs}, {"gpus", j.GPUs}, {"mem_gb", j.MemoryGB}, {"image_gb", j.ImageGB},
+		{"ride_s", j.EstimateS}, {"stub_s", j.CheckpointS}, {"stamp_s", j.SaveS},
+	}
+	if j.DeadlineS != nil {
+		amounts = append(amounts, struct {
+			name string
+			v    float64
+		}{"departure_s", *j.DeadlineS})
+	}
+	for _, a := range amounts {
+		if a.v < 0 || math.IsNaN(a.v) || math.IsInf(a.v, 0) {
+			return fmt.Errorf("field %q is not a valid amount", a.name)
+		}
+	}
+	for _, n := range []struct{ name, v string }{{"lane", j.Class}, {"desk", j.Team}, {"bundle", j.Image}} {
+		if n.v == "" || len(n.v) > maxName {
+			return fmt.Errorf("field %q is invalid", n.name)
+		}
+	}
+	return nil
+}
+
+// JobState is the state of a job as its user sees it.
+type JobState string
+
+// The states of a job.
+const (
+	StateQueued    JobState = "pending"
+	StateRunning   JobState = "running"
+	StateDone      JobState = "done"
+	StateCancelled JobState = "withdrawn"
+)
+
+// Final tells whether a job in this state stays in it.
+func (s JobState) Final() bool { return s == StateDone || s == StateCancelled }
+
+// JobStatus answers a user about a job.
+type JobStatus struct {
+	ID      string   `json:"ref"`
+	State   JobState `json:"status"`
+	Done    int      `json:"done"`
+	Running int      `json:"running"`
+}
+
+// Accepted answers a submission or a cancellation.
+type Accepted struct {
+	ID    string   `json:"ref"`
+	State JobState `json:"status"`
+}
+
+// Error is the body of an answer that refuses a request.
+type Error struct {
+	Error string `json:"error"`
+}
--- /dev/null
+++ b/internal/wire/worker.go
@@ -0,0 +1,134 @@
+package wire
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// Paths between workers and controllers.
+const (
+	PathReport   = "/agent/beat"
+	PathCommands = "/do"
+)
+
+// TaskState is the state of a task on its machine.
+type TaskState string
+
+// The states of a task on a machine.
+const (
+	TaskFetching TaskState = "fetching"
+	TaskRunning  TaskState = "running"
+	TaskSaving   TaskState = "saving"
+	TaskExited   TaskState = "exited"
+)
+
+// Why tells how a task came to its end.
+type Why string
+
+// The ends of a task.
+const (
+	WhyDone    Why = "done"
+	WhyStopped Why = "stopped"
+	WhyError   Why = "error"
+	WhyNoRoom  Why = "full"
+	WhyBusy    Why = "busy"
+	WhyUnknown Why = "unknown"
+)
+
+// Op is what a command asks of a worker.
+type Op string
+
+// The commands.
+const (
+	OpStart  Op = "start"
+	OpStop   Op = "halt"
+	OpForget Op = "forget"
+)
+
+// Report is what a worker tells about itself.
+type Report struct {
+	Machine string       `json:"stall"`
+	Address string       `json:"address"`
+	Type    string       `json:"build"`
+	Zone    string       `json:"yard"`
+	Spot    bool         `json:"standby"`
+	Session uint64       `json:"shift"`
+	Seq     uint64       `json:"punch"`
+	Token   uint64       `json:"baton"`
+	NoticeS *float64     `json:"warning_s"`
+	Tasks   []TaskReport `json:"seats"`
+}
+
+// Check says what is malformed in a report.
+func (r *Report) Check() error {
+	if r.Machine == "" || r.Address == "" || r.Type == "" || r.Zone == "" {
+		return errors.New("a report lacks its machine, address, type or zone")
+	}
+	if r.Session == 0 {
+		return errors.New("a report lacks its session")
+	}
+	for _, t := range r.Tasks {
+		if _, ok := ParseTaskID(t.Task); !ok {
+			return errors.New("a report holds a malformed task")
+		}
+	}
+	return nil
+}
+
+// TaskReport is one task of a report.
+type TaskReport struct {
+	Task    string    `json:"seat"`
+	Attempt uint64    `json:"boarding"`
+	State   TaskState `json:"status"`
+	Why     Why       `json:"cause,omitempty"`
+	Saved   bool      `json:"kept,omitempty"`
+}
+
+// Command is one thing that a worker shall do.
+type Command struct {
+	Op      Op       `json:"call"`
+	Task    string   `json:"seat"`
+	Attempt uint64   `json:"boarding"`
+	GraceS  *float64 `json:"boarding_s,omitempty"`
+}
+
+// ReportAnswer answers a report.
+type ReportAnswer struct {
+	Token    uint64    `json:"baton"`
+	Commands []Command `json:"calls"`
+}
+
+// Redirect sends a worker to the controller that leads.
+type Redirect struct {
+	ReportTo string `json:"conductor,omitempty"`
+}
+
+// DirectCommands is a request to a worker.
+type DirectCommands struct {
+	Token    uint64    `json:"baton"`
+	Session  uint64    `json:"shift"`
+	Commands []Command `json:"calls"`
+}
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job   string
+	Index int
+}
+
+// String gives the task's name on the wire.
+func (t TaskID) String() string { return t.Job + "/" + strconv.Itoa(t.Index) }
+
+// ParseTaskID reads a task's name.
+func ParseTaskID(s string) (TaskID, bool) {
+	job, num, ok := strings.Cut(s, "/")
+	if !ok || !ValidJobID(job) {
+		return TaskID{}, false
+	}
+	n, err := strconv.Atoi(num)
+	if err != nil || n < 0 || n >= MaxTasks {
+		return TaskID{}, false
+	}
+	return TaskID{Job: job, Index: n}, true
+}
