--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,104 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"poppypass/internal/tuning"
+)
+
+const good = `
+member = "m0"
+domain = "a"
+bind = "127.0.0.1:8080"
+mesh_addr = "127.0.0.1:8081"
+future_field = 3
+[[members]]
+member = "m1"
+domain = "b"
+endpoint = "127.0.0.2:8081"
+[outside]
+cloud = "127.0.0.3:1"
+state = "127.0.0.3:2"
+[[cluster.teams]]
+name = "t"
+cpus = 4.0
+cpus_max = 8.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 18.0
+cancel_s = 43.0
+[cluster.state]
+rps = 150.0
+write_rps = 60.0
+value_kb = 16.0
+txn_ops = 12
+[cluster.cloud]
+rps = 3.0
+list_lag_s = 4.0
+`
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestLoad(t *testing.T) {
+	s, err := Load(write(t, "s.toml", good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Member != "m0" || s.Members[0].Endpoint != "127.0.0.2:8081" || s.Cluster.Teams[0].CPUsMax != 8 || s.Cluster.State.TxnOps != 12 {
+		t.Errorf("read as %+v", s)
+	}
+}
+
+func TestLoadNamesTheBadField(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`member = "m0"`, ``, "member is missing"},
+		{`bind = "127.0.0.1:8080"`, ``, "field bind is missing"},
+		{`bind = "127.0.0.1:8080"`, `bind = "here"`, "field bind"},
+		{`mesh_addr = "127.0.0.1:8081"`, ``, "mesh_addr"},
+		{`endpoint = "127.0.0.2:8081"`, ``, "members[0].endpoint"},
+		{`member = "m1"`, `member = "m0"`, "members[0].member"},
+		{`cloud = "127.0.0.3:1"`, ``, "outside.cloud"},
+		{`cpus = 4.0`, `cpus = -4.0`, "cluster.teams[0]"},
+		{`name = "t"`, ``, "cluster.teams[0].name"},
+		{`lease_s = 18.0`, ``, "cluster.workers.lease_s"},
+		{`write_rps = 60.0`, `write_rps = 0.0`, "cluster.state.write_rps"},
+		{`value_kb = 16.0`, `value_kb = 1.0`, "cluster.state.value_kb"},
+		{`txn_ops = 12`, `txn_ops = 2`, "cluster.state.txn_ops"},
+		{`txn_ops = 12`, `txn_ops = "x"`, "not valid TOML"},
+		{`[outside]`, `[outside`, "not valid TOML"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if _, err := Load(write(t, "s.toml", text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q instead of %q: %v", c.new, c.old, err)
+		}
+	}
+	if _, err := Load(filepath.Join(t.TempDir(), "none.toml")); err == nil {
+		t.Error("a missing file was taken")
+	}
+}
+
+func TestLoadProperties(t *testing.T) {
+	k, err := LoadProperties(write(t, "p.properties", "# ours\nfleet.idle.keep = 45s\nfleet.machines.max: 7\n"))
+	if err != nil || k.IdleKeep != 45*time.Second || k.MaxMachines != 7 {
+		t.Errorf("read as %+v, %v", k, err)
+	}
+	if k, err = LoadProperties(""); err != nil || k != tuning.Defaults() {
+		t.Errorf("without a file: %+v, %v", k, err)
+	}
+	for _, text := range []string{"fleet.idle.keep = soon", "fleet.idle.keep = -1s", "fleet.machines.max = 0", "fleet.machine.max = 3"} {
+		if _, err := LoadProperties(write(t, "p.properties", text)); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"poppypass/internal/placement"
+	"poppypass/internal/wire"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func input(items ...*placement.Item) Input {
+	return Input{
+		Now: now, Items: items, Teams: map[string]*placement.Team{"t": {CPUsMax: 100}}, Room: 100, Count: map[Option]int{},
+		Refused: func(Option) bool { return false },
+		Types: []wire.MachineType{
+			{Name: "small", CPUs: 4, MemoryGB: 16, Price: 0.2, SpotPrice: 0.05, Zones: []string{"a", "b"}},
+			{Name: "big", CPUs: 64, MemoryGB: 512, Price: 3, SpotPrice: 1, Zones: []string{"a"}},
+		},
+	}
+}
+
+func item(tasks int, cpus float64, spot, spread bool) *placement.Item {
+	return &placement.Item{
+		Job:   &wire.Job{ID: "job-1", Team: "t", Priority: wire.PriorityNormal, Tasks: tasks, CPUs: cpus, Spot: spot, Spread: spread},
+		Since: now, Waiting: tasks, Zones: map[string]int{},
+	}
+}
+
+func TestPlan(t *testing.T) {
+	small := func(zone string, spot bool, n int) Want { return Want{Option{"small", zone, spot}, n} }
+	refuse := func(in Input, o Option) Input {
+		in.Refused = func(x Option) bool { return x == o }
+		return in
+	}
+	booting := input(item(1, 4, true, false))
+	booting.Booting = []*placement.Machine{{Name: "n-1", Type: "small", Zone: "a", Spot: true, Free: placement.Room{CPUs: 4, MemoryGB: 16}}}
+	full := input(item(1, 4, true, false))
+	full.Room = 0
+	limited := input(item(9, 4, true, false))
+	limited.Teams["t"].CPUsMax = 8
+	for _, c := range []struct {
+		name string
+		in   Input
+		want []Want
+	}{
+		{"the cheapest kind", input(item(1, 4, true, false)), []Want{small("a", true, 1)}},
+		{"no spot without leave", input(item(1, 4, false, false)), []Want{small("a", false, 1)}},
+		{"a large task takes the type that fits", input(item(1, 32, true, false)), []Want{{Option{"big", "a", true}, 1}}},
+		{"another zone when refused", refuse(input(item(1, 4, true, false)), Option{"small", "a", true}), []Want{small("b", true, 1)}},
+		{"spread over the zones", input(item(2, 4, false, true)), []Want{small("a", false, 1), small("b", false, 1)}},
+		{"booting machines are counted", booting, []Want{}},
+		{"never more than may be rented", full, []Want{}},
+		{"never more than the team's limit allows", limited, []Want{small("a", true, 1), small("b", true, 1)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Plan(c.in); !reflect.DeepEqual(got, c.want) {
+				t.Errorf("wants %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestFits(t *testing.T) {
+	in := input()
+	for _, c := range []struct {
+		job  wire.Job
+		want bool
+	}{
+		{wire.Job{CPUs: 64, MemoryGB: 512}, true},
+		{wire.Job{CPUs: 65}, false},
+		{wire.Job{CPUs: 64, Zone: "b"}, false},
+		{wire.Job{CPUs: 4, Zone: "c"}, false},
+		{wire.Job{CPUs: 8, Types: []string{"small"}}, false},
+		{wire.Job{CPUs: 1, Types: []string{}}, false},
+		{wire.Job{CPUs: 1, GPUs: 1}, false},
+	} {
+		if got := Fits(&c.job, in.Types); got != c.want {
+			t.Errorf("%+v: %v", c.job, got)
+		}
+	}
+}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -364,6 +364,7 @@
 func (b *Book) Take(now time.Time) *Batch {
 	w := &Batch{}
 	size := 0
+	guarded := map[string]bool{} // jobs whose stored record is a condition already
 	room := func(ops int) bool { return len(w.Txn.Then)+ops <= b.txnOps && size < tuning.CommitBytes }
 	put := func(key string, version uint64, value json.RawMessage) {
 		w.Txn.If = append(w.Txn.If, wire.Condition{Key: key, Version: version})
@@ -384,6 +385,7 @@
 			put(KeyEnd(j.ID), 0, mustJSON(End{State: wire.StateCancelled, Done: j.Done}))
 			put(KeyJob(j.ID), j.version, mustJSON(Record{Job: j.Job, AtMS: j.atMS, Cancelled: true}))
 			w.ends = append(w.ends, ref)
+			guarded[j.ID] = true
 			continue
 		}
 		if !j.cancelled {
@@ -413,6 +415,12 @@
 		}
 		value, places := ref.job.encodeChunk(ref.n)
 		c.dirty, c.writing = false, true
+		// Progress is only written for a job that is still stored as it was
+		// loaded: one that is over can never come back to life.
+		if !guarded[ref.job.ID] {
+			guarded[ref.job.ID] = true
+			w.Txn.If = append(w.Txn.If, wire.Condition{Key: KeyJob(ref.job.ID), Version: ref.job.version})
+		}
 		put(keyRun(ref.job.ID, ref.n), c.version, value)
 		w.chunks = append(w.chunks, ref)
 		w.places = append(w.places, places...)
--- /dev/null
+++ b/internal/jobs/book_test.go
@@ -0,0 +1,279 @@
+package jobs
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+var t0 = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// store applies a book's transactions like the state service, conditions included.
+type store struct {
+	t        *testing.T
+	revision uint64
+	items    map[string]wire.Item
+}
+
+func newStore(t *testing.T) *store { return &store{t: t, items: map[string]wire.Item{}} }
+
+func (s *store) accept(id string, tasks int) {
+	s.revision++
+	rec := Record{Job: wire.Job{ID: id, Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: tasks, CPUs: 1}, AtMS: t0.UnixMilli()}
+	s.items[KeyJob(id)] = wire.Item{Key: KeyJob(id), Value: mustJSON(rec), Version: s.revision}
+}
+
+func (s *store) apply(txn wire.Txn) uint64 {
+	s.t.Helper()
+	for _, c := range txn.If {
+		if s.items[c.Key].Version != c.Version {
+			s.t.Fatalf("condition on %s: version %d, want %d", c.Key, s.items[c.Key].Version, c.Version)
+		}
+	}
+	s.revision++
+	for _, c := range txn.Then {
+		if c.Delete != "" {
+			delete(s.items, c.Delete)
+			continue
+		}
+		s.items[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: s.revision}
+	}
+	return s.revision
+}
+
+// flush writes all that is pending, and gives what may start and what is over.
+func (s *store) flush(b *Book) (start []*Place, over []Over) {
+	s.t.Helper()
+	for w := b.Take(t0); w != nil; w = b.Take(t0) {
+		st, ov := b.Written(w, s.apply(w.Txn), t0)
+		start, over = append(start, st...), append(over, ov...)
+	}
+	return start, over
+}
+
+// load is what a new leader does.
+func (s *store) load(txnOps int) (*Book, []*Place) {
+	s.t.Helper()
+	b := NewBook(txnOps)
+	var places []*Place
+	for key, item := range s.items {
+		if strings.HasPrefix(key, PrefixJob) {
+			if _, err := b.LoadJob(item, t0, t0); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+	}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, PrefixRun) {
+			p, err := b.LoadRun(item, t0)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			places = append(places, p...)
+		}
+	}
+	b.Loaded(t0)
+	return b, places
+}
+
+func TestStartOnlyAfterTheRecord(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 2)
+	b, _ := s.load(12)
+	p := b.Place(b.Jobs["job-1"], 0, "n-1", "a", 1, t0)
+	if p.Committed {
+		t.Fatal("a place counts as stored before it is")
+	}
+	start, _ := s.flush(b)
+	if len(start) != 1 || start[0] != p || !p.Committed {
+		t.Fatalf("to start: %v", start)
+	}
+	// A new leader finds the place, with all that it needs to count it.
+	_, places := s.load(12)
+	if len(places) != 1 || places[0].Machine != "n-1" || places[0].Session != 1 || places[0].Attempt != 1 || places[0].Zone != "a" || !places[0].Committed {
+		t.Fatalf("found again: %+v", places)
+	}
+}
+
+func TestGoneBeforeTheRecordIsNotStarted(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 1)
+	b, _ := s.load(12)
+	p := b.Place(b.Jobs["job-1"], 0, "n-1", "a", 1, t0)
+	w := b.Take(t0)
+	b.Gone(p, t0) // its machine's session ended while the record was on its way
+	if start, _ := b.Written(w, s.apply(w.Txn), t0); len(start) != 0 {
+		t.Fatalf("to start: %v", start)
+	}
+}
+
+// Guards against an attempt that is used twice: a worker that knows an attempt
+// ignores its start, and one that forgot it would run the task again.
+func TestAttemptsNeverRepeat(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 1)
+	seen := map[uint64]bool{}
+	for range 5 {
+		b, places := s.load(12) // a new leader each time
+		for _, p := range places {
+			b.Gone(p, t0)
+		}
+		p := b.Place(b.Jobs["job-1"], 0, "n-1", "a", 1, t0)
+		if seen[p.Attempt] {
+			t.Fatalf("attempt %d again", p.Attempt)
+		}
+		seen[p.Attempt] = true
+		s.flush(b)
+		b.Gone(p, t0)
+		s.flush(b)
+	}
+}
+
+func TestDoneIsStoredBeforeItIsSaid(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 1)
+	b, _ := s.load(12)
+	j := b.Jobs["job-1"]
+	p := b.Place(j, 0, "n-1", "a", 1, t0)
+	s.flush(b)
+	b.Finished(p, t0)
+	if st := j.Status(); st.State.Final() {
+		t.Fatalf("said %v before it is stored", st)
+	}
+	if b.Clean(j, 0) {
+		t.Error("the attempt could be forgotten before its end is stored")
+	}
+	_, over := s.flush(b)
+	if len(over) != 1 || over[0].State != wire.StateDone {
+		t.Fatalf("over: %v", over)
+	}
+	if _, live := s.items[KeyJob("job-1")]; live || len(s.items) != 1 || s.items[KeyEnd("job-1")].Key == "" {
+		t.Errorf("left in the store: %v", s.items)
+	}
+}
+
+func TestCancelIsStoredThenTheRecordsGoOnceAllTasksAreGone(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 3)
+	b, _ := s.load(12)
+	j := b.Jobs["job-1"]
+	p := b.Place(j, 0, "n-1", "a", 1, t0)
+	s.flush(b)
+	var told []wire.JobState
+	tell := func(st wire.JobState) { told = append(told, st) }
+	b.Cancel(j, tell)
+	b.Cancel(j, tell) // the request is repeated meanwhile
+	if j.Open() || len(told) != 0 {
+		t.Fatalf("open %v, told %v before it is stored", j.Open(), told)
+	}
+	s.flush(b)
+	b.Cancel(j, tell)
+	if !reflect.DeepEqual(told, []wire.JobState{wire.StateCancelled, wire.StateCancelled, wire.StateCancelled}) {
+		t.Fatalf("told %v", told)
+	}
+	// A new leader knows the cancellation and the task that may still be there.
+	nb, places := s.load(12)
+	if nb.Jobs["job-1"].Open() || len(places) != 1 {
+		t.Fatalf("a new leader finds open %v, places %v", nb.Jobs["job-1"].Open(), places)
+	}
+	b.Gone(p, t0)
+	s.flush(b)
+	if len(s.items) != 1 || s.items[KeyEnd("job-1")].Key == "" {
+		t.Errorf("left in the store: %v", s.items)
+	}
+}
+
+// Guards against a cancellation that overtakes the last task's end: whatever
+// is stored first is what everybody is told.
+func TestCancelOfAJobWhoseEndIsBeingStored(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 1)
+	b, _ := s.load(12)
+	j := b.Jobs["job-1"]
+	p := b.Place(j, 0, "n-1", "a", 1, t0)
+	s.flush(b)
+	b.Finished(p, t0)
+	w := b.Take(t0)
+	var told wire.JobState
+	b.Cancel(j, func(st wire.JobState) { told = st })
+	if _, over := b.Written(w, s.apply(w.Txn), t0); told != wire.StateDone || over[0].State != wire.StateDone {
+		t.Errorf("told %q, over %v", told, over)
+	}
+}
+
+func TestVeryManyTasksFitTheStore(t *testing.T) {
+	const ops = 12
+	s := newStore(t)
+	s.accept("job-7", wire.MaxTasks)
+	b, _ := s.load(ops)
+	j := b.Jobs["job-7"]
+	var places []*Place
+	for i := range 20 * tuning.ChunkTasks {
+		places = append(places, b.Place(j, i, fmt.Sprintf("n-%06d-with-a-long-name", i), "a-zone-with-a-long-name", 1<<40, t0))
+	}
+	for w := b.Take(t0); w != nil; w = b.Take(t0) {
+		size := 0
+		for _, c := range w.Txn.Then {
+			if len(c.Value) > tuning.MinValueKB<<10 {
+				t.Fatalf("a record has %d bytes", len(c.Value))
+			}
+			size += len(c.Value)
+		}
+		if len(w.Txn.Then) > ops || len(w.Txn.If) > 4*ops-1 || size > 60<<10 {
+			t.Fatalf("a transaction has %d changes, %d conditions and %d bytes", len(w.Txn.Then), len(w.Txn.If), size)
+		}
+		b.Written(w, s.apply(w.Txn), t0)
+	}
+	for _, p := range places {
+		b.Finished(p, t0)
+	}
+	s.flush(b)
+	nb, _ := s.load(ops)
+	nj := nb.Jobs["job-7"]
+	if nj.Done != len(places) || nj.NextWaiting(0) != len(places) {
+		t.Fatalf("a new leader finds %d done and %d waiting first", nj.Done, nj.NextWaiting(0))
+	}
+	// Its end drops more records than one transaction can; none stays behind.
+	nb.Cancel(nj, func(wire.JobState) {})
+	s.flush(nb)
+	if len(s.items) != 1 {
+		t.Errorf("%d keys left", len(s.items))
+	}
+}
+
+// Guards against records that a leader could not drop before it died.
+func TestOrphanedProgressIsDropped(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 1)
+	b, _ := s.load(12)
+	b.Place(b.Jobs["job-1"], 0, "n-1", "a", 1, t0)
+	s.flush(b)
+	delete(s.items, KeyJob("job-1"))
+	b, places := s.load(12)
+	s.flush(b)
+	if len(places) != 0 || len(s.items) != 0 {
+		t.Errorf("places %v, keys %v", places, s.items)
+	}
+}
+
+func TestRanges(t *testing.T) {
+	for _, c := range []struct {
+		idx  []int
+		text string
+	}{{nil, ""}, {[]int{3}, "3"}, {[]int{0, 1, 2, 5, 7, 8}, "0-2,5,7-8"}} {
+		got, err := decodeRanges(c.text)
+		if encodeRanges(c.idx) != c.text || err != nil || !reflect.DeepEqual(got, c.idx) {
+			t.Errorf("%v: %q, back %v, %v", c.idx, encodeRanges(c.idx), got, err)
+		}
+	}
+	for _, bad := range []string{"x", "3-1", "-1", "0-100000", "1,,2"} {
+		if _, err := decodeRanges(bad); err == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,107 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func machine(name, zone string, spot bool, cpus float64) *Machine {
+	r := Room{CPUs: cpus, MemoryGB: 100}
+	return &Machine{Name: name, Type: "g8", Zone: zone, Spot: spot, Total: Room{CPUs: 16, MemoryGB: 100}, Free: r}
+}
+
+func item(id string, p wire.Priority, waited time.Duration, tasks int, cpus float64, opts ...func(*wire.Job)) *Item {
+	j := &wire.Job{ID: id, Team: "t", Priority: p, Tasks: tasks, CPUs: cpus, Spot: true}
+	for _, o := range opts {
+		o(j)
+	}
+	return &Item{Job: j, Since: now.Add(-waited), Waiting: tasks, Zones: map[string]int{}}
+}
+
+func run(items []*Item, machines []*Machine, limit float64) string {
+	var b strings.Builder
+	for _, p := range Pass(now, items, machines, map[string]*Team{"t": {CPUsMax: limit}}) {
+		fmt.Fprintf(&b, "%s:%s ", p.Item.Job.ID, p.Machine.Name)
+	}
+	return strings.TrimSpace(b.String())
+}
+
+func TestPass(t *testing.T) {
+	ordinary := func(j *wire.Job) { j.Spot = false }
+	spread := func(j *wire.Job) { j.Spread, j.Spot = true, false }
+	oneZone := func(j *wire.Job) { j.OneZone = true }
+	inZone := func(z string) func(*wire.Job) { return func(j *wire.Job) { j.Zone = z } }
+	ofType := func(ts ...string) func(*wire.Job) { return func(j *wire.Job) { j.Types = ts } }
+	type ms = []*Machine
+	for _, c := range []struct {
+		name     string
+		items    []*Item
+		machines ms
+		limit    float64
+		want     string
+	}{
+		{"priority goes before waiting",
+			[]*Item{item("b", wire.PriorityNormal, 9*time.Second, 1, 4), item("a", wire.PriorityHigh, 0, 1, 4)},
+			ms{machine("m", "a", false, 4)}, 100, "a:m"},
+		{"the longest wait goes first",
+			[]*Item{item("a", wire.PriorityNormal, time.Second, 1, 4), item("b", wire.PriorityNormal, 2*time.Second, 1, 4)},
+			ms{machine("m", "a", false, 4)}, 100, "b:m"},
+		{"past the wait bound a task rises one step",
+			[]*Item{item("a", wire.PriorityHigh, 0, 1, 4), item("b", wire.PriorityNormal, tuning.AgeStep, 1, 4)},
+			ms{machine("m", "a", false, 4)}, 100, "b:m"},
+		{"most free room wins", []*Item{item("a", wire.PriorityHigh, 0, 1, 4)},
+			ms{machine("m", "a", false, 8), machine("n", "a", false, 12)}, 100, "a:n"},
+		{"full machines are skipped", []*Item{item("a", wire.PriorityHigh, 0, 2, 4)},
+			ms{machine("m", "a", false, 3.9), machine("n", "a", false, 4)}, 100, "a:n"},
+		{"never beyond the team's limit", []*Item{item("a", wire.PriorityHigh, 0, 5, 4)},
+			ms{machine("m", "a", false, 16)}, 8, "a:m a:m"},
+		{"a limit of 0 means none", []*Item{item("a", wire.PriorityHigh, 0, 5, 4)}, ms{machine("m", "a", false, 16)}, 0, ""},
+		{"those behind are tried in the same pass",
+			[]*Item{item("a", wire.PriorityHigh, 0, 1, 8), item("b", wire.PriorityLow, 0, 1, 4)},
+			ms{machine("m", "a", false, 4)}, 100, "b:m"},
+		{"a long-waiting head holds its machine against those behind",
+			[]*Item{item("a", wire.PriorityHigh, tuning.HeadHold, 1, 8), item("b", wire.PriorityLow, 0, 2, 4)},
+			ms{machine("m", "a", false, 6), machine("n", "a", false, 4)}, 100, "b:n"},
+		{"no spot machine without leave", []*Item{item("a", wire.PriorityHigh, 0, 1, 4, ordinary)},
+			ms{machine("m", "a", true, 16)}, 100, ""},
+		{"spot first for work that may", []*Item{item("a", wire.PriorityHigh, 0, 1, 4)},
+			ms{machine("m", "a", false, 16), machine("n", "a", true, 8)}, 100, "a:n"},
+		{"at most half, rounded up, in one zone", []*Item{item("a", wire.PriorityHigh, 0, 5, 1, spread)},
+			ms{machine("m", "a", false, 16)}, 100, "a:m a:m a:m"},
+		{"all tasks in one zone", []*Item{item("a", wire.PriorityHigh, 0, 3, 4, oneZone)},
+			ms{machine("m", "a", false, 8), machine("n", "b", false, 4)}, 100, "a:m a:m"},
+		{"only the allowed zone", []*Item{item("a", wire.PriorityHigh, 0, 2, 4, inZone("b"))},
+			ms{machine("m", "a", false, 16), machine("n", "b", false, 4)}, 100, "a:n"},
+		{"only the allowed types", []*Item{item("a", wire.PriorityHigh, 0, 1, 4, ofType("h1"))},
+			ms{machine("m", "a", false, 16)}, 100, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := run(c.items, c.machines, c.limit); got != c.want {
+				t.Errorf("placed %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestAHeldImageSavesTheFetch(t *testing.T) {
+	m, n := machine("m", "a", false, 16), machine("n", "a", false, 4)
+	n.HasImage = func(string) bool { return true }
+	if got := run([]*Item{item("a", wire.PriorityHigh, 0, 1, 4)}, []*Machine{m, n}, 100); got != "a:n" {
+		t.Errorf("placed %q", got)
+	}
+}
+
+func TestZonesOfTasksPlacedBeforeCount(t *testing.T) {
+	it := item("a", wire.PriorityHigh, 0, 4, 1, func(j *wire.Job) { j.Spread = true })
+	it.Waiting, it.Zones = 2, map[string]int{"a": 2}
+	if got := run([]*Item{it}, []*Machine{machine("m", "a", false, 16)}, 100); got != "" {
+		t.Errorf("placed %q", got)
+	}
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+
+	"poppypass/internal/wire"
+)
+
+// Cloud is a cloud that rents what is asked for, up to Capacity machines.
+type Cloud struct {
+	srv *httptest.Server
+
+	mu       sync.Mutex
+	Types    []wire.MachineType
+	Capacity int
+	booked   map[string][]string
+	machines []wire.ListedMachine
+	rents    []wire.Rent
+	deleted  []string
+	silent   int // rentals that are executed without an answer
+}
+
+// NewCloud starts a cloud.
+func NewCloud(capacity int, types ...wire.MachineType) *Cloud {
+	c := &Cloud{Types: types, Capacity: capacity, booked: map[string][]string{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+wire.PathMachineTypes, func(w http.ResponseWriter, _ *http.Request) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		answer(w, http.StatusOK, wire.MachineTypes{Types: c.Types})
+	})
+	mux.HandleFunc("POST "+wire.PathMachines, c.rent)
+	mux.HandleFunc("POST "+wire.PathDelete, c.remove)
+	mux.HandleFunc("GET "+wire.PathMachines, func(w http.ResponseWriter, _ *http.Request) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		answer(w, http.StatusOK, wire.MachinePage{Machines: append([]wire.ListedMachine{}, c.machines...)})
+	})
+	c.srv = httptest.NewServer(mux)
+	return c
+}
+
+// Addr is its address.
+func (c *Cloud) Addr() string { return strings.TrimPrefix(c.srv.URL, "http://") }
+
+// Close stops it.
+func (c *Cloud) Close() {
+	c.srv.CloseClientConnections()
+	c.srv.Close()
+}
+
+// Silent makes the next n rentals go without an answer, though executed.
+func (c *Cloud) Silent(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = n
+}
+
+// Rents gives the rentals asked for, repetitions included.
+func (c *Cloud) Rents() []wire.Rent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]wire.Rent(nil), c.rents...)
+}
+
+// Machines gives the machines that are there.
+func (c *Cloud) Machines() []wire.ListedMachine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]wire.ListedMachine(nil), c.machines...)
+}
+
+func (c *Cloud) rent(w http.ResponseWriter, r *http.Request) {
+	var q wire.Rent
+	if json.NewDecoder(r.Body).Decode(&q) != nil {
+		answer(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rents = append(c.rents, q)
+	names, known := c.booked[q.Request]
+	if !known {
+		for len(names) < q.Count && len(c.machines) < c.Capacity {
+			name := fmt.Sprintf("n-%06d", len(c.machines)+1)
+			names = append(names, name)
+			c.machines = append(c.machines, wire.ListedMachine{Name: name, Type: q.Type, Zone: q.Zone, Spot: q.Spot, State: wire.MachineBooting})
+		}
+		if len(names) == 0 {
+			answer(w, http.StatusServiceUnavailable, wire.Error{Error: "no capacity"})
+			return
+		}
+		c.booked[q.Request] = names
+	}
+	if c.silent > 0 {
+		c.silent--
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, wire.MachineNames{Machines: names})
+}
+
+func (c *Cloud) remove(w http.ResponseWriter, r *http.Request) {
+	var q wire.MachineNames
+	if json.NewDecoder(r.Body).Decode(&q) != nil {
+		answer(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deleted = append(c.deleted, q.Machines...)
+	answer(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,286 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/wire"
+)
+
+// State is a state service in memory. Leases run by the test's clock.
+type State struct {
+	clock clockwork.Clock
+	srv   *httptest.Server
+
+	mu       sync.Mutex
+	revision uint64
+	keys     map[string]wire.Item
+	leases   map[uint64]*lease
+	nextID   uint64
+	events   []wire.Event
+	wake     chan struct{} // closed at each change
+	refuse   bool
+	mute     func(wire.Txn) bool
+	txns     []wire.Txn // that were applied
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// NewState starts a state service.
+func NewState(clock clockwork.Clock) *State {
+	s := &State{clock: clock, keys: map[string]wire.Item{}, leases: map[uint64]*lease{}, wake: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv/{key...}", s.get)
+	mux.HandleFunc("GET /kv", s.list)
+	mux.HandleFunc("POST "+wire.PathTxn, s.commit)
+	mux.HandleFunc("POST "+wire.PathLeases, s.grant)
+	mux.HandleFunc("POST "+wire.PathLeases+"/{id}/"+wire.EndRenew, s.renew)
+	mux.HandleFunc("DELETE "+wire.PathLeases+"/{id}", s.revoke)
+	mux.HandleFunc("GET "+wire.PathWatch, s.watch)
+	s.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		refuse := s.refuse
+		s.mu.Unlock()
+		if refuse {
+			answer(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}))
+	return s
+}
+
+// Addr is its address.
+func (s *State) Addr() string { return strings.TrimPrefix(s.srv.URL, "http://") }
+
+// Close stops it.
+func (s *State) Close() {
+	s.srv.CloseClientConnections()
+	s.srv.Close()
+}
+
+// Refuse makes it answer 503 to everything, or ends that; then every lease
+// has its full time again.
+func (s *State) Refuse(refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = refuse
+	for _, l := range s.leases {
+		l.end = s.clock.Now().Add(l.ttl)
+	}
+}
+
+// Mute makes it apply transactions that fn picks without answering them.
+func (s *State) Mute(fn func(wire.Txn) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute = fn
+}
+
+// Value reads a key.
+func (s *State) Value(key string) (wire.Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	i, ok := s.keys[key]
+	return i, ok
+}
+
+// Applied gives the transactions that were applied so far.
+func (s *State) Applied() []wire.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]wire.Txn(nil), s.txns...)
+}
+
+// Expire ends what the clock has run out, and wakes the watches.
+func (s *State) Expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+}
+
+func (s *State) expire() {
+	if s.refuse {
+		return
+	}
+	for id, l := range s.leases {
+		if s.clock.Now().After(l.end) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *State) endLease(id uint64) {
+	delete(s.leases, id)
+	for key, item := range s.keys {
+		if item.Lease == id {
+			s.revision++
+			s.apply(wire.Change{Delete: key})
+		}
+	}
+	s.changed()
+}
+
+func (s *State) apply(c wire.Change) {
+	if c.Delete != "" {
+		delete(s.keys, c.Delete)
+		s.events = append(s.events, wire.Event{Delete: c.Delete, Version: s.revision})
+		return
+	}
+	s.keys[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: s.revision, Lease: c.Lease}
+	s.events = append(s.events, wire.Event{Put: c.Put, Value: c.Value, Version: s.revision})
+}
+
+func (s *State) changed() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *State) get(w http.ResponseWriter, r *http.Request) {
+	item, ok := s.Value(r.PathValue("key"))
+	if !ok {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	answer(w, http.StatusOK, item)
+}
+
+func (s *State) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	prefix, after := r.FormValue("starts"), r.FormValue("after")
+	page, _ := strconv.Atoi(r.FormValue("page"))
+	out := wire.ItemPage{Items: []wire.Item{}, Revision: s.revision}
+	for key, item := range s.keys {
+		if strings.HasPrefix(key, prefix) && key > after {
+			out.Items = append(out.Items, item)
+		}
+	}
+	sort.Slice(out.Items, func(i, j int) bool { return out.Items[i].Key < out.Items[j].Key })
+	if page > 0 && len(out.Items) > page {
+		out.Items, out.More = out.Items[:page], true
+	}
+	answer(w, http.StatusOK, out)
+}
+
+func (s *State) commit(w http.ResponseWriter, r *http.Request) {
+	var t wire.Txn
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		answer(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var failed []string
+	for _, c := range t.If {
+		if s.keys[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	for _, c := range t.Then {
+		if c.Lease != 0 && s.leases[c.Lease] == nil {
+			answer(w, http.StatusBadRequest, wire.Error{Error: "no such lease"})
+			return
+		}
+	}
+	if len(failed) > 0 {
+		answer(w, http.StatusConflict, wire.TxnResult{Failed: failed, Revision: s.revision})
+		return
+	}
+	if len(t.Then) > 0 {
+		s.revision++
+		for _, c := range t.Then {
+			s.apply(c)
+		}
+		s.changed()
+	}
+	s.txns = append(s.txns, t)
+	if s.mute != nil && s.mute(t) {
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}
+	answer(w, http.StatusOK, wire.TxnResult{Revision: s.revision})
+}
+
+func (s *State) grant(w http.ResponseWriter, r *http.Request) {
+	var q wire.LeaseRequest
+	if json.NewDecoder(r.Body).Decode(&q) != nil {
+		answer(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	ttl := time.Duration(q.TTLMS) * time.Millisecond
+	s.leases[s.nextID] = &lease{ttl: ttl, end: s.clock.Now().Add(ttl)}
+	answer(w, http.StatusOK, wire.LeaseGrant{Lease: s.nextID})
+}
+
+func (s *State) renew(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := s.leases[id]
+	if l == nil {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	l.end = s.clock.Now().Add(l.ttl)
+	answer(w, http.StatusOK, struct{}{})
+}
+
+func (s *State) revoke(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] != nil {
+		s.endLease(id)
+	}
+	answer(w, http.StatusOK, struct{}{})
+}
+
+func (s *State) watch(w http.ResponseWriter, r *http.Request) {
+	prefix := r.FormValue("starts")
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	for {
+		s.mu.Lock()
+		res := wire.WatchResult{Revision: s.revision}
+		for _, e := range s.events {
+			if e.Version > after && strings.HasPrefix(e.Put+e.Delete, prefix) {
+				res.Events = append(res.Events, e)
+			}
+		}
+		wake := s.wake
+		s.mu.Unlock()
+		if len(res.Events) > 0 {
+			answer(w, http.StatusOK, res)
+			return
+		}
+		select {
+		case <-wake:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
