Followers' promises keep the leader answering through a state outage

Ruled out: a longer leader lease (it delays every takeover). Now the leader may go on while every other member, itself unserved by the state service, promises not to campaign.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,7 +56,7 @@
 		endpoint: map[string]string{}, teams: map[string]config.Team{},
 		finals: newFinals(tuning.FinalCache),
 	}
-	c.elector = leadership.New(c.store, s.Member, clock, log)
+	c.elector = leadership.New(c.store, c, s.Member, clock, log)
 	for _, m := range s.Members {
 		c.endpoint[m.Name] = m.Endpoint
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -93,11 +93,11 @@
 }
 
 // pass lets time pass once a call that is to be repeated waits for that,
-// beside the three that always wait: the leader's tick, the renewal of its
-// lease and the next reading of the machine types.
+// beside the four that always wait: the leader's tick, the renewal of its
+// lease, its next asking for promises and the next reading of the machine types.
 func (w *world) pass(d time.Duration) {
 	w.t.Helper()
-	if err := w.clock.BlockUntilContext(w.t.Context(), 4); err != nil {
+	if err := w.clock.BlockUntilContext(w.t.Context(), 5); err != nil {
 		w.t.Fatal("nothing waits to be repeated")
 	}
 	w.clock.Advance(d)
@@ -140,7 +140,10 @@
 
 func (w *world) submit(id string, tasks int) {
 	w.t.Helper()
-	w.until("accepted", func() bool { status, _ := w.call("POST", "/v2/runs", job(id, tasks)); return status == 201 || status == 200 })
+	w.until("accepted", func() bool {
+		status, _ := w.call("POST", "/v2/runs", job(id, tasks))
+		return status == 201 || status == 200
+	})
 }
 
 func (w *world) jobState(id string) string {
@@ -273,7 +276,11 @@
 		t.Errorf("state %q", s)
 	}
 	w.until("the third task runs too", func() bool { k.beat(); return k.running() == 3 })
-	w.until("done", func() bool { k.beat(); k.finish(); return w.jobState("job-1") == "done" && w.jobState("job-2") == "done" })
+	w.until("done", func() bool {
+		k.beat()
+		k.finish()
+		return w.jobState("job-1") == "done" && w.jobState("job-2") == "done"
+	})
 	for task, n := range k.start {
 		if n != 1 {
 			t.Errorf("%s started %d times", task, n)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -258,10 +258,16 @@
 	return status, s
 }
 
-// servePeer answers a follower on the leader's behalf.
+// servePeer answers another member.
 func (c *Controller) servePeer(ctx context.Context, req mesh.Request) mesh.Response {
 	ctx, cancel := context.WithTimeout(ctx, tuning.RelayTimeout)
 	defer cancel()
+	switch req.Verb {
+	case mesh.Promise:
+		return yesOrNo(c.elector.Promise(ctx))
+	case mesh.NotLeading:
+		return yesOrNo(c.elector.NotLeading())
+	}
 	if !wire.ValidJobID(req.Job) || c.leader() == nil {
 		return mesh.Response{Status: http.StatusServiceUnavailable}
 	}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -34,6 +34,15 @@
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (wire.WatchResult, error)
 }
 
+// Peers asks the other members. Each method is true only if every one of them
+// answered so: one that cannot be reached may do anything.
+type Peers interface {
+	// Promise asks them not to campaign for PromiseFor.
+	Promise(ctx context.Context) bool
+	// NobodyLeads asks whether none of them leads.
+	NobodyLeads(ctx context.Context) bool
+}
+
 // Tenure is one leadership. Its guard makes a transaction fail once the
 // leadership is over, however late it is applied.
 type Tenure struct {
@@ -50,6 +59,7 @@
 // Elector campaigns for the leadership and keeps it.
 type Elector struct {
 	store  Store
+	peers  Peers
 	member string
 	clock  clockwork.Clock
 	log    *slog.Logger
@@ -58,13 +68,33 @@
 	term       uint64    // of our own tenure; 0: we do not lead
 	validUntil time.Time // our right to act ends here, by the local steady clock
 	leader     string    // the member that leads, as far as we know
+
+	campaigning bool      // a campaign is on its way on whose success we would act
+	quietUntil  time.Time // we promised not to campaign before
+	born        time.Time // until then, an earlier process of this member may have promised
+	round       uint64    // of asking the peers for promises; a newer one voids it
+	unanswered  bool      // the last renewal had no success
 }
 
 // New makes an elector for a member.
-func New(store Store, member string, clock clockwork.Clock, log *slog.Logger) *Elector {
-	return &Elector{store: store, member: member, clock: clock, log: log}
+func New(store Store, peers Peers, member string, clock clockwork.Clock, log *slog.Logger) *Elector {
+	e := &Elector{store: store, peers: peers, member: member, clock: clock, log: log}
+	// What an earlier process of this member promised is not known. It ended
+	// before this one began, so its promises end within PromiseFor.
+	e.born = clock.Now().Add(promiseKept)
+	e.quietUntil = e.born
+	return e
 }
 
+func stretch(d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * (1 + share))
+}
+
+var (
+	promiseKept   = stretch(tuning.PromiseFor, tuning.ClockDrift)  // by those who gave it
+	promiseRelied = stretch(tuning.PromiseFor, -tuning.ClockDrift) // by the one who asked
+)
+
 // Valid tells whether this controller may act as the leader of the term now.
 func (e *Elector) Valid(term uint64) bool {
 	e.mu.Lock()
@@ -91,13 +121,110 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.term = term
-	e.validUntil = sent.Add(time.Duration(float64(tuning.LeaseTTL) * (1 - tuning.ClockDrift)))
+	e.campaigning, e.unanswered = false, false
+	e.validUntil = sent.Add(stretch(tuning.LeaseTTL, -tuning.ClockDrift))
 }
 
 func (e *Elector) clear() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.term, e.leader = 0, ""
+	e.term, e.leader, e.unanswered = 0, "", false
+	e.round++
+}
+
+// mayCampaign tells whether a campaign may begin, and marks that it does.
+func (e *Elector) mayCampaign(ctx context.Context) bool {
+	e.mu.Lock()
+	now := e.clock.Now()
+	ask := now.Before(e.quietUntil) && e.quietUntil.Equal(e.born)
+	e.mu.Unlock()
+	// Only a leader relies on promises. If nobody leads, those that an
+	// earlier process may have given bind no more.
+	free := ask && e.peers.NobodyLeads(ctx)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if free && e.quietUntil.Equal(e.born) {
+		e.quietUntil = time.Time{}
+	}
+	if e.clock.Now().Before(e.quietUntil) {
+		return false
+	}
+	e.campaigning = true
+	return true
+}
+
+func (e *Elector) endCampaign() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.campaigning = false
+}
+
+// Promise answers a leader that cannot reach the state service and asks us not
+// to campaign for PromiseFor. We promise only if we cannot reach it either: a
+// leader that it refuses alone had better be replaced.
+func (e *Elector) Promise(ctx context.Context) bool {
+	if !e.follows() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, tuning.ProbeTimeout)
+	defer cancel()
+	if _, _, err := e.store.Get(ctx, keyHolder); err == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.term != 0 || e.campaigning {
+		return false
+	}
+	if until := e.clock.Now().Add(promiseKept); until.After(e.quietUntil) {
+		e.quietUntil = until
+	}
+	return true
+}
+
+func (e *Elector) follows() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.term == 0 && !e.campaigning
+}
+
+// NotLeading answers a member that was just started and asks whether anybody
+// leads. An earlier process of it may have given a promise to us that the new
+// one knows nothing of: a round that counts on it is void.
+func (e *Elector) NotLeading() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.round++
+	return e.term == 0 && !e.campaigning
+}
+
+// extend keeps the right to act while renewals have no success, as long as
+// every other member promises not to campaign: then nobody can have taken
+// over, whatever became of the lease. Workers can be answered; what needs the
+// state service waits.
+func (e *Elector) extend(ctx context.Context, term uint64) {
+	for ctx.Err() == nil {
+		e.pause(ctx, tuning.PromiseEvery)
+		e.mu.Lock()
+		needed := e.unanswered && e.term == term
+		e.round++
+		round, sent := e.round, e.clock.Now()
+		e.mu.Unlock()
+		if !needed || !e.peers.Promise(ctx) {
+			continue
+		}
+		e.mu.Lock()
+		if until := sent.Add(promiseRelied); e.round == round && e.term == term && until.After(e.validUntil) {
+			e.validUntil = until
+		}
+		e.mu.Unlock()
+	}
+}
+
+func (e *Elector) failedRenewal() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unanswered = true
 }
 
 // Run campaigns until ctx ends. It calls lead in a goroutine of its own for
@@ -116,8 +243,13 @@
 			continue
 		}
 		e.setLeader("")
+		if !e.mayCampaign(ctx) {
+			e.pause(ctx, tuning.RetryCampaign)
+			continue
+		}
 		lease, tenure, ok := e.campaign(ctx)
 		if !ok {
+			e.endCampaign()
 			e.pause(ctx, time.Duration(rand.Int64N(int64(tuning.RetryLeader))))
 			continue
 		}
@@ -209,9 +341,10 @@
 }
 
 // reign keeps the lease until it is lost. While the state service does not
-// answer, the right to act runs out by the local clock, but the leadership is
-// kept: after an outage the lease has its full time again, nobody else can
-// have written anything, and a renewal brings the right back.
+// answer, the right to act runs out by the local clock (unless the peers'
+// promises extend it), but the leadership is kept: after an outage the lease
+// has its full time again, nobody else can have written anything, and a
+// renewal brings the right back.
 func (e *Elector) reign(ctx context.Context, lease uint64, t Tenure, lead func(context.Context, Tenure)) {
 	e.log.Info("leading", "term", t.Term)
 	leadCtx, stop := context.WithCancel(ctx)
@@ -220,10 +353,16 @@
 		defer close(done)
 		lead(leadCtx, t)
 	}()
+	extended := make(chan struct{})
+	go func() {
+		defer close(extended)
+		e.extend(leadCtx, t.Term)
+	}()
 	defer func() {
 		e.clear()
 		stop()
 		<-done
+		<-extended
 		e.log.Info("no longer leading", "term", t.Term)
 	}()
 	for {
@@ -246,6 +385,7 @@
 			if errors.Is(err, statestore.ErrNoLease) {
 				return
 			}
+			e.failedRenewal()
 			e.log.Debug("lease not renewed", "err", err)
 			select {
 			case <-done:
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +17,19 @@
 	"poppypass/internal/wire"
 )
 
+// peers are the other members, as a test wants them to answer.
+type peers struct {
+	promise, nobody func() bool
+}
+
+func (p *peers) Promise(context.Context) bool     { return p.promise() }
+func (p *peers) NobodyLeads(context.Context) bool { return p.nobody() }
+
+func always(b bool) func() bool { return func() bool { return b } }
+
+// alone is how it is when no peer can be reached, though none leads.
+var alone = &peers{promise: always(false), nobody: always(true)}
+
 type member struct {
 	*Elector
 	stop    context.CancelFunc
@@ -23,11 +37,11 @@
 	over    chan Tenure
 }
 
-func start(t *testing.T, name string, s *standin.State, clock clockwork.Clock) *member {
+func start(t *testing.T, name string, s *standin.State, p Peers, clock clockwork.Clock) *member {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	m := &member{
-		Elector: New(statestore.New(s.Addr(), 1e6, 1e6), name, clock, slog.New(slog.DiscardHandler)),
+		Elector: New(statestore.New(s.Addr(), 1e6, 1e6), p, name, clock, slog.New(slog.DiscardHandler)),
 		stop:    stop, tenures: make(chan Tenure, 8), over: make(chan Tenure, 8),
 	}
 	done := make(chan struct{})
@@ -43,12 +57,19 @@
 	return m
 }
 
+// How many goroutines of an elector wait for the clock: a follower's one, or
+// of a leader the one that renews the lease and the one that asks for promises.
+const (
+	following = 1
+	leading   = 2
+)
+
 // until lets time pass in small steps until a condition holds. It moves the
 // clock only while the one elector that runs waits for it, never during a call.
-func until(t *testing.T, s *standin.State, clock *clockwork.FakeClock, what string, holds func() bool) {
+func until(t *testing.T, s *standin.State, clock *clockwork.FakeClock, waiting int, what string, holds func() bool) {
 	t.Helper()
 	for !holds() {
-		if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		if err := clock.BlockUntilContext(t.Context(), waiting); err != nil {
 			t.Fatalf("never happened: %s", what)
 		}
 		clock.Advance(10 * time.Millisecond)
@@ -60,12 +81,12 @@
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
 	defer s.Close()
-	a := start(t, "a", s, clock)
+	a := start(t, "a", s, alone, clock)
 	first := <-a.tenures
 	if !a.Valid(first.Term) || a.Leader() != "a" {
 		t.Fatalf("valid %v, leader %q", a.Valid(first.Term), a.Leader())
 	}
-	b := start(t, "b", s, clock)
+	b := start(t, "b", s, alone, clock)
 	a.stop() // killed: it gives nothing back
 	<-a.over
 	clock.Advance(2 * tuning.LeaseTTL)
@@ -89,16 +110,16 @@
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
 	defer s.Close()
-	a := start(t, "a", s, clock)
+	a := start(t, "a", s, alone, clock)
 	tenure := <-a.tenures
 	s.Refuse(true)
 	begun := clock.Now()
-	until(t, s, clock, "the end of the right", func() bool { return !a.Valid(tenure.Term) })
+	until(t, s, clock, leading, "the end of the right", func() bool { return !a.Valid(tenure.Term) })
 	if clock.Since(begun) > tuning.LeaseTTL {
 		t.Errorf("acted for %v without a renewal", clock.Since(begun))
 	}
 	s.Refuse(false)
-	until(t, s, clock, "the right to come back", func() bool { return a.Valid(tenure.Term) })
+	until(t, s, clock, leading, "the right to come back", func() bool { return a.Valid(tenure.Term) })
 	if len(a.tenures) != 0 || len(a.over) != 0 {
 		t.Error("the tenure was lost in the outage")
 	}
@@ -115,9 +136,9 @@
 		muted++
 		return muted == 1 && strings.HasPrefix(txn.Then[0].Put, "lead/")
 	})
-	a := start(t, "a", s, clock)
+	a := start(t, "a", s, alone, clock)
 	var tenure Tenure
-	until(t, s, clock, "a tenure", func() bool {
+	until(t, s, clock, following, "a tenure", func() bool {
 		select {
 		case tenure = <-a.tenures:
 			return true
@@ -129,3 +150,87 @@
 		t.Errorf("term %d; the campaign without an answer had term 1", tenure.Term)
 	}
 }
+
+// Guards against workers that kill their tasks in an outage of the state
+// service: with every other member's promise not to campaign, the leader may
+// go on answering them; without, it may not.
+func TestPromisesExtendTheRightInAnOutage(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := standin.NewState(clock)
+	defer s.Close()
+	var given atomic.Bool
+	given.Store(true)
+	a := start(t, "a", s, &peers{promise: given.Load, nobody: always(true)}, clock)
+	tenure := <-a.tenures
+	s.Refuse(true)
+	begun := clock.Now()
+	until(t, s, clock, leading, "three times the lease's life to pass", func() bool {
+		return clock.Since(begun) > 3*tuning.LeaseTTL || !a.Valid(tenure.Term)
+	})
+	if !a.Valid(tenure.Term) {
+		t.Fatalf("the right ended after %v", clock.Since(begun))
+	}
+	given.Store(false)
+	begun = clock.Now()
+	until(t, s, clock, leading, "the end of the right", func() bool { return !a.Valid(tenure.Term) })
+	if clock.Since(begun) > tuning.PromiseFor {
+		t.Errorf("acted for %v after the last promise", clock.Since(begun))
+	}
+}
+
+// Guards against two leaders: who promised keeps quiet, and so does a member
+// that was started anew and may have promised in its former life.
+func TestPromisesAreKept(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := standin.NewState(clock)
+	defer s.Close()
+	e := New(statestore.New(s.Addr(), 1e6, 1e6), &peers{nobody: always(false)}, "a", clock, slog.New(slog.DiscardHandler))
+	if e.mayCampaign(t.Context()) {
+		t.Error("campaigns at once though a leader may count on its former life's promise")
+	}
+	clock.Advance(promiseKept)
+	if !e.mayCampaign(t.Context()) {
+		t.Error("does not campaign once those promises are over")
+	}
+	if e.Promise(t.Context()) {
+		t.Error("promises while it campaigns")
+	}
+	e.endCampaign()
+	if e.Promise(t.Context()) {
+		t.Error("promises though the state service answers it")
+	}
+	s.Refuse(true)
+	if !e.Promise(t.Context()) {
+		t.Error("does not promise in an outage")
+	}
+	if e.mayCampaign(t.Context()) {
+		t.Error("campaigns in spite of its promise")
+	}
+	clock.Advance(promiseKept)
+	if !e.mayCampaign(t.Context()) {
+		t.Error("keeps quiet after its promise is over")
+	}
+}
+
+// Guards against a promise that its giver forgot by being restarted while the
+// round that asked for it was still open.
+func TestAQuestionOfARestartedMemberVoidsTheRound(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := standin.NewState(clock)
+	defer s.Close()
+	var a *member
+	ready := make(chan struct{})
+	p := &peers{nobody: always(true), promise: func() bool {
+		<-ready
+		return !a.NotLeading() // asked in the middle of the round, it says that it leads
+	}}
+	a = start(t, "a", s, p, clock)
+	close(ready)
+	tenure := <-a.tenures
+	s.Refuse(true)
+	begun := clock.Now()
+	until(t, s, clock, leading, "the end of the right", func() bool { return !a.Valid(tenure.Term) })
+	if clock.Since(begun) > tuning.LeaseTTL {
+		t.Errorf("acted for %v on void rounds", clock.Since(begun))
+	}
+}
--- a/internal/mesh/fb/Request.go
+++ b/internal/mesh/fb/Request.go
@@ -65,8 +65,42 @@
 	return nil
 }
 
+func (rcv *Request) Payload(j int) byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetByte(a + flatbuffers.UOffsetT(j*1))
+	}
+	return 0
+}
+
+func (rcv *Request) PayloadLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Request) PayloadBytes() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Request) MutatePayload(j int, n byte) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(10))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateByte(a+flatbuffers.UOffsetT(j*1), n)
+	}
+	return false
+}
+
 func RequestStart(builder *flatbuffers.Builder) {
-	builder.StartObject(3)
+	builder.StartObject(4)
 }
 func RequestAddSeq(builder *flatbuffers.Builder, seq uint64) {
 	builder.PrependUint64Slot(0, seq, 0)
@@ -77,6 +111,12 @@
 func RequestAddJob(builder *flatbuffers.Builder, job flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(2, flatbuffers.UOffsetT(job), 0)
 }
+func RequestAddPayload(builder *flatbuffers.Builder, payload flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(3, flatbuffers.UOffsetT(payload), 0)
+}
+func RequestStartPayloadVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(1, numElems, 1)
+}
 func RequestEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/mesh/fb/Response.go
+++ b/internal/mesh/fb/Response.go
@@ -89,8 +89,42 @@
 	return rcv._tab.MutateUint32Slot(12, n)
 }
 
+func (rcv *Response) Payload(j int) byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetByte(a + flatbuffers.UOffsetT(j*1))
+	}
+	return 0
+}
+
+func (rcv *Response) PayloadLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Response) PayloadBytes() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Response) MutatePayload(j int, n byte) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateByte(a+flatbuffers.UOffsetT(j*1), n)
+	}
+	return false
+}
+
 func ResponseStart(builder *flatbuffers.Builder) {
-	builder.StartObject(5)
+	builder.StartObject(6)
 }
 func ResponseAddSeq(builder *flatbuffers.Builder, seq uint64) {
 	builder.PrependUint64Slot(0, seq, 0)
@@ -107,6 +141,12 @@
 func ResponseAddRunning(builder *flatbuffers.Builder, running uint32) {
 	builder.PrependUint32Slot(4, running, 0)
 }
+func ResponseAddPayload(builder *flatbuffers.Builder, payload flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(payload), 0)
+}
+func ResponseStartPayloadVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(1, numElems, 1)
+}
 func ResponseEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/mesh/fb/Verb.go
+++ b/internal/mesh/fb/Verb.go
@@ -7,18 +7,30 @@
 type Verb byte
 
 const (
-	VerbQuery  Verb = 0
-	VerbCancel Verb = 1
+	VerbQuery      Verb = 0
+	VerbCancel     Verb = 1
+	VerbPromise    Verb = 2
+	VerbNotLeading Verb = 3
+	VerbReport     Verb = 4
+	VerbSubmit     Verb = 5
 )
 
 var EnumNamesVerb = map[Verb]string{
-	VerbQuery:  "Query",
-	VerbCancel: "Cancel",
+	VerbQuery:      "Query",
+	VerbCancel:     "Cancel",
+	VerbPromise:    "Promise",
+	VerbNotLeading: "NotLeading",
+	VerbReport:     "Report",
+	VerbSubmit:     "Submit",
 }
 
 var EnumValuesVerb = map[string]Verb{
-	"Query":  VerbQuery,
-	"Cancel": VerbCancel,
+	"Query":      VerbQuery,
+	"Cancel":     VerbCancel,
+	"Promise":    VerbPromise,
+	"NotLeading": VerbNotLeading,
+	"Report":     VerbReport,
+	"Submit":     VerbSubmit,
 }
 
 func (v Verb) String() string {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -32,20 +32,26 @@
 
 // The verbs.
 const (
-	Query  = Verb(fb.VerbQuery)
-	Cancel = Verb(fb.VerbCancel)
+	Query      = Verb(fb.VerbQuery)      // a job's state, of the leader
+	Cancel     = Verb(fb.VerbCancel)     // cancel a job, of the leader
+	Promise    = Verb(fb.VerbPromise)    // not to campaign for a while, of a follower
+	NotLeading = Verb(fb.VerbNotLeading) // whether a member does not lead
+	Report     = Verb(fb.VerbReport)     // a worker's report, to the leader
+	Submit     = Verb(fb.VerbSubmit)     // a submission, to any member
 )
 
-// Request asks the leader about a job.
+// Request asks another member.
 type Request struct {
-	Verb Verb
-	Job  string
+	Verb    Verb
+	Job     string
+	Payload []byte // what a worker or user sent, relayed as it came
 }
 
-// Response is the leader's answer; Status is an HTTP status.
+// Response is its answer; Status is an HTTP status.
 type Response struct {
-	Status int
-	Job    wire.JobStatus
+	Status  int
+	Job     wire.JobStatus
+	Payload []byte // the body for the one who asked
 }
 
 // Handler answers a request.
@@ -73,18 +79,21 @@
 }
 
 func encodeRequest(seq uint64, r Request) []byte {
-	b := flatbuffers.NewBuilder(64)
+	b := flatbuffers.NewBuilder(128 + len(r.Payload))
 	job := b.CreateString(r.Job)
+	payload := b.CreateByteVector(r.Payload)
 	fb.RequestStart(b)
 	fb.RequestAddSeq(b, seq)
 	fb.RequestAddVerb(b, fb.Verb(r.Verb))
 	fb.RequestAddJob(b, job)
+	fb.RequestAddPayload(b, payload)
 	b.Finish(fb.RequestEnd(b))
 	return frame(b)
 }
 
 func encodeResponse(seq uint64, r Response) []byte {
-	b := flatbuffers.NewBuilder(64)
+	b := flatbuffers.NewBuilder(128 + len(r.Payload))
+	payload := b.CreateByteVector(r.Payload)
 	state := b.CreateString(string(r.Job.State))
 	fb.ResponseStart(b)
 	fb.ResponseAddSeq(b, seq)
@@ -92,6 +101,7 @@
 	fb.ResponseAddState(b, state)
 	fb.ResponseAddDone(b, uint32(r.Job.Done))
 	fb.ResponseAddRunning(b, uint32(r.Job.Running))
+	fb.ResponseAddPayload(b, payload)
 	b.Finish(fb.ResponseEnd(b))
 	return frame(b)
 }
@@ -111,7 +121,7 @@
 func decodeRequest(buf []byte) (seq uint64, r Request, err error) {
 	err = guard(func() {
 		m := fb.GetRootAsRequest(buf, 0)
-		seq, r = m.Seq(), Request{Verb: Verb(m.Verb()), Job: string(m.Job())}
+		seq, r = m.Seq(), Request{Verb: Verb(m.Verb()), Job: string(m.Job()), Payload: m.PayloadBytes()}
 	})
 	return seq, r, err
 }
@@ -122,7 +132,7 @@
 		seq = m.Seq()
 		r = Response{Status: int(m.Status()), Job: wire.JobStatus{
 			State: wire.JobState(m.State()), Done: int(m.Done()), Running: int(m.Running()),
-		}}
+		}, Payload: m.PayloadBytes()}
 	})
 	return seq, r, err
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -17,6 +17,17 @@
 	RenewTimeout = 1 * time.Second
 	// RetryLeader is the pause after a failed step of the leadership.
 	RetryLeader = 250 * time.Millisecond
+	// RetryCampaign is the pause of a member that may not campaign yet.
+	RetryCampaign = 100 * time.Millisecond
+	// PromiseFor is how long a member promises not to campaign while the
+	// state service answers neither it nor the leader. It bounds how much later
+	// another can lead when the leader dies in an outage.
+	PromiseFor = 2 * time.Second
+	// PromiseEvery is how often the leader asks for promises: several rounds may fail.
+	PromiseEvery = 300 * time.Millisecond
+	// ProbeTimeout ends the look at the state service before a promise; it
+	// must fit RelayTimeout.
+	ProbeTimeout = 400 * time.Millisecond
 	// LeaderWatch is how long a follower's watch of the leader key waits.
 	LeaderWatch = 10 * time.Second
 	// WatchGrace is added to a watch's own wait before it is given up.
@@ -45,8 +56,8 @@
 	RelayTimeout = 800 * time.Millisecond
 	// MeshIdle closes a mesh connection that was silent for so long.
 	MeshIdle = 30 * time.Second
-	// MeshFrame is the largest mesh message in bytes; ours are far smaller.
-	MeshFrame = 1 << 16
+	// MeshFrame is the largest mesh message in bytes: a relayed body of 64 KiB and what is around it.
+	MeshFrame = 72 << 10
 	// MaxResponse is the largest response body read from outside, in bytes:
 	// a watch has no limit of its own, a list page is 512 KiB.
 	MaxResponse = 4 << 20
