--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -592,7 +592,7 @@
 			continue
 		}
 		v := &placement.Machine{
-			Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot,
+			Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Price: t.Price,
 			Total:    placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB},
 			HasImage: func(image string) bool { _, ok := m.Images[image]; return ok },
 		}
