Headroom for the work expected within a boot; rent at once for new work

Cause: nearly every start within seconds waited for a boot, since machines were rented only for what already waited. Ruled out: keeping idle machines longer (90, 180 s), which keeps the wrong ones. Now recent arrivals say what will come before a machine rented now is up, and that much room is kept. Also: a new leader lets machines report before it rents, and asks for another kind at once when refused. Test harness: a wait that never ends is now a failure, not a hang.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -35,6 +35,10 @@
 	stop  func()
 }
 
+// patience turns a test that would hang into a failure; what a test waits for
+// takes milliseconds.
+const patience = time.Minute
+
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -85,8 +89,8 @@
 
 func (w *world) until(what string, holds func() bool) {
 	w.t.Helper()
-	for !holds() {
-		if w.t.Context().Err() != nil {
+	for begun := time.Now(); !holds(); {
+		if time.Since(begun) > patience {
 			w.t.Fatalf("never happened: %s", what)
 		}
 	}
@@ -97,7 +101,9 @@
 // lease, its next asking for promises and the next reading of the machine types.
 func (w *world) pass(d time.Duration) {
 	w.t.Helper()
-	if err := w.clock.BlockUntilContext(w.t.Context(), 5); err != nil {
+	ctx, cancel := context.WithTimeout(w.t.Context(), patience)
+	defer cancel()
+	if err := w.clock.BlockUntilContext(ctx, 5); err != nil {
 		w.t.Fatal("nothing waits to be repeated")
 	}
 	w.clock.Advance(d)
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/fleet"
 	"poppypass/internal/httpjson"
 	"poppypass/internal/jobs"
 	"poppypass/internal/leadership"
@@ -190,8 +191,15 @@
 		if _, over := l.c.finals.get(id); over && l.loaded {
 			continue // a late event of a job that is over by now
 		}
-		if _, err := l.book.LoadJob(item, now, now); err != nil {
+		known := l.book.Jobs[id] != nil
+		j, err := l.book.LoadJob(item, now, now)
+		if err != nil {
 			l.log.Error("stored job unreadable", "err", err)
+			continue
+		}
+		if !known {
+			l.fleet.next = now // rent at once if it finds no room
+			l.fleet.recent = append(l.fleet.recent, fleet.Arrival{At: j.WaitSince, Job: &j.Job})
 		}
 	}
 	l.changed = true
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -1,8 +1,11 @@
 package controller
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"poppypass/internal/cloud"
@@ -18,6 +21,7 @@
 	next     time.Time
 	nextList time.Time
 	listing  bool
+	recent   []fleet.Arrival            // accepted within the last window
 	bookings int                        // request names used in this term
 	asked    map[string]fleet.Want      // rentals on their way, by request name
 	refused  map[fleet.Option]time.Time // not asked before
@@ -32,51 +36,76 @@
 		return
 	}
 	l.fleet.next = now.Add(tuning.FleetEvery)
+	l.expect(now)
+	if l.tenure.Term == 1 || now.Sub(l.begun) > tuning.RentSettle {
+		l.rent(now)
+	}
 	l.returnMachines(now)
-	l.rent(now)
 	if !l.fleet.listing && !now.Before(l.fleet.nextList) {
 		l.fleet.listing = true
 		go l.list()
 	}
 }
 
+// expect drops the arrivals that are too long ago to tell anything.
+func (l *leader) expect(now time.Time) {
+	l.fleet.recent = slices.DeleteFunc(l.fleet.recent, func(a fleet.Arrival) bool {
+		return now.Sub(a.At) > tuning.ArrivalWindow
+	})
+}
+
+// expected is the work to keep room for. It depends on what the objectives
+// ask for sooner than a machine boots, and on what came of late.
+func (l *leader) expected(now time.Time) []*placement.Item {
+	boot := math.Inf(1)
+	for _, t := range l.c.machineTypes() {
+		boot = min(boot, t.BootS)
+	}
+	horizon := seconds(boot) + tuning.FetchExtra
+	prompt, base := map[string]float64{}, 0.0
+	for _, o := range l.c.settings.Cluster.Objectives {
+		if seconds(o.WithinS) >= horizon {
+			continue
+		}
+		switch o.Kind {
+		case "wait":
+			prompt[o.Class] = tuning.PromptWait
+		case "guarantee":
+			base = tuning.PromptGuarantee
+		}
+	}
+	return fleet.Expected(now, l.fleet.recent, horizon, func(class string) float64 { return max(base, prompt[class]) })
+}
+
 func (l *leader) rent(now time.Time) {
+	in := fleet.Input{
+		Now: now, Teams: l.teams(), Types: l.c.machineTypes(),
+		Refused: func(o fleet.Option) bool { return now.Before(l.fleet.refused[o]) },
+		Room:    l.c.knobs.MaxMachines - len(l.roster.Machines), Count: map[fleet.Option]int{},
+		Booting: l.comingMachines(now),
+	}
 	items, _ := l.items(now)
-	var want []*placement.Item
 	for _, it := range items {
 		// No machine is rented for a job that fails wherever it runs.
 		if j := l.book.Jobs[it.Job.ID]; len(j.Avoid) < tuning.BadJobMachines {
-			want = append(want, it)
+			in.Items = append(in.Items, it)
 		}
 	}
-	if len(want) == 0 {
-		return
-	}
-	placement.Sort(want, now)
-	in := fleet.Input{
-		Now: now, Items: want, Teams: l.teams(), Types: l.c.machineTypes(),
-		Refused: func(o fleet.Option) bool { return now.Before(l.fleet.refused[o]) },
-		Room:    l.c.knobs.MaxMachines - len(l.roster.Machines), Count: map[fleet.Option]int{},
-	}
+	placement.Sort(in.Items, now)
 	for _, m := range l.roster.Machines {
 		in.Count[fleet.Option{Type: m.Type, Zone: m.Zone, Spot: m.Spot}]++
-		if m.Heard.IsZero() && !m.Returning && m.Session == 0 && now.Sub(m.Rented) < l.bootTime(m.Type, tuning.BootFactor) {
-			if v, ok := l.view(m); ok {
-				in.Booting = append(in.Booting, v)
-			}
-		}
 	}
-	for name, w := range l.fleet.asked {
+	for _, w := range l.fleet.asked {
 		in.Room -= w.Count
-		for i := range w.Count {
-			v, ok := l.view(&roster.Machine{Name: fmt.Sprint(name, "/", i), Type: w.Type, Zone: w.Zone, Spot: w.Spot})
-			if ok {
-				in.Booting = append(in.Booting, v)
-				in.Count[w.Option]++
-			}
-		}
+		in.Count[w.Option] += w.Count
 	}
-	for _, w := range fleet.Plan(in) {
+	wants := fleet.Plan(&in)
+	// Then room for what is expected, with what is free here and what comes.
+	in.Booting = append(in.Booting, l.openMachines(now)...)
+	in.Items = l.expected(now)
+	in.Teams = fleet.Unlimited(in.Items)
+	wants = append(wants, fleet.Plan(&in)...)
+	for _, w := range wants {
 		for w.Count > 0 {
 			part := w
 			part.Count = min(w.Count, wire.MaxRent)
@@ -91,6 +120,56 @@
 	}
 }
 
+// comingMachines are those that boot in good time and those asked for.
+func (l *leader) comingMachines(now time.Time) []*placement.Machine {
+	var out []*placement.Machine
+	for _, m := range l.roster.Machines {
+		if m.Heard.IsZero() && !m.Returning && m.Session == 0 && now.Sub(m.Rented) < l.bootTime(m.Type, tuning.BootFactor) {
+			if v, ok := l.view(m); ok {
+				out = append(out, v)
+			}
+		}
+	}
+	for name, w := range l.fleet.asked {
+		for i := range w.Count {
+			v, ok := l.view(&roster.Machine{Name: fmt.Sprint(name, "/", i), Type: w.Type, Zone: w.Zone, Spot: w.Spot})
+			if ok {
+				out = append(out, v)
+			}
+		}
+	}
+	return out
+}
+
+// needed are the idle machines that what is expected would use, when it takes
+// the machines in use and the cheap ones first.
+func (l *leader) needed(now time.Time) map[string]bool {
+	items := l.expected(now)
+	open := l.openMachines(now)
+	needed := map[string]bool{}
+	idle := func(m *placement.Machine) bool { return len(l.roster.Machines[m.Name].Places) == 0 }
+	slices.SortFunc(open, func(a, b *placement.Machine) int {
+		if ia, ib := idle(a), idle(b); ia != ib {
+			return cmp.Compare(btoi(ia), btoi(ib))
+		}
+		return cmp.Or(cmp.Compare(btoi(!a.Spot), btoi(!b.Spot)), cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
+	})
+	teams := fleet.Unlimited(items)
+	for _, m := range open {
+		if len(placement.Pass(now, items, []*placement.Machine{m}, teams)) > 0 {
+			needed[m.Name] = true
+		}
+	}
+	return needed
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (l *leader) bootTime(typ string, factor float64) time.Duration {
 	for _, t := range l.c.machineTypes() {
 		if t.Name == typ {
@@ -121,6 +200,7 @@
 			}
 			if len(names) < w.Count {
 				l.fleet.refused[w.Option] = now.Add(tuning.RefusedFor)
+				l.fleet.next = now // ask for another kind at once
 			}
 			l.log.Info("rented", "type", w.Type, "zone", w.Zone, "spot", w.Spot, "asked", w.Count, "got", len(names))
 		})
@@ -131,6 +211,7 @@
 // returnMachines gives back what is idle, never came up, or fell silent.
 func (l *leader) returnMachines(now time.Time) {
 	var names []string
+	needed := l.needed(now)
 	for _, m := range l.roster.Machines {
 		if m.Returning || len(m.Places) > 0 {
 			continue
@@ -148,6 +229,7 @@
 		case m.HasStrays():
 		case m.Bad:
 			why = "faulty"
+		case needed[m.Name]:
 		case now.Sub(m.IdleSince) > l.c.knobs.IdleKeep:
 			why = "idle"
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,7 +23,8 @@
 	Count int
 }
 
-// Input is what a plan is made from. Plan changes it.
+// Input is what a plan is made from. Plan changes it, so that a further plan
+// from it comes on top.
 type Input struct {
 	Now     time.Time
 	Items   []*placement.Item    // with the tasks that found no room
@@ -37,7 +38,7 @@
 
 // Plan wants machines for the tasks that fit neither on the machines there
 // (the caller has placed what fits) nor on those that boot.
-func Plan(in Input) []Want {
+func Plan(in *Input) []Want {
 	placement.Pass(in.Now, in.Items, in.Booting, in.Teams)
 	wants := map[Option]int{}
 	var order []Option
@@ -45,7 +46,7 @@
 		// Each round rents one machine for the item and fills it with it and
 		// with those behind it.
 		for in.Room > 0 && placement.Left(it, in.Teams) > 0 {
-			o, t, ok := cheapest(&in, it)
+			o, t, ok := cheapest(in, it)
 			if !ok {
 				break
 			}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -56,7 +56,7 @@
 		{"never more than the team's limit allows", limited, []Want{small("a", true, 1), small("b", true, 1)}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := Plan(c.in); !reflect.DeepEqual(got, c.want) {
+			if got := Plan(&c.in); !reflect.DeepEqual(got, c.want) {
 				t.Errorf("wants %v, want %v", got, c.want)
 			}
 		})
--- /dev/null
+++ b/internal/fleet/headroom.go
@@ -0,0 +1,58 @@
+package fleet
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"poppypass/internal/placement"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Arrival is a job that was accepted not long ago.
+type Arrival struct {
+	At  time.Time
+	Job *wire.Job
+}
+
+// Expected gives the jobs to keep room for: those that will come, if the
+// recent ones are any guide, before a machine rented now would be up. Each
+// class is expected to go on as it did, in rate and in shape; promptness says
+// for which classes room is kept, and how much of what is expected.
+func Expected(now time.Time, recent []Arrival, horizon time.Duration, promptness func(class string) float64) []*placement.Item {
+	byClass := map[string][]Arrival{}
+	var first time.Time
+	for _, a := range recent {
+		if now.Sub(a.At) > tuning.ArrivalWindow {
+			continue
+		}
+		byClass[a.Job.Class] = append(byClass[a.Job.Class], a)
+		if first.IsZero() || a.At.Before(first) {
+			first = a.At
+		}
+	}
+	// A service that has just begun has seen less than a window; the jobs that
+	// waited for its begin say little of those to come.
+	seen := min(max(now.Sub(first), tuning.ArrivalWindow/2), tuning.ArrivalWindow)
+	var items []*placement.Item
+	for _, class := range slices.Sorted(maps.Keys(byClass)) {
+		of := byClass[class]
+		expect := float64(len(of)) * horizon.Seconds() / seen.Seconds() * promptness(class)
+		n := min(int(math.Ceil(expect)), len(of))
+		for _, a := range of[len(of)-n:] {
+			items = append(items, &placement.Item{Job: a.Job, Since: now, Waiting: a.Job.Tasks, Zones: map[string]int{}})
+		}
+	}
+	return items
+}
+
+// Unlimited are teams without limits, for work that has not come yet.
+func Unlimited(items []*placement.Item) map[string]*placement.Team {
+	teams := map[string]*placement.Team{}
+	for _, it := range items {
+		teams[it.Job.Team] = &placement.Team{CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}
+	}
+	return teams
+}
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -68,8 +68,10 @@
 // clock only while the one elector that runs waits for it, never during a call.
 func until(t *testing.T, s *standin.State, clock *clockwork.FakeClock, waiting int, what string, holds func() bool) {
 	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute) // a hang is a failure
+	defer cancel()
 	for !holds() {
-		if err := clock.BlockUntilContext(t.Context(), waiting); err != nil {
+		if err := clock.BlockUntilContext(ctx, waiting); err != nil {
 			t.Fatalf("never happened: %s", what)
 		}
 		clock.Advance(10 * time.Millisecond)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -160,6 +160,18 @@
 const (
 	// FleetEvery is how often the wanted machines are compared with the rented ones.
 	FleetEvery = 1 * time.Second
+	// ArrivalWindow is how far back arrivals tell what is to come.
+	ArrivalWindow = 120 * time.Second
+	// PromptWait and PromptGuarantee say how much of the work expected within a boot has
+	// room kept for it: for classes that are to start sooner than a machine
+	// boots, and for all others where a guarantee is to be met sooner than that.
+	PromptWait      = 1.0
+	PromptGuarantee = 0.5
+	// FetchExtra is added to the boot time as the horizon of what is expected: the first report and a rental take some seconds.
+	FetchExtra = 5 * time.Second
+	// RentSettle is how long a new leader waits before it rents: the machines
+	// that it took over report within that time.
+	RentSettle = 4 * time.Second
 	// ListEvery is how often the cloud's list is read.
 	ListEvery = 5 * time.Second
 	// RefusedFor is how long a type, zone and kind is not asked again after "no capacity".
