Followers help workers that lost the leader

Ruled out: electing a leader beyond the cut, since one side would lose. A follower now relays the report through the mesh; if the leader is beyond the cut, it keeps the worker's lease, recorded in the state service before the first answer; the leader reads these records before it concludes anything from a lease's end. A member that the state service refuses alone has a peer store its submissions.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/net/netutil"
@@ -43,6 +44,9 @@
 	leading atomic.Pointer[leader] // the leader's loop, while this member leads
 	types   atomic.Pointer[[]wire.MachineType]
 	finals  *finals
+
+	redirects redirects
+	keeper    *keeper
 }
 
 // New makes a controller from its settings.
@@ -56,6 +60,8 @@
 		endpoint: map[string]string{}, teams: map[string]config.Team{},
 		finals: newFinals(tuning.FinalCache),
 	}
+	c.redirects = redirects{sent: map[string]time.Time{}, kept: map[string]time.Time{}}
+	c.keeper = newKeeper(c)
 	c.elector = leadership.New(c.store, c, s.Member, clock, log)
 	for _, m := range s.Members {
 		c.endpoint[m.Name] = m.Endpoint
@@ -104,6 +110,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { mesh.Serve(ctx, peers, c.servePeer, c.log) })
 	wg.Go(func() { c.readTypes(ctx) })
+	wg.Go(func() { c.keeper.run(ctx) })
 	wg.Go(func() { c.elector.Run(ctx, c.lead) })
 	wg.Go(func() {
 		<-ctx.Done()
--- /dev/null
+++ b/internal/controller/keeper.go
@@ -0,0 +1,209 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// prefixKeep holds the names of machines that followers answer in the
+// leader's stead.
+const prefixKeep = "keep/"
+
+// keeper lets a follower answer workers that cannot reach the leader, when
+// the follower cannot reach it either: two zones that are apart. The answers
+// hold no commands; they only keep the workers' leases. What makes that safe:
+//
+//   - A machine's name is in a record of the state service before its first
+//     answer, and stays there for longer than a worker's lease after the last.
+//   - The leader concludes nothing from a lease before it has read these
+//     records after the lease's end. A machine that is in none of them was
+//     answered by nobody for a whole lease.
+//
+// Each process writes under a key of its own, so that a restart cannot take
+// away what its former life has written. One goroutine owns the state.
+type keeper struct {
+	c        *Controller
+	requests chan keepRequest
+	lease    uint64
+	version  uint64    // of the record
+	sent     time.Time // when the request was sent that gave the lease its time
+	names    map[string]time.Time
+	written  map[string]bool
+}
+
+type keepRequest struct {
+	machine string
+	kept    chan bool
+}
+
+type keepRecord struct {
+	Machines []string `json:"machines"`
+}
+
+func newKeeper(c *Controller) *keeper {
+	return &keeper{c: c, requests: make(chan keepRequest, tuning.Inbox), names: map[string]time.Time{}, written: map[string]bool{}}
+}
+
+func (k *keeper) workerLease() time.Duration { return seconds(k.c.settings.Cluster.Workers.LeaseS) }
+
+// life is how long the record outlives its last renewal.
+func (k *keeper) life() time.Duration { return 2*k.workerLease() + tuning.KeepExtra }
+
+// mayAnswer tells whether the record will outlive a worker's lease that
+// begins now.
+func (k *keeper) mayAnswer(now time.Time) bool {
+	return k.lease != 0 && now.Sub(k.sent) < k.life()-k.workerLease()-tuning.KeepExtra/2
+}
+
+// keep asks for the right to answer a machine now.
+func (k *keeper) keep(ctx context.Context, machine string) bool {
+	r := keepRequest{machine, make(chan bool, 1)}
+	select {
+	case k.requests <- r:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case ok := <-r.kept:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (k *keeper) run(ctx context.Context) {
+	for {
+		var wake <-chan time.Time
+		if k.lease != 0 {
+			wake = k.c.clock.After(tuning.KeepRenew)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-k.requests:
+			batch := []keepRequest{r}
+			for len(k.requests) > 0 {
+				batch = append(batch, <-k.requests)
+			}
+			k.serve(ctx, batch)
+		case <-wake:
+		}
+		if k.lease != 0 && k.c.clock.Since(k.sent) >= tuning.KeepRenew {
+			k.renew(ctx)
+		}
+	}
+}
+
+func (k *keeper) serve(ctx context.Context, batch []keepRequest) {
+	missing := false
+	for _, r := range batch {
+		k.names[r.machine] = k.c.clock.Now()
+		missing = missing || !k.written[r.machine]
+	}
+	ok := !missing || k.write(ctx)
+	ok = ok && k.mayAnswer(k.c.clock.Now())
+	for _, r := range batch {
+		r.kept <- ok
+	}
+}
+
+// write stores the names. Until that has an answer, no new one counts.
+func (k *keeper) write(ctx context.Context) bool {
+	if k.lease == 0 {
+		sent := k.c.clock.Now()
+		lease, err := k.c.store.Grant(ctx, k.life())
+		if err != nil {
+			return false
+		}
+		k.lease, k.sent = lease, sent
+	}
+	names := sortedKeys(k.names)
+	value, err := json.Marshal(keepRecord{Machines: names})
+	if err != nil || len(names) > tuning.KeepMachines {
+		return false
+	}
+	key := fmt.Sprintf("%s%s/%d", prefixKeep, k.c.settings.Member, k.lease)
+	version, err := k.c.store.Commit(ctx, wire.Txn{
+		If:   []wire.Condition{{Key: key, Version: k.version}},
+		Then: []wire.Change{{Put: key, Value: value, Lease: k.lease}},
+	})
+	if err != nil {
+		k.c.log.Debug("machines not kept", "err", err)
+		if !errors.Is(err, errNotExecuted) {
+			// It may be applied later: a further change of this record could
+			// be undone by it.
+			k.abandon()
+		}
+		return false
+	}
+	k.version = version
+	for _, n := range names {
+		k.written[n] = true
+	}
+	k.c.log.Info("answering machines in the leader's stead", "machines", len(names))
+	return true
+}
+
+// renew keeps the record while there is something to keep. When nothing was
+// kept for long, the record is left to its lease's end.
+func (k *keeper) renew(ctx context.Context) {
+	now := k.c.clock.Now()
+	recent := false
+	for _, at := range k.names {
+		recent = recent || now.Sub(at) < k.life()
+	}
+	if recent {
+		sent := now
+		if err := k.c.store.Renew(ctx, k.lease); err == nil {
+			k.sent = sent
+			return
+		}
+		if k.mayAnswer(k.c.clock.Now()) {
+			k.c.sleep(ctx, tuning.RetryLeader)
+			return
+		}
+	}
+	k.abandon()
+}
+
+// abandon leaves the record to its lease's end, which is late enough for all
+// that was answered; the next one gets a new key.
+func (k *keeper) abandon() {
+	k.lease, k.version = 0, 0
+	clear(k.names)
+	clear(k.written)
+}
+
+// readKept reads which machines followers answer.
+func (c *Controller) readKept(ctx context.Context) (map[string]bool, error) {
+	kept := map[string]bool{}
+	_, err := c.store.ListAll(ctx, prefixKeep, func(items []wire.Item) error {
+		for _, item := range items {
+			var r keepRecord
+			if err := json.Unmarshal(item.Value, &r); err != nil {
+				return fmt.Errorf("record %s: %w", item.Key, err)
+			}
+			for _, n := range r.Machines {
+				kept[n] = true
+			}
+		}
+		return nil
+	})
+	return kept, err
+}
+
+func sortedKeys(m map[string]time.Time) []string {
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -36,6 +36,8 @@
 	begun   time.Time
 	loaded  bool // all stored records are in: before, nothing is placed or concluded
 	writing bool // a transaction is on its way
+	asking  bool // the machines that followers answer are being read
+	nextAsk time.Time
 
 	changed  bool          // a pass could find something new
 	passWait time.Duration // the pause until the next pass that nothing woke
@@ -237,7 +239,7 @@
 	if !l.loaded || l.ended.Err() != nil {
 		return
 	}
-	l.settle(l.roster.Expire(now), now)
+	l.expire(now)
 	if l.c.elector.Valid(l.tenure.Term) {
 		if l.changed || !now.Before(l.nextPass) {
 			l.pass(now)
@@ -247,6 +249,27 @@
 	l.flush(now)
 }
 
+// expire ends the sessions of machines that nobody has answered for a lease:
+// not this leader, nor a follower in its stead, which the state service tells.
+func (l *leader) expire(now time.Time) {
+	if l.asking || now.Before(l.nextAsk) || len(l.roster.Due(now)) == 0 {
+		return
+	}
+	l.asking = true
+	go func() {
+		kept, err := l.c.readKept(l.ended)
+		l.post(func() {
+			done := l.c.clock.Now()
+			l.asking, l.nextAsk = false, done.Add(tuning.KeptEvery)
+			if err != nil {
+				l.log.Debug("kept machines unreadable", "err", err)
+				return
+			}
+			l.settle(l.roster.Expire(now, done, kept), done)
+		})
+	}()
+}
+
 // flush writes the book's changes, one transaction at a time.
 func (l *leader) flush(now time.Time) {
 	if l.writing || !l.book.Due(now) {
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -1,11 +1,13 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"poppypass/internal/fleet"
@@ -45,54 +47,98 @@
 		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
 		return
 	}
+	status, a, text := c.submit(r.Context(), body)
+	if status == http.StatusServiceUnavailable {
+		// The state service may refuse this member alone: others can accept.
+		if rs, ra, rt, ok := c.relaySubmission(r.Context(), body); ok {
+			status, a, text = rs, ra, rt
+		}
+	}
+	if status >= http.StatusBadRequest {
+		fail(w, status, text)
+		return
+	}
+	httpjson.Write(w, status, a)
+}
+
+// submit accepts a job here, or says why it is not accepted.
+func (c *Controller) submit(ctx context.Context, body []byte) (status int, a wire.Accepted, text string) {
 	job, err := wire.ParseJob(body)
 	if err != nil {
-		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
-		return
+		return http.StatusBadRequest, a, httpjson.OneLine(err)
 	}
 	if s, ok := c.finals.get(job.ID); ok {
-		httpjson.Write(w, http.StatusOK, wire.Accepted{ID: s.ID, State: s.State})
-		return
+		return http.StatusOK, wire.Accepted{ID: s.ID, State: s.State}, ""
 	}
 	types := c.machineTypes()
 	if types == nil {
-		unavailable(w, "the machine types are not known yet")
-		return
+		return http.StatusServiceUnavailable, a, "the machine types are not known yet"
 	}
 	reason := c.impossible(job, types)
 	if reason == "" {
 		value, err := json.Marshal(jobs.Record{Job: *job, AtMS: c.clock.Now().UnixMilli()})
 		if err != nil || float64(len(value)) > c.settings.Cluster.State.ValueKB*1024 {
-			fail(w, http.StatusBadRequest, "the job's description is too long")
-			return
+			return http.StatusBadRequest, a, "the job's description is too long"
 		}
-		_, err = c.store.Commit(r.Context(), wire.Txn{
+		_, err = c.store.Commit(ctx, wire.Txn{
 			If:   []wire.Condition{{Key: jobs.KeyJob(job.ID)}, {Key: jobs.KeyEnd(job.ID)}},
 			Then: []wire.Change{{Put: jobs.KeyJob(job.ID), Value: value}},
 		})
-		var conflict *statestore.Conflict
 		if err == nil {
 			c.log.Debug("accepted", "job", job.ID, "class", job.Class, "team", job.Team, "tasks", job.Tasks)
-			httpjson.Write(w, http.StatusCreated, wire.Accepted{ID: job.ID, State: wire.StateQueued})
-			return
+			return http.StatusCreated, wire.Accepted{ID: job.ID, State: wire.StateQueued}, ""
 		}
+		var conflict *statestore.Conflict
 		if !errors.As(err, &conflict) {
 			c.log.Debug("submission not stored", "job", job.ID, "err", err)
-			unavailable(w, "the job could not be stored; submit it again")
-			return
+			return http.StatusServiceUnavailable, a, "the job could not be stored; submit it again"
 		}
 	}
 	// The job is known, or can never run. A job that was accepted before must
 	// never be refused, whatever the machine types are by now.
-	status, s := c.status(r.Context(), job.ID)
+	status, s := c.status(ctx, job.ID)
 	switch {
 	case status == http.StatusOK:
-		httpjson.Write(w, http.StatusOK, wire.Accepted{ID: s.ID, State: s.State})
+		return status, wire.Accepted{ID: s.ID, State: s.State}, ""
 	case status == http.StatusNotFound && reason != "":
-		fail(w, http.StatusUnprocessableEntity, reason)
-	default:
-		unavailable(w, "the job's state cannot be read now")
+		return http.StatusUnprocessableEntity, a, reason
+	}
+	return http.StatusServiceUnavailable, a, "the job's state cannot be read now"
+}
+
+// relaySubmission has another member accept a submission, the leader first.
+func (c *Controller) relaySubmission(ctx context.Context, body []byte) (status int, a wire.Accepted, text string, ok bool) {
+	leader := c.elector.Leader()
+	for _, name := range slices.SortedFunc(maps.Keys(c.endpoint), func(x, y string) int {
+		return cmp.Or(cmp.Compare(btoi(y == leader), btoi(x == leader)), cmp.Compare(x, y))
+	}) {
+		r, err := c.peers.Call(ctx, c.endpoint[name], mesh.Request{Verb: mesh.Submit, Payload: body})
+		if err == nil && r.Status != http.StatusServiceUnavailable {
+			job, err := wire.ParseJob(body)
+			if err != nil {
+				return 0, a, "", false
+			}
+			return r.Status, wire.Accepted{ID: job.ID, State: r.Job.State}, string(r.Payload), true
+		}
 	}
+	return 0, a, "", false
+}
+
+// serveRelayedReport answers a report that a follower hands on.
+func (c *Controller) serveRelayedReport(ctx context.Context, body []byte) mesh.Response {
+	var rep wire.Report
+	if json.Unmarshal(body, &rep) != nil || rep.Check() != nil {
+		return mesh.Response{Status: http.StatusBadRequest}
+	}
+	a, ok := c.answerReport(ctx, &rep)
+	if !ok {
+		return mesh.Response{Status: http.StatusServiceUnavailable}
+	}
+	out, err := json.Marshal(a)
+	if err != nil {
+		return mesh.Response{Status: http.StatusInternalServerError}
+	}
+	return mesh.Response{Status: http.StatusOK, Payload: out}
 }
 
 // impossible says why a job can never run, or nothing.
@@ -267,6 +313,11 @@
 		return yesOrNo(c.elector.Promise(ctx))
 	case mesh.NotLeading:
 		return yesOrNo(c.elector.NotLeading())
+	case mesh.Report:
+		return c.serveRelayedReport(ctx, req.Payload)
+	case mesh.Submit:
+		status, a, text := c.submit(ctx, req.Payload)
+		return mesh.Response{Status: status, Job: wire.JobStatus{State: a.State}, Payload: []byte(text)}
 	}
 	if !wire.ValidJobID(req.Job) || c.leader() == nil {
 		return mesh.Response{Status: http.StatusServiceUnavailable}
@@ -295,41 +346,3 @@
 	}
 	return mesh.Response{Status: status, Job: s}
 }
-
-// serveReport takes a worker's report. Only a leader within its right answers
-// 200; the others name the leader, as far as they know it.
-func (c *Controller) serveReport(w http.ResponseWriter, r *http.Request) {
-	body, err := httpjson.ReadBody(r, tuning.MaxReport)
-	if err != nil {
-		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
-		return
-	}
-	l := c.leader()
-	if l == nil {
-		if name := c.elector.Leader(); name != "" && name != c.settings.Member {
-			httpjson.Write(w, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: name})
-			return
-		}
-		unavailable(w, "nobody leads")
-		return
-	}
-	var rep wire.Report
-	if err := json.Unmarshal(body, &rep); err != nil {
-		fail(w, http.StatusBadRequest, httpjson.OneLine(fmt.Errorf("malformed report: %w", err)))
-		return
-	}
-	if err := rep.Check(); err != nil {
-		fail(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	commands, err := l.report(r.Context(), &rep)
-	// The right to act is checked again now that the answer is ready.
-	if err != nil || !c.elector.Valid(l.tenure.Term) {
-		unavailable(w, "the report cannot be answered now")
-		return
-	}
-	if commands == nil {
-		commands = []wire.Command{}
-	}
-	httpjson.Write(w, http.StatusOK, wire.ReportAnswer{Token: l.tenure.Term, Commands: commands})
-}
--- /dev/null
+++ b/internal/controller/workers.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"poppypass/internal/httpjson"
+	"poppypass/internal/mesh"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// serveReport takes a worker's report. A leader within its right answers it.
+// A follower names the leader; a worker that has evidently lost the leader is
+// helped instead.
+func (c *Controller) serveReport(w http.ResponseWriter, r *http.Request) {
+	body, err := httpjson.ReadBody(r, tuning.MaxReport)
+	if err != nil {
+		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
+		return
+	}
+	var rep wire.Report
+	if err := json.Unmarshal(body, &rep); err != nil {
+		fail(w, http.StatusBadRequest, httpjson.OneLine(fmt.Errorf("malformed report: %w", err)))
+		return
+	}
+	if err := rep.Check(); err != nil {
+		fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if c.leader() != nil {
+		if a, ok := c.answerReport(r.Context(), &rep); ok {
+			httpjson.Write(w, http.StatusOK, a)
+			return
+		}
+		unavailable(w, "the report cannot be answered now")
+		return
+	}
+	name, term := c.elector.Holder()
+	if name == "" || name == c.settings.Member {
+		unavailable(w, "nobody leads")
+		return
+	}
+	if c.redirects.lost(&rep, term, c.clock.Now()) {
+		if a, ok := c.help(r.Context(), body, &rep, name, term); ok {
+			httpjson.Write(w, http.StatusOK, a)
+			return
+		}
+	}
+	httpjson.Write(w, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: name})
+}
+
+// answerReport has the leader's loop answer a report; ok is false when this
+// member may not answer it.
+func (c *Controller) answerReport(ctx context.Context, rep *wire.Report) (wire.ReportAnswer, bool) {
+	l := c.leader()
+	if l == nil {
+		return wire.ReportAnswer{}, false
+	}
+	commands, err := l.report(ctx, rep)
+	// The right to act is checked again now that the answer is ready.
+	if err != nil || !c.elector.Valid(l.tenure.Term) {
+		return wire.ReportAnswer{}, false
+	}
+	if commands == nil {
+		commands = []wire.Command{}
+	}
+	return wire.ReportAnswer{Token: l.tenure.Term, Commands: commands}, true
+}
+
+// help answers a worker that cannot reach the leader: by asking the leader
+// through the mesh, or, when that cannot be reached from here either, by
+// keeping the worker's lease without any commands.
+func (c *Controller) help(ctx context.Context, body []byte, rep *wire.Report, leader string, term uint64) (a wire.ReportAnswer, ok bool) {
+	addr := c.endpoint[leader]
+	if addr == "" {
+		return a, false
+	}
+	resp, err := c.peers.Call(ctx, addr, mesh.Request{Verb: mesh.Report, Payload: body})
+	if err == nil {
+		if resp.Status != http.StatusOK || json.Unmarshal(resp.Payload, &a) != nil {
+			return a, false
+		}
+		return a, true
+	}
+	if c.redirects.probe(rep.Machine, c.clock.Now()) {
+		return a, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, tuning.KeepWait)
+	defer cancel()
+	if !c.keeper.keep(ctx, rep.Machine) {
+		return a, false
+	}
+	return wire.ReportAnswer{Token: term, Commands: []wire.Command{}}, true
+}
+
+// redirects tells which workers have lost the leader: one that has seen the
+// leader's token had found it before, and one that was sent to the leader and
+// comes back did not find it.
+type redirects struct {
+	mu   sync.Mutex
+	sent map[string]time.Time // when a worker was sent to the leader
+	kept map[string]time.Time // since when a worker is kept without commands
+}
+
+// probe tells whether a worker that was kept for long shall try the leader
+// again: the cut between us and the leader need not be one between those two.
+func (r *redirects) probe(machine string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, ok := r.kept[machine]
+	if !ok || now.Sub(since) > tuning.KeepProbe+tuning.RedirectMemory {
+		if len(r.kept) > tuning.RedirectsMax {
+			clear(r.kept)
+		}
+		r.kept[machine] = now
+		return false
+	}
+	if now.Sub(since) < tuning.KeepProbe {
+		return false
+	}
+	delete(r.kept, machine)
+	return true
+}
+
+func (r *redirects) lost(rep *wire.Report, term uint64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rep.Token >= term {
+		return true
+	}
+	at, again := r.sent[rep.Machine]
+	again = again && now.Sub(at) < tuning.RedirectMemory
+	if !again {
+		r.sent[rep.Machine] = now
+	}
+	if len(r.sent) > tuning.RedirectsMax {
+		clear(r.sent)
+	}
+	return again
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -68,6 +68,7 @@
 	term       uint64    // of our own tenure; 0: we do not lead
 	validUntil time.Time // our right to act ends here, by the local steady clock
 	leader     string    // the member that leads, as far as we know
+	leaderTerm uint64    // its term
 
 	campaigning bool      // a campaign is on its way on whose success we would act
 	quietUntil  time.Time // we promised not to campaign before
@@ -109,10 +110,17 @@
 	return e.leader
 }
 
-func (e *Elector) setLeader(name string) {
+// Holder names the leading member and its term, as far as this one knows.
+func (e *Elector) Holder() (name string, term uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leader = name
+	return e.leader, e.leaderTerm
+}
+
+func (e *Elector) setLeader(name string, term uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leader, e.leaderTerm = name, term
 }
 
 // publish sets our own right to act. sent is when the request that gained it
@@ -238,11 +246,11 @@
 			continue
 		}
 		if held {
-			e.setLeader(h.Member)
+			e.setLeader(h.Member, h.Term)
 			e.waitForChange(ctx, revision)
 			continue
 		}
-		e.setLeader("")
+		e.setLeader("", 0)
 		if !e.mayCampaign(ctx) {
 			e.pause(ctx, tuning.RetryCampaign)
 			continue
@@ -330,7 +338,7 @@
 		return 0, t, false
 	}
 	e.publish(last.Term, sent)
-	e.setLeader(e.member)
+	e.setLeader(e.member, last.Term)
 	return lease, Tenure{Term: last.Term, Guard: wire.Condition{Key: keyHolder, Version: revision}}, true
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -325,12 +325,13 @@
 	clear(m.sent)
 }
 
-// Expire ends the sessions whose leases have surely run out.
-func (r *Roster) Expire(now time.Time) []Outcome {
-	var a Answer
+// Due names the machines whose leases have run out, as far as the answers of
+// leaders go.
+func (r *Roster) Due(now time.Time) []string {
+	var due []string
 	for _, m := range r.Machines {
 		if !m.LeaseEnd.IsZero() && !now.Before(m.LeaseEnd) && m.Session > m.Dead {
-			r.endSession(m, m.Session, &a)
+			due = append(due, m.Name)
 		}
 	}
 	for name, at := range r.returned {
@@ -338,6 +339,22 @@
 			delete(r.returned, name)
 		}
 	}
+	return due
+}
+
+// Expire ends the sessions whose leases had run out by the time when it was
+// asked which machines followers answer in the leader's stead. Those that are
+// kept so may have been answered until now, and count for another lease.
+func (r *Roster) Expire(asked, now time.Time, kept map[string]bool) []Outcome {
+	var a Answer
+	for _, name := range r.Due(asked) {
+		m := r.Machines[name]
+		if kept[name] {
+			m.LeaseEnd = now.Add(r.lease)
+			continue
+		}
+		r.endSession(m, m.Session, &a)
+	}
 	return a.Outcomes
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -52,6 +52,11 @@
 	return a
 }
 
+// expire is what the leader does when no follower answers any machine.
+func (f *fixture) expire(at time.Duration) []Outcome {
+	return f.Expire(t0.Add(at), t0.Add(at), nil)
+}
+
 func ops(cmds []wire.Command) string {
 	s := ""
 	for _, c := range cmds {
@@ -112,11 +117,11 @@
 	if a, err := f.Report(report(1, 3, term), true, t0.Add(9*time.Second), yes); err != nil || len(a.Outcomes)+len(a.Commands) != 0 {
 		t.Fatalf("direct answer: %+v, %v", a, err)
 	}
-	if outs := f.Expire(t0.Add(15 * time.Second)); len(outs) != 0 {
+	if outs := f.expire(15 * time.Second); len(outs) != 0 {
 		t.Fatalf("gone before the lease with its drift: %v", outs)
 	}
 	end := 5*time.Second + time.Duration(lease*(1+tuning.ClockDrift)*float64(time.Second)) + tuning.LeaseMargin
-	outs := f.Expire(t0.Add(end))
+	outs := f.expire(end)
 	if len(outs) != 1 {
 		t.Fatalf("not gone at the end: %v", outs)
 	}
@@ -134,7 +139,7 @@
 	f := newFixture(t)
 	p := place(3)
 	f.Inherit(p, t0)
-	if outs := f.Expire(t0.Add(9 * time.Second)); len(outs) != 0 {
+	if outs := f.expire(9 * time.Second); len(outs) != 0 {
 		t.Fatalf("gone: %v", outs)
 	}
 	// The worker has not seen our token yet: a start of the old leader may
@@ -236,3 +241,25 @@
 		t.Errorf("a late report of it: %v", err)
 	}
 }
+
+// Guards against tasks that are placed anew while a follower beyond a cut
+// keeps their machine's lease.
+func TestAKeptMachineIsNotGone(t *testing.T) {
+	f := newFixture(t)
+	f.report(report(1, 1, term), 0, no)
+	f.Add(place(1), t0)
+	kept := map[string]bool{"n-1": true}
+	// The lease ran out between the question and its answer: nothing is known yet.
+	if outs := f.Expire(t0.Add(9*time.Second), t0.Add(20*time.Second), nil); len(outs) != 0 {
+		t.Fatalf("gone by an answer that is older than the lease's end: %v", outs)
+	}
+	if outs := f.Expire(t0.Add(20*time.Second), t0.Add(21*time.Second), kept); len(outs) != 0 {
+		t.Fatalf("gone while it is kept: %v", outs)
+	}
+	if outs := f.expire(30 * time.Second); len(outs) != 0 {
+		t.Fatalf("gone within a lease of the time when it was kept: %v", outs)
+	}
+	if outs := f.expire(32 * time.Second); len(outs) != 1 {
+		t.Fatalf("not gone a lease after it was kept: %v", outs)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -136,6 +136,29 @@
 	AvoidFor = 300 * time.Second
 )
 
+// Followers that help workers.
+const (
+	// RedirectMemory is how long a follower remembers that it sent a worker to
+	// the leader: one that comes back sooner did not find it (4 s for an
+	// answer, 1 s until the next node, twice).
+	RedirectMemory = 15 * time.Second
+	// RedirectsMax bounds that memory, in workers.
+	RedirectsMax = 4096
+	// KeepRenew is how often a follower renews the record of the machines that it answers.
+	KeepRenew = 1 * time.Second
+	// KeepExtra is added to twice a worker's lease as that record's life.
+	KeepExtra = 10 * time.Second
+	// KeepWait is how long a report may wait for that record: a worker waits 4 s, and the mesh was tried first.
+	KeepWait = 2 * time.Second
+	// KeepProbe is after how long a worker kept without commands is sent to
+	// the leader once more; if it does not find it, it loses about 5 s of its lease.
+	KeepProbe = 20 * time.Second
+	// KeepMachines bounds the record to a few KiB.
+	KeepMachines = 300
+	// KeptEvery is the least time between two readings of these records by the leader.
+	KeptEvery = 500 * time.Millisecond
+)
+
 // Placement.
 const (
 	// AgeStep is the wait after which a job rises one step of priority.
