--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -570,6 +570,8 @@
 		m := l.roster.Machines[d.Machine.Name]
 		p := l.book.Place(j, i, m.Name, m.Zone, m.Session, now)
 		l.roster.Add(p, now)
+		l.log.Debug("placed", "task", p.Task().String(), "attempt", p.Attempt, "class", j.Class, "machine", m.Name,
+			"type", m.Type, "spot", m.Spot, "waited_s", now.Sub(j.WaitSince).Seconds())
 	}
 	// The design's loop: a pass that places nothing waits 1 s, doubling to
 	// 10 s, unless a change wakes it.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -33,7 +33,7 @@
 type Machine struct {
 	Name, Type, Zone string
 	Spot             bool
-	Price            float64 // an hour, the whole machine
+	Price            float64 // an hour, of the whole machine
 	Total, Free      Room
 	HasImage         func(image string) bool
 	held             string // the job that holds it against those behind
@@ -115,14 +115,14 @@
 
 // better tells whether a is a better place than b for the item. Work that may
 // run on spot machines goes there first and leaves the others to work that may
-// not. Replicas stay for long and keep their machine rented, so they take the
-// machine that costs least to keep; a dear one empties and can be returned.
-// Then a held image saves the fetch; then the most free room.
+// not. Then the machine that costs least to keep: what runs on a machine keeps
+// it rented, so the dear ones empty and can be returned. Then a held image
+// saves the fetch; then the most free room.
 func (it *Item) better(a, b *Machine) bool {
 	if a.Spot != b.Spot {
 		return a.Spot
 	}
-	if it.Job.Kind == wire.KindService && a.Price != b.Price {
+	if a.Price != b.Price {
 		return a.Price < b.Price
 	}
 	if ia, ib := a.hasImage(it.Job.Image), b.hasImage(it.Job.Image); ia != ib {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -189,7 +189,7 @@
 	// room kept for it: for classes that are to start sooner than a machine
 	// boots, and for all others where a guarantee is to be met sooner than that.
 	PromptWait      = 1.0
-	PromptGuarantee = 0.5
+	PromptGuarantee = 0.25
 	// FetchExtra is added to the boot time as the horizon of what is expected: the first report and a rental take some seconds.
 	FetchExtra = 5 * time.Second
 	// RentSettle is how long a new leader waits before it rents: the machines
