--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -608,7 +608,7 @@
 	silent := time.Duration(tuning.SilentReports * l.c.settings.Cluster.Workers.ReportS * float64(time.Second))
 	var out []*placement.Machine
 	for _, m := range l.roster.Machines {
-		if !m.Alive() || m.Returning || m.Bad || m.HasStrays() || !m.Notice.IsZero() ||
+		if !m.Alive() || m.Returning || m.Draining || m.Bad || m.HasStrays() || !m.Notice.IsZero() ||
 			now.Sub(m.Heard) > silent || now.Before(m.NoRoom) {
 			continue
 		}
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -20,6 +20,7 @@
 type fleetState struct {
 	next     time.Time
 	nextList time.Time
+	nextMove time.Time
 	listing  bool
 	recent   []fleet.Arrival            // accepted within the last window
 	bookings int                        // request names used in this term
@@ -40,6 +41,7 @@
 	if l.tenure.Term == 1 || now.Sub(l.begun) > tuning.RentSettle {
 		l.rent(now)
 	}
+	l.consolidate(now)
 	l.returnMachines(now)
 	if !l.fleet.listing && !now.Before(l.fleet.nextList) {
 		l.fleet.listing = true
@@ -229,6 +231,8 @@
 		case m.HasStrays():
 		case m.Bad:
 			why = "faulty"
+		case m.Draining:
+			why = "surplus"
 		case needed[m.Name]:
 		case now.Sub(m.IdleSince) > l.c.knobs.IdleKeep:
 			why = "idle"
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,6 +39,17 @@
 	held             string // the job that holds it against those behind
 }
 
+// FreeShare is the share of the machine's scarcest resource that is free.
+func (m *Machine) FreeShare() float64 {
+	share := 1.0
+	for _, r := range [][2]float64{{m.Free.CPUs, m.Total.CPUs}, {m.Free.GPUs, m.Total.GPUs}, {m.Free.MemoryGB, m.Total.MemoryGB}} {
+		if r[1] > 0 {
+			share = min(share, r[0]/r[1])
+		}
+	}
+	return share
+}
+
 // Item is a job with waiting tasks.
 type Item struct {
 	Job     *wire.Job
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -57,6 +57,7 @@
 	IdleSince time.Time
 	Added     time.Time // when we learned of it
 	Rented    time.Time // when it was rented, as far as known
+	Draining  bool      // it gets no more tasks while the others suffice, and is returned once empty
 	Returning bool      // it gets no more tasks and is being deleted
 	Bad       bool      // tasks of several jobs failed on it
 	NoRoom    time.Time // it refused a task for room; not asked before
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -195,6 +195,12 @@
 	// RentSettle is how long a new leader waits before it rents: the machines
 	// that it took over report within that time.
 	RentSettle = 4 * time.Second
+	// MoveEvery is how often replicas are moved off a machine that is to be
+	// returned, and MoveAtOnce how many: a moved replica is down for a moment.
+	MoveEvery  = 2 * time.Second
+	MoveAtOnce = 2
+	// MoveCandidates is how many machines are looked at for that, the most wasteful first.
+	MoveCandidates = 3
 	// ListEvery is how often the cloud's list is read.
 	ListEvery = 5 * time.Second
 	// RefusedFor is how long a type, zone and kind is not asked again after "no capacity".
