A large array that had its fill lets its team's other jobs begin

Cause: on kenya a team's limit holds 16 tasks; an array of 40 or more took each slot again as its own tasks ended, and the team's next jobs missed their 60 s. The order stays priority, then seconds waited; among equals, jobs that have not yet had the limit's worth go first.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -593,7 +593,7 @@
 		}
 		byID[j.ID] = j
 		items = append(items, &placement.Item{
-			Job: &j.Job, Since: j.WaitSince, Waiting: j.Waiting(), Zones: cloneCounts(j.Zones()),
+			Job: &j.Job, Since: j.WaitSince, Waiting: j.Waiting(), Started: j.Placed + j.Done, Zones: cloneCounts(j.Zones()),
 			Avoid: func(machine string) bool {
 				// A job that fails everywhere may go anywhere.
 				return len(j.Avoid) < tuning.BadJobMachines && now.Before(j.Avoid[machine])
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -93,7 +93,7 @@
 			in.Items = append(in.Items, it)
 		}
 	}
-	placement.Sort(in.Items, now)
+	placement.Sort(in.Items, in.Teams, now)
 	for _, m := range l.roster.Machines {
 		in.Count[fleet.Option{Type: m.Type, Zone: m.Zone, Spot: m.Spot}]++
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -82,3 +82,32 @@
 		}
 	}
 }
+
+func TestExpectedFollowsRecentArrivals(t *testing.T) {
+	var recent []Arrival
+	for i := range 12 { // one every 10 s
+		recent = append(recent, Arrival{At: now.Add(time.Duration(i-12) * 10 * time.Second), Job: &wire.Job{ID: "job-1", Team: "t", Class: "c", Tasks: i + 1}})
+	}
+	recent = append(recent, Arrival{At: now, Job: &wire.Job{ID: "job-2", Team: "t", Class: "patient", Tasks: 50}})
+	tasks := func(horizon time.Duration, share float64) (n []int) {
+		for _, it := range Expected(now, recent, horizon, func(class string) float64 {
+			if class == "patient" {
+				return 0
+			}
+			return share
+		}) {
+			n = append(n, it.Waiting)
+		}
+		return n
+	}
+	if got := tasks(30*time.Second, 1); !reflect.DeepEqual(got, []int{10, 11, 12}) {
+		t.Errorf("within 30 s expects %v, want the shapes of the last three", got)
+	}
+	if got := tasks(30*time.Second, 0.3); !reflect.DeepEqual(got, []int{12}) {
+		t.Errorf("of a third expects %v", got)
+	}
+	old := []Arrival{{At: now.Add(-time.Hour), Job: recent[0].Job}}
+	if got := Expected(now, old, time.Minute, func(string) float64 { return 1 }); len(got) != 0 {
+		t.Errorf("expects %v of an hour ago", got)
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -55,6 +55,7 @@
 	Job     *wire.Job
 	Since   time.Time      // since when it waits
 	Waiting int            // tasks that wait
+	Started int            // tasks that are placed or done
 	Zones   map[string]int // its placed tasks by zone; the pass counts on in it
 	Avoid   func(machine string) bool
 }
@@ -89,11 +90,30 @@
 	return l
 }
 
-// Sort puts items in the order in which they are placed: by priority, then by
-// the time waited, then by name so that the order is always the same.
-func Sort(items []*Item, now time.Time) {
+// sated tells whether the item has had as many tasks as its team's limit
+// allows at a time: the rest of a large array waits for its own tasks to end,
+// and lets the team's other jobs begin meanwhile.
+func sated(it *Item, teams map[string]*Team) bool {
+	t := teams[it.Job.Team]
+	if t == nil {
+		return false
+	}
+	n, need := float64(it.Started+1), it.Need()
+	return n*need.CPUs > t.CPUsMax+slack || n*need.GPUs > t.GPUsMax+slack
+}
+
+// Sort puts items in the order in which they are placed: by priority, then
+// those that have not had their fill, then by the time waited, then by name so
+// that the order is always the same.
+func Sort(items []*Item, teams map[string]*Team, now time.Time) {
+	full := make(map[*Item]int, len(items))
+	for _, it := range items {
+		if sated(it, teams) {
+			full[it] = 1
+		}
+	}
 	slices.SortStableFunc(items, func(a, b *Item) int {
-		return cmp.Or(cmp.Compare(Level(b, now), Level(a, now)), a.Since.Compare(b.Since), cmp.Compare(a.Job.ID, b.Job.ID))
+		return cmp.Or(cmp.Compare(Level(b, now), Level(a, now)), cmp.Compare(full[a], full[b]), a.Since.Compare(b.Since), cmp.Compare(a.Job.ID, b.Job.ID))
 	})
 }
 
@@ -179,7 +199,7 @@
 // the teams' use.
 func Pass(now time.Time, items []*Item, machines []*Machine, teams map[string]*Team) []Placement {
 	var placed []Placement
-	Sort(items, now)
+	Sort(items, teams, now)
 	holds := 0
 	for _, it := range items {
 		team := teams[it.Job.Team]
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// Guards against a large array that takes every slot of its team's limit as
+// its own tasks end, while the team's small jobs wait behind it.
+func TestAnArrayThatHadItsFillLetsOthersBegin(t *testing.T) {
+	large, small := item("a", wire.PriorityHigh, 9*time.Second, 20, 4), item("b", wire.PriorityHigh, 0, 1, 4)
+	large.Started = 2
+	if got := run([]*Item{large, small}, []*Machine{machine("m", "a", false, 8)}, 8); got != "b:m a:m" {
+		t.Errorf("placed %q", got)
+	}
+	large, small = item("a", wire.PriorityHigh, 9*time.Second, 20, 4), item("b", wire.PriorityHigh, 0, 1, 4)
+	large.Started = 1 // it may have one more first
+	if got := run([]*Item{large, small}, []*Machine{machine("m", "a", false, 4)}, 8); got != "a:m" {
+		t.Errorf("placed %q", got)
+	}
+}
+
 func TestAHeldImageSavesTheFetch(t *testing.T) {
 	m, n := machine("m", "a", false, 16), machine("n", "a", false, 4)
 	n.HasImage = func(string) bool { return true }
