--- a/internal/controller/keeper.go
+++ b/internal/controller/keeper.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -21,7 +22,8 @@
 // hold no commands; they only keep the workers' leases. What makes that safe:
 //
 //   - A machine's name is in a record of the state service before its first
-//     answer, and stays there for longer than a worker's lease after the last.
+//     answer, and stays there for a worker's lease after the last one, even if
+//     this process dies.
 //   - The leader concludes nothing from a lease before it has read these
 //     records after the lease's end. A machine that is in none of them was
 //     answered by nobody for a whole lease.
@@ -88,6 +90,10 @@
 		case <-ctx.Done():
 			return
 		case r := <-k.requests:
+			// Workers that lose the leader come together: they share a write.
+			if !k.written[r.machine] {
+				k.c.sleep(ctx, tuning.KeepGather)
+			}
 			batch := []keepRequest{r}
 			for len(k.requests) > 0 {
 				batch = append(batch, <-k.requests)
@@ -124,6 +130,7 @@
 		}
 		k.lease, k.sent = lease, sent
 	}
+	begin := len(k.written) == 0
 	names := sortedKeys(k.names)
 	value, err := json.Marshal(keepRecord{Machines: names})
 	if err != nil || len(names) > tuning.KeepMachines {
@@ -144,33 +151,47 @@
 		return false
 	}
 	k.version = version
+	clear(k.written)
 	for _, n := range names {
 		k.written[n] = true
 	}
-	k.c.log.Info("answering machines in the leader's stead", "machines", len(names))
+	level := slog.LevelDebug
+	if begin && len(names) > 0 {
+		level = slog.LevelInfo
+	}
+	k.c.log.Log(ctx, level, "answering machines in the leader's stead", "machines", len(names))
 	return true
 }
 
-// renew keeps the record while there is something to keep. When nothing was
-// kept for long, the record is left to its lease's end.
+// renew keeps the record while there is something to keep, and takes out the
+// machines whose leases have surely run out since their last answer.
 func (k *keeper) renew(ctx context.Context) {
-	now := k.c.clock.Now()
-	recent := false
-	for _, at := range k.names {
-		recent = recent || now.Sub(at) < k.life()
+	sent := k.c.clock.Now()
+	if err := k.c.store.Renew(ctx, k.lease); err == nil {
+		k.sent = sent
+	} else if !k.mayAnswer(k.c.clock.Now()) {
+		k.abandon()
+		return
 	}
-	if recent {
-		sent := now
-		if err := k.c.store.Renew(ctx, k.lease); err == nil {
-			k.sent = sent
-			return
-		}
-		if k.mayAnswer(k.c.clock.Now()) {
-			k.c.sleep(ctx, tuning.RetryLeader)
-			return
+	over := stretched(k.workerLease()) + tuning.LeaseMargin
+	changed := false
+	for name, at := range k.names {
+		if k.c.clock.Since(at) > over {
+			delete(k.names, name)
+			changed = true
 		}
 	}
-	k.abandon()
+	if changed && !k.write(ctx) {
+		return
+	}
+	if len(k.names) == 0 {
+		k.abandon()
+	}
+}
+
+// stretched is a time that is over on every clock when it is over on ours.
+func stretched(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + tuning.ClockDrift))
 }
 
 // abandon leaves the record to its lease's end, which is late enough for all
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -265,7 +265,7 @@
 				l.log.Debug("kept machines unreadable", "err", err)
 				return
 			}
-			l.settle(l.roster.Expire(now, done, kept), done)
+			l.settle(l.roster.Expire(now, kept), done)
 		})
 	}()
 }
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -106,6 +106,7 @@
 	in.Booting = append(in.Booting, l.openMachines(now)...)
 	in.Items = l.expected(now)
 	in.Teams = fleet.Unlimited(in.Items)
+	in.Thrifty = true
 	wants = append(wants, fleet.Plan(&in)...)
 	for _, w := range wants {
 		for w.Count > 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,7 @@
 	Refused func(Option) bool // not to be asked for now
 	Room    int               // how many machines more may be rented
 	Count   map[Option]int    // machines there or booting
+	Thrifty bool              // work that may run on spot machines gets no others
 }
 
 // Plan wants machines for the tasks that fit neither on the machines there
@@ -85,7 +86,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				o := Option{t.Name, zone, spot}
-				if !it.Allowed(t.Name, zone, spot) || in.Refused(o) {
+				if !it.Allowed(t.Name, zone, spot) || in.Refused(o) || in.Thrifty && it.Job.Spot && !spot {
 					continue
 				}
 				price := t.Price
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -345,16 +345,14 @@
 
 // Expire ends the sessions whose leases had run out by the time when it was
 // asked which machines followers answer in the leader's stead. Those that are
-// kept so may have been answered until now, and count for another lease.
-func (r *Roster) Expire(asked, now time.Time, kept map[string]bool) []Outcome {
+// kept so are asked about again; one that is not was answered by no follower
+// for a whole lease before.
+func (r *Roster) Expire(asked time.Time, kept map[string]bool) []Outcome {
 	var a Answer
 	for _, name := range r.Due(asked) {
-		m := r.Machines[name]
-		if kept[name] {
-			m.LeaseEnd = now.Add(r.lease)
-			continue
+		if m := r.Machines[name]; !kept[name] {
+			r.endSession(m, m.Session, &a)
 		}
-		r.endSession(m, m.Session, &a)
 	}
 	return a.Outcomes
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -146,6 +146,8 @@
 	RedirectsMax = 4096
 	// KeepRenew is how often a follower renews the record of the machines that it answers.
 	KeepRenew = 1 * time.Second
+	// KeepGather is how long the first of several workers waits for the others, to share a write.
+	KeepGather = 100 * time.Millisecond
 	// KeepExtra is added to twice a worker's lease as that record's life.
 	KeepExtra = 10 * time.Second
 	// KeepWait is how long a report may wait for that record: a worker waits 4 s, and the mesh was tried first.
