The soonest start goes before price; work within a guarantee may stop others

Cause: waits of seat-booking were fetches, not placements: a mid machine fetches at a third of a small one's rate, and images fetched together share it. Preemption as the protocol allows it, for work within its guarantee that has used half of its aim's wait; replicas are spared for what is lent.

--- a/internal/controller/consolidate.go
+++ b/internal/controller/consolidate.go
@@ -130,7 +130,7 @@
 	it := &placement.Item{Job: &p.Job.Job, Since: now, Waiting: 1, Zones: cloneCounts(p.Job.Zones())}
 	it.Zones[p.Zone]--
 	open := slices.DeleteFunc(l.openMachines(now), func(v *placement.Machine) bool {
-		return v.Name == p.Machine || !v.HasImage(p.Job.Image) || len(l.roster.Machines[v.Name].Places) == 0
+		return v.Name == p.Machine || v.FetchS(p.Job.Image, p.Job.ImageGB) > 0 || len(l.roster.Machines[v.Name].Places) == 0
 	})
 	items := []*placement.Item{it}
 	return len(placement.Pass(now, items, open, fleet.Unlimited(items))) == 1
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -558,7 +558,8 @@
 		l.nextPass = now.Add(tuning.PassWaitMax)
 		return
 	}
-	placed := placement.Pass(now, items, l.openMachines(now), l.teams())
+	open, teams := l.openMachines(now), l.teams()
+	placed := placement.Pass(now, items, open, teams)
 	next := map[string]int{}
 	for _, d := range placed {
 		j := byID[d.Item.Job.ID]
@@ -573,6 +574,7 @@
 		l.log.Debug("placed", "task", p.Task().String(), "attempt", p.Attempt, "class", j.Class, "machine", m.Name,
 			"type", m.Type, "spot", m.Spot, "waited_s", now.Sub(j.WaitSince).Seconds())
 	}
+	l.preempt(now, items, open, teams, byID)
 	// The design's loop: a pass that places nothing waits 1 s, doubling to
 	// 10 s, unless a change wakes it.
 	if len(placed) > 0 {
@@ -583,6 +585,65 @@
 	l.nextPass = now.Add(l.passWait)
 }
 
+// preempt stops tasks for work within a guarantee that found no room and has
+// used up half of the wait that its aim allows.
+func (l *leader) preempt(now time.Time, items []*placement.Item, open []*placement.Machine, teams map[string]*placement.Team, byID map[string]*jobs.Job) {
+	var due []*placement.Item
+	for _, it := range items {
+		j := byID[it.Job.ID]
+		patience, ok := l.c.patience(it.Job.Class)
+		if ok && it.Waiting > 0 && !now.Before(j.MakingRoom) && now.Sub(it.Since) >= seconds(patience*tuning.PreemptShare) {
+			due = append(due, it)
+		}
+	}
+	if len(due) == 0 {
+		return
+	}
+	for _, v := range open {
+		v.Victims = victims(l.roster.Machines[v.Name], now)
+	}
+	before := map[*placement.Item]int{}
+	for _, it := range due {
+		before[it] = it.Waiting
+	}
+	var stopped []*jobs.Place
+	for _, v := range placement.Preempt(due, open, teams) {
+		p := v.Ref.(*jobs.Place)
+		p.Stop = &jobs.Stop{}
+		stopped = append(stopped, p)
+		l.log.Debug("making room", "task", p.Task().String(), "class", p.Job.Class, "machine", p.Machine, "lost_s", v.Cost)
+	}
+	for _, it := range due {
+		if it.Waiting < before[it] {
+			byID[it.Job.ID].MakingRoom = now.Add(tuning.PreemptAgain)
+		}
+	}
+	l.direct(stopped)
+}
+
+// victims are the tasks on a machine that can be stopped now.
+func victims(m *roster.Machine, now time.Time) []placement.Victim {
+	var out []placement.Victim
+	for _, p := range m.Places {
+		if p.Stop != nil || !p.Committed || p.State != wire.TaskRunning && p.State != wire.TaskFetching {
+			continue
+		}
+		v := placement.Victim{Job: &p.Job.Job, Ref: p}
+		if p.State == wire.TaskRunning {
+			ran := now.Sub(p.Running)
+			v.Cost = ran.Seconds()
+			if p.Job.CheckpointS > 0 {
+				v.Cost = min(v.Cost, p.Job.CheckpointS)
+			}
+			if ran < tuning.PreemptSettle {
+				v.Cost += tuning.FreshCost
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
 // items are the jobs with tasks that may be placed now.
 func (l *leader) items(now time.Time) ([]*placement.Item, map[string]*jobs.Job) {
 	var items []*placement.Item
@@ -626,8 +687,8 @@
 		}
 		v := &placement.Machine{
 			Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Price: t.Price,
-			Total:    placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB},
-			HasImage: func(image string) bool { _, ok := m.Images[image]; return ok },
+			Total:  placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB},
+			FetchS: func(image string, gb float64) float64 { return fetchTime(m, t, image, gb) },
 		}
 		used := m.Used()
 		v.Free = v.Total
@@ -637,11 +698,27 @@
 	return nil, false
 }
 
+// fetchTime estimates how long a machine takes to get an image: nothing for
+// one that it holds, as far as its tasks show; images fetched at the same time
+// share its rate.
+func fetchTime(m *roster.Machine, t wire.MachineType, image string, gb float64) float64 {
+	if _, held := m.Images[image]; held || t.FetchGBPerS <= 0 {
+		return 0
+	}
+	fetching := map[string]bool{}
+	for _, p := range m.Places {
+		if p.State == "" || p.State == wire.TaskFetching {
+			fetching[p.Job.Image] = true
+		}
+	}
+	return gb / t.FetchGBPerS * float64(1+len(fetching))
+}
+
 // teams counts what each team's tasks use, wherever they may be.
 func (l *leader) teams() map[string]*placement.Team {
 	teams := make(map[string]*placement.Team, len(l.c.teams))
 	for name, t := range l.c.teams {
-		teams[name] = &placement.Team{CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
+		teams[name] = &placement.Team{CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax, CPUsMin: t.CPUs, GPUsMin: t.GPUs}
 	}
 	for _, j := range l.book.Jobs {
 		if t := teams[j.Team]; t != nil {
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -56,6 +56,17 @@
 	})
 }
 
+// patience is how long work of a class may wait for its start, in seconds, by
+// the aims on starting.
+func (c *Controller) patience(class string) (within float64, ok bool) {
+	for _, o := range c.settings.Cluster.Objectives {
+		if (o.Kind == "guarantee" || o.Kind == "wait" && o.Class == class) && (!ok || o.WithinS < within) {
+			within, ok = o.WithinS, true
+		}
+	}
+	return within, ok
+}
+
 // expected is the work to keep room for. It depends on what the objectives
 // ask for sooner than a machine boots, and on what came of late.
 func (l *leader) expected(now time.Time) []*placement.Item {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -70,6 +70,7 @@
 	Placed     int
 	WaitSince  time.Time // since when some task of it waits without a break
 	PauseUntil time.Time // no task is placed before, after failures
+	MakingRoom time.Time // until then, what was stopped for it is on its way out
 	Errors     int
 	Avoid      map[string]time.Time // machines on which a task of it failed, until when
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -35,8 +36,9 @@
 	Spot             bool
 	Price            float64 // an hour, of the whole machine
 	Total, Free      Room
-	HasImage         func(image string) bool
-	held             string // the job that holds it against those behind
+	FetchS           func(image string, gb float64) float64 // until it would have the image; nil: no time
+	Victims          []Victim                               // tasks on it that may be stopped for others
+	held             string                                 // the job that holds it against those behind
 }
 
 // FreeShare is the share of the machine's scarcest resource that is free.
@@ -67,6 +69,7 @@
 type Team struct {
 	CPUs, GPUs       float64 // used by all tasks that may be somewhere
 	CPUsMax, GPUsMax float64
+	CPUsMin, GPUsMin float64 // its guarantee
 }
 
 func (t *Team) fits(n Room) bool {
@@ -146,19 +149,20 @@
 
 // better tells whether a is a better place than b for the item. Work that may
 // run on spot machines goes there first and leaves the others to work that may
-// not. Then the machine that costs least to keep: what runs on a machine keeps
-// it rented, so the dear ones empty and can be returned. Then a held image
-// saves the fetch; then the most free room.
+// not. Then the machine on which it starts soonest, to the second: one that
+// holds its image, or fetches fast and has little to fetch. Then the machine
+// that costs least to keep: what runs on a machine keeps it rented, so the
+// dear ones empty and can be returned. Then the most free room.
 func (it *Item) better(a, b *Machine) bool {
 	if a.Spot != b.Spot {
 		return a.Spot
 	}
+	if fa, fb := math.Round(a.fetch(it.Job)), math.Round(b.fetch(it.Job)); fa != fb {
+		return fa < fb
+	}
 	if a.Price != b.Price {
 		return a.Price < b.Price
 	}
-	if ia, ib := a.hasImage(it.Job.Image), b.hasImage(it.Job.Image); ia != ib {
-		return ia
-	}
 	if it.Job.Spread && a.Zone != b.Zone && it.Zones[a.Zone] != it.Zones[b.Zone] {
 		return it.Zones[a.Zone] < it.Zones[b.Zone]
 	}
@@ -171,7 +175,12 @@
 	return a.Name < b.Name
 }
 
-func (m *Machine) hasImage(image string) bool { return m.HasImage != nil && m.HasImage(image) }
+func (m *Machine) fetch(j *wire.Job) float64 {
+	if m.FetchS == nil {
+		return 0
+	}
+	return m.FetchS(j.Image, j.ImageGB)
+}
 
 func (it *Item) best(machines []*Machine, need Room) *Machine {
 	var best *Machine
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -105,9 +105,10 @@
 	}
 }
 
-func TestAHeldImageSavesTheFetch(t *testing.T) {
+func TestTheSoonestStartWins(t *testing.T) {
 	m, n := machine("m", "a", false, 16), machine("n", "a", false, 4)
-	n.HasImage = func(string) bool { return true }
+	m.FetchS = func(string, float64) float64 { return 7 }
+	n.FetchS = func(string, float64) float64 { return 2 }
 	if got := run([]*Item{item("a", wire.PriorityHigh, 0, 1, 4)}, []*Machine{m, n}, 100); got != "a:n" {
 		t.Errorf("placed %q", got)
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -174,6 +174,15 @@
 	// PassGap is the least time between two passes: changes that come
 	// together share one.
 	PassGap = 10 * time.Millisecond
+	// PreemptShare is the share of the wait allowed to a class (by its own aim
+	// or the guarantee's) after which others may be stopped for it.
+	PreemptShare = 0.5
+	// PreemptAtOnce is how many tasks of one job may have others stopped in one pass.
+	PreemptAtOnce = 8
+	// PreemptAgain is how long a job waits for what was stopped for it, before more is.
+	PreemptAgain = 2 * time.Second
+	// FreshCost is what stopping a task within PreemptSettle costs beyond its work, in seconds: its start does not count.
+	FreshCost = 30.0
 	// PreemptSettle is how long a task must have run before it may be stopped
 	// for others: a start that is stopped within 30 s does not count.
 	PreemptSettle = 31 * time.Second
