--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -653,8 +653,10 @@
 			continue
 		}
 		byID[j.ID] = j
+		_, prompt := l.promptness(j.Class)
 		items = append(items, &placement.Item{
 			Job: &j.Job, Since: j.WaitSince, Waiting: j.Waiting(), Started: j.Placed + j.Done, Zones: cloneCounts(j.Zones()),
+			Prompt: prompt,
 			Avoid: func(machine string) bool {
 				// A job that fails everywhere may go anywhere.
 				return len(j.Avoid) < tuning.BadJobMachines && now.Before(j.Avoid[machine])
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -67,27 +67,41 @@
 	return within, ok
 }
 
-// expected is the work to keep room for. It depends on what the objectives
-// ask for sooner than a machine boots, and on what came of late.
-func (l *leader) expected(now time.Time) []*placement.Item {
+// promptness is how much of a class's expected work room is kept for: it
+// depends on what the objectives ask for sooner than a machine boots. own is
+// true when the class has an aim of its own on that.
+func (l *leader) promptness(class string) (share float64, own bool) {
+	horizon := l.horizon()
+	for _, o := range l.c.settings.Cluster.Objectives {
+		switch {
+		case seconds(o.WithinS) >= horizon:
+		case o.Kind == "wait" && o.Class == class:
+			return tuning.PromptWait, true
+		case o.Kind == "guarantee":
+			share = tuning.PromptGuarantee
+		}
+	}
+	return share, false
+}
+
+// horizon is how long it takes until a machine that is rented now can be used.
+func (l *leader) horizon() time.Duration {
 	boot := math.Inf(1)
 	for _, t := range l.c.machineTypes() {
 		boot = min(boot, t.BootS)
 	}
-	horizon := seconds(boot) + tuning.FetchExtra
-	prompt, base := map[string]float64{}, 0.0
-	for _, o := range l.c.settings.Cluster.Objectives {
-		if seconds(o.WithinS) >= horizon {
-			continue
-		}
-		switch o.Kind {
-		case "wait":
-			prompt[o.Class] = tuning.PromptWait
-		case "guarantee":
-			base = tuning.PromptGuarantee
-		}
+	if math.IsInf(boot, 1) {
+		return 0
 	}
-	return fleet.Expected(now, l.fleet.recent, horizon, func(class string) float64 { return max(base, prompt[class]) })
+	return seconds(boot) + tuning.FetchExtra
+}
+
+// expected is the work to keep room for, by what came of late.
+func (l *leader) expected(now time.Time) []*placement.Item {
+	return fleet.Expected(now, l.fleet.recent, l.horizon(), func(class string) float64 {
+		share, _ := l.promptness(class)
+		return share
+	})
 }
 
 func (l *leader) rent(now time.Time) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,6 +60,7 @@
 	Started int            // tasks that are placed or done
 	Zones   map[string]int // its placed tasks by zone; the pass counts on in it
 	Avoid   func(machine string) bool
+	Prompt  bool // it is to start sooner than a machine boots
 }
 
 // Need is what a task of the item takes.
@@ -149,20 +150,25 @@
 
 // better tells whether a is a better place than b for the item. Work that may
 // run on spot machines goes there first and leaves the others to work that may
-// not. Then the machine on which it starts soonest, to the second: one that
-// holds its image, or fetches fast and has little to fetch. Then the machine
-// that costs least to keep: what runs on a machine keeps it rented, so the
-// dear ones empty and can be returned. Then the most free room.
+// not. Then, for work that is to start promptly, the machine on which it starts
+// soonest, to the second: one that holds its image, or fetches fast and has
+// little to fetch. Then the machine that costs least to keep: what runs on a
+// machine keeps it rented, so the dear ones empty and can be returned. For
+// patient work the start comes after the price. Then the most free room.
 func (it *Item) better(a, b *Machine) bool {
 	if a.Spot != b.Spot {
 		return a.Spot
 	}
-	if fa, fb := math.Round(a.fetch(it.Job)), math.Round(b.fetch(it.Job)); fa != fb {
+	fa, fb := math.Round(a.fetch(it.Job)), math.Round(b.fetch(it.Job))
+	if it.Prompt && fa != fb {
 		return fa < fb
 	}
 	if a.Price != b.Price {
 		return a.Price < b.Price
 	}
+	if fa != fb {
+		return fa < fb
+	}
 	if it.Job.Spread && a.Zone != b.Zone && it.Zones[a.Zone] != it.Zones[b.Zone] {
 		return it.Zones[a.Zone] < it.Zones[b.Zone]
 	}
