--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -10,19 +10,19 @@
 	// LeaseTTL is the life of the leader's lease. Shorter ends a dead
 	// leader's reign sooner; longer survives slow answers of the state service
 	// (now and then several hundred ms) and a starved processor.
-	LeaseTTL = 2500 * time.Millisecond
+	LeaseTTL = 4 * time.Second
 	// RenewEvery is the time between renewals: three may fail within a TTL.
-	RenewEvery = 500 * time.Millisecond
+	RenewEvery = 1 * time.Second
 	// RenewTimeout ends a renewal that gets no answer, so that another can follow.
-	RenewTimeout = 700 * time.Millisecond
+	RenewTimeout = 1 * time.Second
 	// RetryLeader is the pause after a failed step of the leadership.
-	RetryLeader = 150 * time.Millisecond
+	RetryLeader = 250 * time.Millisecond
 	// RetryCampaign is the pause of a member that may not campaign yet.
 	RetryCampaign = 100 * time.Millisecond
 	// PromiseFor is how long a member promises not to campaign while the
 	// state service answers neither it nor the leader. It bounds how much later
 	// another can lead when the leader dies in an outage.
-	PromiseFor = 1500 * time.Millisecond
+	PromiseFor = 2 * time.Second
 	// PromiseEvery is how often the leader asks for promises: several rounds may fail.
 	PromiseEvery = 300 * time.Millisecond
 	// ProbeTimeout ends the look at the state service before a promise; it
