--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -163,7 +163,7 @@
 	if it.Prompt && fa != fb {
 		return fa < fb
 	}
-	if a.Price != b.Price {
+	if a.Price != b.Price && (a.Spot || !it.Job.Spot) {
 		return a.Price < b.Price
 	}
 	if fa != fb {
