--- /dev/null
+++ b/cmd/poppypass/commands_test.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/config"
+	"poppypass/internal/controller"
+	"poppypass/internal/standin"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+func run(args ...string) (string, error) {
+	cmd := rootCommand()
+	var out bytes.Buffer
+	cmd.SetOut(&out)
+	cmd.SetErr(&out)
+	cmd.SetArgs(args)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+func settings(t *testing.T, bind, state, cloud string) string {
+	t.Helper()
+	return standin.File(t, "settings.toml", fmt.Sprintf(`
+member = "m0"
+bind = %q
+mesh_addr = %q
+[outside]
+cloud = %q
+state = %q
+[[cluster.teams]]
+name = "t"
+cpus = 4.0
+cpus_max = 8.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 18.0
+cancel_s = 43.0
+[cluster.state]
+rps = 1000.0
+write_rps = 1000.0
+value_kb = 16.0
+txn_ops = 12
+[cluster.cloud]
+rps = 100.0
+`, bind, standin.FreeAddr(t), cloud, state))
+}
+
+func TestCheck(t *testing.T) {
+	good := settings(t, "127.0.0.1:8080", "127.0.0.1:1", "127.0.0.1:2")
+	if out, err := run("check", "--config", good); err != nil || !strings.Contains(out, "good settings for member m0") {
+		t.Errorf("good settings: %q, %v", out, err)
+	}
+	for _, c := range []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"no file named", nil, "config"},
+		{"no such file", []string{"--config", "none.toml"}, "none.toml"},
+		{"a field is missing", []string{"--config", standin.File(t, "s.toml", `member = "m0"`)}, "field bind is missing"},
+		{"bad properties", []string{"--config", good, "--properties", standin.File(t, "p.properties", "fleet.idle.kep=3s")}, "fleet.idle.kep"},
+	} {
+		for _, verb := range []string{"check", "serve"} {
+			if _, err := run(append([]string{verb}, c.args...)...); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%s, %s: %v", verb, c.name, err)
+			}
+		}
+	}
+}
+
+func TestVersion(t *testing.T) {
+	if out, err := run("version"); err != nil || out != "poppypass "+version+"\n" {
+		t.Errorf("%q, %v", out, err)
+	}
+}
+
+// TestJobs submits, queries and cancels a job with the client commands, against
+// a controller whose outside systems are stand-ins.
+func TestJobs(t *testing.T) {
+	state := standin.NewState(clockwork.NewRealClock())
+	cloud := standin.NewCloud(3, wire.MachineType{Name: "g8", CPUs: 16, MemoryGB: 64, Price: 1, BootS: 30, Zones: []string{"a"}})
+	bind := standin.FreeAddr(t)
+	s, err := config.Load(settings(t, bind, state.Addr(), cloud.Addr()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		done <- controller.New(s, tuning.Defaults(), clockwork.NewRealClock(), slog.New(slog.DiscardHandler)).Run(ctx)
+	}()
+	t.Cleanup(func() {
+		state.Close()
+		cloud.Close()
+		stop()
+		if err := <-done; err != nil {
+			t.Errorf("the controller ended: %v", err)
+		}
+	})
+	// until repeats a command until it gives what is wanted; the wait is short,
+	// and bounded so that a hang is a failure.
+	until := func(want string, args ...string) {
+		t.Helper()
+		for begun := time.Now(); ; {
+			out, err := run(append([]string{"job", "--addr", bind}, args...)...)
+			if err == nil && strings.Contains(out, want) {
+				return
+			}
+			if time.Since(begun) > time.Minute {
+				t.Fatalf("%v: %q, %v", args, out, err)
+			}
+		}
+	}
+	job := standin.File(t, "job.json", `{"ref":"job-1","lane":"l","desk":"t","shape":"array","urgency":"low","seats":2,
+		"cpus":1,"gpus":0,"mem_gb":1,"bundle":"i","image_gb":1,"same_place":false,"apart":false,"standby":false,
+		"ride_s":1,"stub_s":0,"stamp_s":0}`)
+	until(`"pending"`, "submit", job)
+	until(`"pending"`, "get", "job-1")
+	until(`"withdrawn"`, "cancel", "job-1")
+	until(`"withdrawn"`, "get", "job-1")
+	until(`"withdrawn"`, "submit", job)
+	if _, err := run("job", "--addr", bind, "get", "job-2"); err == nil || !strings.Contains(err.Error(), "404") {
+		t.Errorf("a job that nobody submitted: %v", err)
+	}
+	if _, err := run("job", "--addr", bind, "submit", standin.File(t, "bad.json", `{"ref":"job-3"}`)); err == nil || !strings.Contains(err.Error(), `"lane" is missing`) {
+		t.Errorf("a bad description: %v", err)
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,12 +1,12 @@
 package config
 
 import (
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"poppypass/internal/standin"
 	"poppypass/internal/tuning"
 )
 
@@ -41,17 +41,8 @@
 list_lag_s = 4.0
 `
 
-func write(t *testing.T, name, text string) string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), name)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return path
-}
-
 func TestLoad(t *testing.T) {
-	s, err := Load(write(t, "s.toml", good))
+	s, err := Load(standin.File(t, "s.toml", good))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +70,7 @@
 		{`[outside]`, `[outside`, "not valid TOML"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
-		if _, err := Load(write(t, "s.toml", text)); err == nil || !strings.Contains(err.Error(), c.want) {
+		if _, err := Load(standin.File(t, "s.toml", text)); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%q instead of %q: %v", c.new, c.old, err)
 		}
 	}
@@ -89,7 +80,7 @@
 }
 
 func TestLoadProperties(t *testing.T) {
-	k, err := LoadProperties(write(t, "p.properties", "# ours\nfleet.idle.keep = 45s\nfleet.machines.max: 7\n"))
+	k, err := LoadProperties(standin.File(t, "p.properties", "# ours\nfleet.idle.keep = 45s\nfleet.machines.max: 7\n"))
 	if err != nil || k.IdleKeep != 45*time.Second || k.MaxMachines != 7 {
 		t.Errorf("read as %+v, %v", k, err)
 	}
@@ -97,7 +88,7 @@
 		t.Errorf("without a file: %+v, %v", k, err)
 	}
 	for _, text := range []string{"fleet.idle.keep = soon", "fleet.idle.keep = -1s", "fleet.machines.max = 0", "fleet.machine.max = 3"} {
-		if _, err := LoadProperties(write(t, "p.properties", text)); err == nil {
+		if _, err := LoadProperties(standin.File(t, "p.properties", text)); err == nil {
 			t.Errorf("%q was taken", text)
 		}
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -39,16 +38,6 @@
 // takes milliseconds.
 const patience = time.Minute
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func newWorld(t *testing.T) *world {
 	clock := clockwork.NewFakeClock()
 	w := &world{t: t, clock: clock, state: standin.NewState(clock), cloud: standin.NewCloud(10, wire.MachineType{
@@ -65,9 +54,9 @@
 
 // boot starts the controller, as a process with no memory of an earlier one.
 func (w *world) boot() {
-	w.addr = freeAddr(w.t)
+	w.addr = standin.FreeAddr(w.t)
 	s := &config.Settings{
-		Member: "m0", Bind: w.addr, MeshAddr: freeAddr(w.t), Outside: config.Outside{Cloud: w.cloud.Addr(), State: w.state.Addr()},
+		Member: "m0", Bind: w.addr, MeshAddr: standin.FreeAddr(w.t), Outside: config.Outside{Cloud: w.cloud.Addr(), State: w.state.Addr()},
 		Cluster: config.Cluster{
 			Teams:   []config.Team{{Name: "t", CPUs: 8, CPUsMax: 12}},
 			Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
