--- /dev/null
+++ b/internal/statestore/statestore_test.go
@@ -0,0 +1,78 @@
+package statestore
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"poppypass/internal/wire"
+)
+
+// answering makes a client of a service that always answers the same.
+func answering(t *testing.T, status int, body string) *Client {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	t.Cleanup(srv.Close)
+	return New(strings.TrimPrefix(srv.URL, "http://"), 1e6, 1e6)
+}
+
+// Guards against taking one kind of failure for another: a refusal was surely
+// not executed, anything unexpected may have been.
+func TestCommitErrors(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status int
+		body   string
+		want   error
+	}{
+		{"applied", 200, `{"ledger":7}`, nil},
+		{"too many requests", 429, ``, ErrNotExecuted},
+		{"outage", 503, ``, ErrNotExecuted},
+		{"no lease", 400, `{"error":"no such lease"}`, ErrNoLease},
+		{"malformed", 400, `{"error":"bad key"}`, ErrMalformed},
+		{"no answer", 0, ``, ErrUnknown},
+		{"half an answer", 200, `{"ledger":`, ErrUnknown},
+		{"server error", 500, `oops`, ErrUnknown},
+	} {
+		revision, err := answering(t, c.status, c.body).Commit(t.Context(), wire.Txn{Then: []wire.Change{{Delete: "x"}}})
+		if !errors.Is(err, c.want) || c.want == nil && revision != 7 {
+			t.Errorf("%s: %d, %v", c.name, revision, err)
+		}
+	}
+	var conflict *Conflict
+	_, err := answering(t, 409, `{"failed":["a/b"],"ledger":3}`).Commit(t.Context(), wire.Txn{})
+	if !errors.As(err, &conflict) || conflict.Failed[0] != "a/b" {
+		t.Errorf("conflict: %v", err)
+	}
+}
+
+func TestReadErrors(t *testing.T) {
+	if _, ok, err := answering(t, 404, `{"ledger":3}`).Get(t.Context(), "a"); ok || err != nil {
+		t.Errorf("a key that does not exist: %v, %v", ok, err)
+	}
+	// A failed look-up must never look like a key that does not exist.
+	for _, status := range []int{0, 500, 503, 429, 302} {
+		if _, _, err := answering(t, status, ``).Get(t.Context(), "a"); err == nil {
+			t.Errorf("status %d: no error", status)
+		}
+	}
+	if _, err := answering(t, 410, ``).Watch(t.Context(), "a", 1, time.Second); !errors.Is(err, ErrCompacted) {
+		t.Errorf("watch: %v", err)
+	}
+	if err := answering(t, 404, ``).Renew(t.Context(), 1); !errors.Is(err, ErrNoLease) {
+		t.Errorf("renew: %v", err)
+	}
+	if err := answering(t, 503, ``).Renew(t.Context(), 1); !errors.Is(err, ErrNotExecuted) {
+		t.Errorf("renew in an outage: %v", err)
+	}
+}
