--- a/cmd/poppypass/commands_test.go
+++ b/cmd/poppypass/commands_test.go
@@ -100,12 +100,12 @@
 		done <- controller.New(s, tuning.Defaults(), clockwork.NewRealClock(), slog.New(slog.DiscardHandler)).Run(ctx)
 	}()
 	t.Cleanup(func() {
-		state.Close()
-		cloud.Close()
 		stop()
 		if err := <-done; err != nil {
 			t.Errorf("the controller ended: %v", err)
 		}
+		state.Close()
+		cloud.Close()
 	})
 	// until repeats a command until it gives what is wanted; the wait is short,
 	// and bounded so that a hang is a failure.
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -45,9 +45,9 @@
 	})}
 	w.boot()
 	t.Cleanup(func() {
+		w.stop()
 		w.state.Close()
 		w.cloud.Close()
-		w.stop()
 	})
 	return w
 }
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -82,7 +82,7 @@
 func TestOneLeadsAndAnotherFollowsWhenItsLeaseEnds(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
-	defer s.Close()
+	t.Cleanup(s.Close)
 	a := start(t, "a", s, alone, clock)
 	first := <-a.tenures
 	if !a.Valid(first.Term) || a.Leader() != "a" {
@@ -111,7 +111,7 @@
 func TestTheRightEndsInAnOutageAndComesBack(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
-	defer s.Close()
+	t.Cleanup(s.Close)
 	a := start(t, "a", s, alone, clock)
 	tenure := <-a.tenures
 	s.Refuse(true)
@@ -132,7 +132,7 @@
 func TestACampaignWithoutAnAnswer(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
-	defer s.Close()
+	t.Cleanup(s.Close)
 	muted := 0
 	s.Mute(func(txn wire.Txn) bool {
 		muted++
@@ -159,7 +159,7 @@
 func TestPromisesExtendTheRightInAnOutage(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
-	defer s.Close()
+	t.Cleanup(s.Close)
 	var given atomic.Bool
 	given.Store(true)
 	a := start(t, "a", s, &peers{promise: given.Load, nobody: always(true)}, clock)
@@ -185,7 +185,7 @@
 func TestPromisesAreKept(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
-	defer s.Close()
+	t.Cleanup(s.Close)
 	e := New(statestore.New(s.Addr(), 1e6, 1e6), &peers{nobody: always(false)}, "a", clock, slog.New(slog.DiscardHandler))
 	if e.mayCampaign(t.Context()) {
 		t.Error("campaigns at once though a leader may count on its former life's promise")
@@ -219,7 +219,7 @@
 func TestAQuestionOfARestartedMemberVoidsTheRound(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
-	defer s.Close()
+	t.Cleanup(s.Close)
 	var a *member
 	ready := make(chan struct{})
 	p := &peers{nobody: always(true), promise: func() bool {
