Members keep leases between two leaders; promises of 1.2 s

Now any member may keep a worker's lease, recorded first, while nobody leads; and a restarted one waits 1.2 s at most for forgotten promises.

--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -42,11 +42,15 @@
 	}
 	name, term := c.elector.Holder()
 	if name == "" || name == c.settings.Member {
+		if a, ok := c.keep(r.Context(), &rep); ok {
+			httpjson.Write(w, http.StatusOK, a)
+			return
+		}
 		unavailable(w, "nobody leads")
 		return
 	}
 	if c.redirects.lost(&rep, term, c.clock.Now()) {
-		if a, ok := c.help(r.Context(), body, &rep, name, term); ok {
+		if a, ok := c.help(r.Context(), body, &rep, name); ok {
 			httpjson.Write(w, http.StatusOK, a)
 			return
 		}
@@ -75,7 +79,7 @@
 // help answers a worker that cannot reach the leader: by asking the leader
 // through the mesh, or, when that cannot be reached from here either, by
 // keeping the worker's lease without any commands.
-func (c *Controller) help(ctx context.Context, body []byte, rep *wire.Report, leader string, term uint64) (a wire.ReportAnswer, ok bool) {
+func (c *Controller) help(ctx context.Context, body []byte, rep *wire.Report, leader string) (a wire.ReportAnswer, ok bool) {
 	addr := c.endpoint[leader]
 	if addr == "" {
 		return a, false
@@ -90,12 +94,23 @@
 	if c.redirects.probe(rep.Machine, c.clock.Now()) {
 		return a, false
 	}
+	return c.keep(ctx, rep)
+}
+
+// keep answers a worker without commands, so that its lease goes on: while
+// the leader is out of reach, or between two leaders. The answer bears the
+// worker's own token: it claims no right that the worker does not know. A
+// worker without tasks has nothing to lose.
+func (c *Controller) keep(ctx context.Context, rep *wire.Report) (a wire.ReportAnswer, ok bool) {
+	if rep.Token == 0 || len(rep.Tasks) == 0 {
+		return a, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.KeepWait)
 	defer cancel()
 	if !c.keeper.keep(ctx, rep.Machine) {
 		return a, false
 	}
-	return wire.ReportAnswer{Token: term, Commands: []wire.Command{}}, true
+	return wire.ReportAnswer{Token: rep.Token, Commands: []wire.Command{}}, true
 }
 
 // redirects tells which workers have lost the leader: one that has seen the
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -22,9 +22,9 @@
 	// PromiseFor is how long a member promises not to campaign while the
 	// state service answers neither it nor the leader. It bounds how much later
 	// another can lead when the leader dies in an outage.
-	PromiseFor = 2 * time.Second
+	PromiseFor = 1200 * time.Millisecond
 	// PromiseEvery is how often the leader asks for promises: several rounds may fail.
-	PromiseEvery = 300 * time.Millisecond
+	PromiseEvery = 250 * time.Millisecond
 	// ProbeTimeout ends the look at the state service before a promise; it
 	// must fit RelayTimeout.
 	ProbeTimeout = 400 * time.Millisecond
