--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -228,7 +228,7 @@
 			l.roster.Inherit(p, l.begun)
 		}
 	}
-	l.book.Loaded(now)
+	l.book.Loaded()
 	l.loaded, l.changed = true, true
 	l.log.Info("records loaded", "jobs", len(l.book.Jobs), "machines", len(l.roster.Machines),
 		"took_ms", now.Sub(l.begun).Milliseconds())
@@ -275,7 +275,7 @@
 	if l.writing || !l.book.Due(now) {
 		return
 	}
-	batch := l.book.Take(now)
+	batch := l.book.Take()
 	if batch == nil {
 		return
 	}
@@ -350,9 +350,8 @@
 }
 
 func (l *leader) written(batch *jobs.Batch, revision uint64) {
-	now := l.c.clock.Now()
 	l.writing = false
-	start, over := l.book.Written(batch, revision, now)
+	start, over := l.book.Written(batch, revision)
 	for _, o := range over {
 		l.c.finals.add(wire.JobStatus{ID: o.Job.ID, State: o.State, Done: o.Job.Done})
 		l.log.Debug("job over", "job", o.Job.ID, "state", o.State)
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -47,7 +47,9 @@
 		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
 		return
 	}
-	status, a, text := c.submit(r.Context(), body)
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.SubmitWait)
+	defer cancel()
+	status, a, text := c.submit(ctx, body)
 	if status == http.StatusServiceUnavailable {
 		// The state service may refuse this member alone: others can accept.
 		if rs, ra, rt, ok := c.relaySubmission(r.Context(), body); ok {
@@ -168,7 +170,9 @@
 		fail(w, http.StatusNotFound, "no such job")
 		return
 	}
-	status, s := c.status(r.Context(), id)
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollWait)
+	defer cancel()
+	status, s := c.status(ctx, id)
 	switch status {
 	case http.StatusOK:
 		httpjson.Write(w, status, s)
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -95,9 +95,6 @@
 // Cancelled tells whether the job's cancellation is stored or wanted.
 func (j *Job) Cancelled() bool { return j.cancelWanted || j.cancelled }
 
-// InZone is how many tasks of the job may be in a zone.
-func (j *Job) InZone(zone string) int { return j.zones[zone] }
-
 // Zones is how many tasks of the job may be in each zone.
 func (j *Job) Zones() map[string]int { return j.zones }
 
@@ -227,7 +224,7 @@
 }
 
 // Loaded is called when all records are in: what they imply is queued for writing.
-func (b *Book) Loaded(now time.Time) {
+func (b *Book) Loaded() {
 	for _, j := range b.Jobs {
 		b.checkEnd(j)
 	}
@@ -362,7 +359,7 @@
 
 // Take gathers the next transaction, or nil when there is nothing to write.
 // Only one may be on its way at a time.
-func (b *Book) Take(now time.Time) *Batch {
+func (b *Book) Take() *Batch {
 	w := &Batch{}
 	size := 0
 	guarded := map[string]bool{} // jobs whose stored record is a condition already
@@ -465,7 +462,7 @@
 
 // Written takes in that a batch is stored at a revision. It returns the places
 // that may now be started, and the jobs that came to a final state.
-func (b *Book) Written(w *Batch, revision uint64, now time.Time) (start []*Place, over []Over) {
+func (b *Book) Written(w *Batch, revision uint64) (start []*Place, over []Over) {
 	for _, ref := range w.chunks {
 		c := &ref.job.chunks[ref.n]
 		c.version, c.writing = revision, false
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -49,8 +49,8 @@
 // flush writes all that is pending, and gives what may start and what is over.
 func (s *store) flush(b *Book) (start []*Place, over []Over) {
 	s.t.Helper()
-	for w := b.Take(t0); w != nil; w = b.Take(t0) {
-		st, ov := b.Written(w, s.apply(w.Txn), t0)
+	for w := b.Take(); w != nil; w = b.Take() {
+		st, ov := b.Written(w, s.apply(w.Txn))
 		start, over = append(start, st...), append(over, ov...)
 	}
 	return start, over
@@ -77,7 +77,7 @@
 			places = append(places, p...)
 		}
 	}
-	b.Loaded(t0)
+	b.Loaded()
 	return b, places
 }
 
@@ -105,9 +105,9 @@
 	s.accept("job-1", 1)
 	b, _ := s.load(12)
 	p := b.Place(b.Jobs["job-1"], 0, "n-1", "a", 1, t0)
-	w := b.Take(t0)
+	w := b.Take()
 	b.Gone(p, t0) // its machine's session ended while the record was on its way
-	if start, _ := b.Written(w, s.apply(w.Txn), t0); len(start) != 0 {
+	if start, _ := b.Written(w, s.apply(w.Txn)); len(start) != 0 {
 		t.Fatalf("to start: %v", start)
 	}
 }
@@ -198,10 +198,10 @@
 	p := b.Place(j, 0, "n-1", "a", 1, t0)
 	s.flush(b)
 	b.Finished(p, t0)
-	w := b.Take(t0)
+	w := b.Take()
 	var told wire.JobState
 	b.Cancel(j, func(st wire.JobState) { told = st })
-	if _, over := b.Written(w, s.apply(w.Txn), t0); told != wire.StateDone || over[0].State != wire.StateDone {
+	if _, over := b.Written(w, s.apply(w.Txn)); told != wire.StateDone || over[0].State != wire.StateDone {
 		t.Errorf("told %q, over %v", told, over)
 	}
 }
@@ -216,7 +216,7 @@
 	for i := range 20 * tuning.ChunkTasks {
 		places = append(places, b.Place(j, i, fmt.Sprintf("n-%06d-with-a-long-name", i), "a-zone-with-a-long-name", 1<<40, t0))
 	}
-	for w := b.Take(t0); w != nil; w = b.Take(t0) {
+	for w := b.Take(); w != nil; w = b.Take() {
 		size := 0
 		for _, c := range w.Txn.Then {
 			if len(c.Value) > tuning.MinValueKB<<10 {
@@ -227,7 +227,7 @@
 		if len(w.Txn.Then) > ops || len(w.Txn.If) > 4*ops-1 || size > 60<<10 {
 			t.Fatalf("a transaction has %d changes, %d conditions and %d bytes", len(w.Txn.Then), len(w.Txn.If), size)
 		}
-		b.Written(w, s.apply(w.Txn), t0)
+		b.Written(w, s.apply(w.Txn))
 	}
 	for _, p := range places {
 		b.Finished(p, t0)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -87,7 +87,13 @@
 	// bounds a request body, reports included.
 	MaxReport = 64 << 10
 	// CancelWait is how long a cancellation may wait to be stored: a user waits 5 s.
-	CancelWait = 3 * time.Second
+	// It fits a few tries of one transaction; after that the user is told to ask again.
+	CancelWait = 1500 * time.Millisecond
+	// SubmitWait bounds how long a member tries to store a submission, our own
+	// rate limit included; then a peer is asked, or the user told to come back.
+	SubmitWait = 2 * time.Second
+	// PollWait bounds the search for an answer to a poll: a user waits 2 s.
+	PollWait = 1800 * time.Millisecond
 	// IdleTimeout closes a connection on which nothing is asked. Users poll
 	// every 5 s and workers report every few seconds.
 	IdleTimeout = 60 * time.Second
@@ -171,9 +177,6 @@
 	// nothing: the design's 1 s doubling to 10 s. Any change wakes the loop early.
 	PassWaitMin = 1 * time.Second
 	PassWaitMax = 10 * time.Second
-	// PassGap is the least time between two passes: changes that come
-	// together share one.
-	PassGap = 10 * time.Millisecond
 	// PreemptShare is the share of the wait allowed to a class (by its own aim
 	// or the guarantee's) after which others may be stopped for it.
 	PreemptShare = 0.5
