--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -115,6 +115,7 @@
 	for _, it := range items {
 		// No machine is rented for a job that fails wherever it runs.
 		if j := l.book.Jobs[it.Job.ID]; len(j.Avoid) < tuning.BadJobMachines {
+			it.Thrifty = !it.Prompt && now.Sub(it.Since) < tuning.ThriftyFor
 			in.Items = append(in.Items, it)
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,7 +86,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				o := Option{t.Name, zone, spot}
-				if !it.Allowed(t.Name, zone, spot) || in.Refused(o) || in.Thrifty && it.Job.Spot && !spot {
+				if !it.Allowed(t.Name, zone, spot) || in.Refused(o) || (in.Thrifty || it.Thrifty) && it.Job.Spot && !spot {
 					continue
 				}
 				price := t.Price
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -61,6 +61,7 @@
 	Zones   map[string]int // its placed tasks by zone; the pass counts on in it
 	Avoid   func(machine string) bool
 	Prompt  bool // it is to start sooner than a machine boots
+	Thrifty bool // no dearer kind of machine is to be rented for it yet
 }
 
 // Need is what a task of the item takes.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -209,6 +209,9 @@
 	PromptGuarantee = 0.25
 	// FetchExtra is added to the boot time as the horizon of what is expected: the first report and a rental take some seconds.
 	FetchExtra = 5 * time.Second
+	// ThriftyFor is how long patient work that may run on spot machines waits
+	// for one, before an ordinary machine at several times the price is rented for it.
+	ThriftyFor = 12 * time.Second
 	// RentSettle is how long a new leader waits before it rents: the machines
 	// that it took over report within that time.
 	RentSettle = 4 * time.Second
