--- /dev/null
+++ b/internal/controller/consolidate_test.go
@@ -0,0 +1,93 @@
+package controller
+
+import (
+	"encoding/json"
+	"log/slog"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/config"
+	"poppypass/internal/jobs"
+	"poppypass/internal/leadership"
+	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// leaderWith makes a leader whose machines have reported: a small one and a
+// dear large one. Nothing is called outside.
+func leaderWith(t *testing.T) (*leader, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	c := New(&config.Settings{
+		Member: "m0", Outside: config.Outside{Cloud: "127.0.0.1:1", State: "127.0.0.1:1"},
+		Cluster: config.Cluster{
+			Teams:   []config.Team{{Name: "t", CPUsMax: 100}},
+			Workers: config.Workers{ReportS: 1, LeaseS: 10}, State: config.State{RPS: 1, WriteRPS: 1, TxnOps: 12}, Cloud: config.Cloud{RPS: 1},
+		},
+	}, tuning.Defaults(), clock, slog.New(slog.DiscardHandler))
+	c.types.Store(&[]wire.MachineType{
+		{Name: "small", CPUs: 4, MemoryGB: 16, Price: 0.2, Zones: []string{"a"}},
+		{Name: "large", CPUs: 64, MemoryGB: 512, Price: 3.4, Zones: []string{"a"}},
+	})
+	l := newLeader(c, leadership.Tenure{Term: 1})
+	l.ended = t.Context()
+	l.loaded = true
+	for name, typ := range map[string]string{"n-small": "small", "n-large": "large"} {
+		if _, err := l.roster.Report(&wire.Report{Machine: name, Address: "127.0.0.1:1", Type: typ, Zone: "a", Session: 1, Seq: 1},
+			false, clock.Now(), func(roster.Key) bool { return false }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return l, clock
+}
+
+// runs puts a running replica on a machine.
+func (l *leader) runs(t *testing.T, id, machine string, cpus float64) *jobs.Place {
+	t.Helper()
+	now := l.c.clock.Now()
+	value, err := json.Marshal(jobs.Record{Job: wire.Job{
+		ID: id, Team: "t", Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 1, CPUs: cpus, MemoryGB: 1, Image: "img",
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	j, err := l.book.LoadJob(wire.Item{Key: jobs.KeyJob(id), Value: value, Version: 1}, now, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := l.book.Place(j, 0, machine, "a", 1, now)
+	p.Committed, p.State, p.Running = true, wire.TaskRunning, now
+	l.roster.Add(p, now)
+	return p
+}
+
+// Guards against a dear machine that is rented for hours because of one
+// replica that settled there when the cheap ones were full.
+func TestADearMachineIsEmptied(t *testing.T) {
+	l, clock := leaderWith(t)
+	l.runs(t, "job-1", "n-small", 1)
+	p := l.runs(t, "job-2", "n-large", 1)
+	m := l.roster.Machines["n-large"]
+	l.consolidate(clock.Now())
+	if !m.Draining || l.roster.Machines["n-small"].Draining {
+		t.Fatal("the dear machine is not emptied")
+	}
+	if p.Stop != nil {
+		t.Error("a fresh replica is moved: its start would not count")
+	}
+	p.Running = clock.Now().Add(-tuning.PreemptSettle)
+	l.fleet.nextMove = clock.Now()
+	if l.consolidate(clock.Now()); p.Stop == nil {
+		t.Error("the replica is not moved")
+	}
+}
+
+func TestAMachineWhoseWorkFitsNowhereElseStays(t *testing.T) {
+	l, clock := leaderWith(t)
+	l.runs(t, "job-1", "n-small", 3)
+	l.runs(t, "job-2", "n-large", 2)
+	if l.consolidate(clock.Now()); l.roster.Machines["n-large"].Draining {
+		t.Error("emptied though its work fits nowhere else")
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -41,11 +41,20 @@
 	full.Room = 0
 	limited := input(item(9, 4, true, false))
 	limited.Teams["t"].CPUsMax = 8
+	noSpot := func(thrifty bool) Input {
+		it := item(1, 4, true, false)
+		it.Thrifty = thrifty
+		in := input(it)
+		in.Refused = func(o Option) bool { return o.Spot }
+		return in
+	}
 	for _, c := range []struct {
 		name string
 		in   Input
 		want []Want
 	}{
+		{"an ordinary machine when spot is refused", noSpot(false), []Want{small("a", false, 1)}},
+		{"but not while thrift is asked for", noSpot(true), []Want{}},
 		{"the cheapest kind", input(item(1, 4, true, false)), []Want{small("a", true, 1)}},
 		{"no spot without leave", input(item(1, 4, false, false)), []Want{small("a", false, 1)}},
 		{"a large task takes the type that fits", input(item(1, 32, true, false)), []Want{{Option{"big", "a", true}, 1}}},
