Machine types are stored, so that a restart in a cloud outage can go on

A controller that was restarted while the cloud was down knew no machine types: it was unhealthy, accepted nothing and placed nothing on machines that were there.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -136,21 +137,63 @@
 	return mux
 }
 
-// readTypes keeps the machine types and their prices.
+// keyTypes holds the machine types as a leader last read them.
+const keyTypes = "cloud/types"
+
+// readTypes keeps the machine types and their prices. While the cloud does not
+// answer a member that was just started, it takes those that a leader stored:
+// machines that are there can then be used, and jobs accepted.
 func (c *Controller) readTypes(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := tuning.TypesRefresh
 		types, err := c.cloud.Types(ctx)
-		if err != nil {
+		switch {
+		case err == nil:
+			c.types.Store(&types)
+			c.storeTypes(ctx, types)
+		default:
 			c.log.Debug("machine types unreadable", "err", err)
 			pause = tuning.CloudRetry
-		} else {
-			c.types.Store(&types)
+			if c.machineTypes() == nil {
+				c.loadTypes(ctx)
+			}
 		}
 		c.sleep(ctx, pause)
 	}
 }
 
+// storeTypes stores the types if this member leads.
+func (c *Controller) storeTypes(ctx context.Context, types []wire.MachineType) {
+	l := c.leader()
+	if l == nil {
+		return
+	}
+	value, err := json.Marshal(types)
+	if err != nil || float64(len(value)) > c.settings.Cluster.State.ValueKB*1024 {
+		return
+	}
+	if _, err := c.store.Commit(ctx, wire.Txn{
+		If:   []wire.Condition{l.tenure.Guard},
+		Then: []wire.Change{{Put: keyTypes, Value: value}},
+	}); err != nil {
+		c.log.Debug("machine types not stored", "err", err)
+	}
+}
+
+func (c *Controller) loadTypes(ctx context.Context) {
+	item, ok, err := c.store.Get(ctx, keyTypes)
+	if err != nil || !ok {
+		return
+	}
+	var types []wire.MachineType
+	if err := json.Unmarshal(item.Value, &types); err != nil || len(types) == 0 {
+		c.log.Error("stored machine types are malformed", "err", err)
+		return
+	}
+	c.types.Store(&types)
+	c.log.Info("machine types taken from the state service", "types", len(types))
+}
+
 func (c *Controller) machineTypes() []wire.MachineType {
 	if t := c.types.Load(); t != nil {
 		return *t
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -425,6 +425,21 @@
 	}
 }
 
+// Guards against controllers that are useless after a restart in an outage of
+// the cloud: the machines that are there go on being used.
+func TestARestartWhileTheCloudIsDown(t *testing.T) {
+	w := newWorld(t)
+	w.until("the types are stored", func() bool { _, ok := w.state.Value(keyTypes); return ok })
+	w.stop()
+	w.clock.Advance(2 * tuning.LeaseTTL)
+	w.state.Expire()
+	w.cloud.Trouble(true)
+	w.boot()
+	w.submit("job-1", 1)
+	k := w.worker("n-000001", "a")
+	w.until("done", func() bool { k.beat(); k.finish(); return w.jobState("job-1") == "done" })
+}
+
 func TestFinalsForgetTheOldest(t *testing.T) {
 	f := newFinals(2)
 	for _, id := range []string{"job-1", "job-2", "job-2", "job-3"} {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -59,6 +59,9 @@
 		l.end(errTenureOver)
 	}()
 	go l.load(ctx)
+	if types := c.machineTypes(); types != nil {
+		go c.storeTypes(ctx, types)
+	}
 	l.run(ctx)
 	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
 		l.log.Error("leadership given up", "err", cause)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -22,6 +22,7 @@
 	machines []wire.ListedMachine
 	rents    []wire.Rent
 	deleted  []string
+	trouble  bool
 	silent   int // rentals that are executed without an answer
 }
 
@@ -32,6 +33,10 @@
 	mux.HandleFunc("GET "+wire.PathMachineTypes, func(w http.ResponseWriter, _ *http.Request) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if c.trouble {
+			answer(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+			return
+		}
 		answer(w, http.StatusOK, wire.MachineTypes{Types: c.Types})
 	})
 	mux.HandleFunc("POST "+wire.PathMachines, c.rent)
@@ -61,6 +66,13 @@
 	c.silent = n
 }
 
+// Trouble makes it refuse to tell its machine types, or ends that.
+func (c *Cloud) Trouble(trouble bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.trouble = trouble
+}
+
 // Rents gives the rentals asked for, repetitions included.
 func (c *Cloud) Rents() []wire.Rent {
 	c.mu.Lock()
