Only a few rentals are on their way at a time; one deletion

Cause: each job that came asked the cloud for a machine or two at once. Ruled out: the processor (the same without charge) and the cloud's capacity.

What is not asked for now is planned anew when an answer comes. Of the cloud's rate the leader now uses 85 %.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,14 +76,18 @@
 
 // setShares divides the limits that all controllers share.
 func (c *Controller) setShares(leads bool) {
-	share := tuning.LeaderShare
-	if n := len(c.settings.Members); n == 0 {
-		share = 1
-	} else if !leads {
-		share = (1 - tuning.LeaderShare) / float64(n)
-	}
-	c.store.SetShare(share)
-	c.cloud.SetShare(share)
+	share := func(leader float64) float64 {
+		switch n := len(c.settings.Members); {
+		case n == 0:
+			return 1
+		case leads:
+			return leader
+		default:
+			return (1 - leader) / float64(n)
+		}
+	}
+	c.store.SetShare(share(tuning.LeaderShare))
+	c.cloud.SetShare(share(tuning.CloudLeaderShare))
 }
 
 // Run serves until ctx ends.
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -22,6 +22,8 @@
 	nextList time.Time
 	nextMove time.Time
 	listing  bool
+	deleting bool                       // a deletion is on its way
+	doomed   []string                   // to be deleted after it
 	recent   []fleet.Arrival            // accepted within the last window
 	bookings int                        // request names used in this term
 	asked    map[string]fleet.Want      // rentals on their way, by request name
@@ -104,7 +106,15 @@
 	})
 }
 
+// rent asks for the machines that are wanted beyond those there, booting and
+// asked for. Only a few requests are on their way at a time, under the cloud's
+// rate: what is left is planned anew when one of them is answered. Hundreds of
+// small requests once waited for that rate, counted as machines that boot, and
+// were older than the need when their turn came.
 func (l *leader) rent(now time.Time) {
+	if len(l.fleet.asked) >= tuning.RentAtOnce {
+		return
+	}
 	in := fleet.Input{
 		Now: now, Teams: l.teams(), Types: l.c.machineTypes(),
 		Refused: func(o fleet.Option) bool { return now.Before(l.fleet.refused[o]) },
@@ -135,7 +145,7 @@
 	in.Thrifty = true
 	wants = append(wants, fleet.Plan(&in)...)
 	for _, w := range wants {
-		for w.Count > 0 {
+		for w.Count > 0 && len(l.fleet.asked) < tuning.RentAtOnce {
 			part := w
 			part.Count = min(w.Count, wire.MaxRent)
 			w.Count -= part.Count
@@ -229,8 +239,8 @@
 			}
 			if len(names) < w.Count {
 				l.fleet.refused[w.Option] = now.Add(tuning.RefusedFor)
-				l.fleet.next = now // ask for another kind at once
 			}
+			l.fleet.next = now // for what is still wanted, of another kind if this one was refused
 			l.log.Info("rented", "type", w.Type, "zone", w.Zone, "spot", w.Spot, "asked", w.Count, "got", len(names))
 		})
 		return
@@ -239,6 +249,9 @@
 
 // returnMachines gives back what is idle, never came up, or fell silent.
 func (l *leader) returnMachines(now time.Time) {
+	if l.fleet.deleting {
+		return
+	}
 	var names []string
 	needed := l.needed(now)
 	for _, m := range l.roster.Machines {
@@ -264,7 +277,7 @@
 		case now.Sub(m.IdleSince) > l.c.knobs.IdleKeep:
 			why = "idle"
 		}
-		if why == "" {
+		if why == "" || len(names) >= wire.MaxDelete {
 			continue
 		}
 		m.Returning = true
@@ -274,22 +287,31 @@
 	l.deleteMachines(names)
 }
 
+// deleteMachines deletes one batch at a time: what comes meanwhile waits for
+// the next, so that deletions take little of the cloud's rate.
 func (l *leader) deleteMachines(names []string) {
-	for len(names) > 0 {
-		part := names[:min(len(names), wire.MaxDelete)]
-		names = names[len(part):]
-		go func() {
-			for l.ended.Err() == nil {
-				if err := l.c.cloud.Delete(l.ended, part); err != nil {
-					l.log.Debug("deletion repeated", "err", err)
-					l.c.sleep(l.ended, tuning.CloudRetry)
-					continue
-				}
-				l.post(func() { l.lost(part) })
-				return
-			}
-		}()
+	l.fleet.doomed = append(l.fleet.doomed, names...)
+	if l.fleet.deleting || len(l.fleet.doomed) == 0 {
+		return
 	}
+	part := l.fleet.doomed[:min(len(l.fleet.doomed), wire.MaxDelete)]
+	l.fleet.doomed = slices.Clone(l.fleet.doomed[len(part):])
+	l.fleet.deleting = true
+	go func() {
+		for l.ended.Err() == nil {
+			if err := l.c.cloud.Delete(l.ended, part); err != nil {
+				l.log.Debug("deletion repeated", "err", err)
+				l.c.sleep(l.ended, tuning.CloudRetry)
+				continue
+			}
+			l.post(func() {
+				l.fleet.deleting = false
+				l.lost(part)
+				l.deleteMachines(nil)
+			})
+			return
+		}
+	}()
 }
 
 // lost takes in that machines are gone with all that was on them.
--- /dev/null
+++ b/internal/controller/rent_test.go
@@ -0,0 +1,59 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// waits adds an accepted job none of whose tasks is placed.
+func (l *leader) waits(t *testing.T, j wire.Job) *jobs.Job {
+	t.Helper()
+	now := l.c.clock.Now()
+	value, err := json.Marshal(jobs.Record{Job: j, AtMS: now.UnixMilli()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := l.book.LoadJob(wire.Item{Key: jobs.KeyJob(j.ID), Value: value, Version: 1}, now, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Guards against rentals that pile up behind the cloud's rate: at the start of
+// a large deployment every job that came asked for a machine or two of its own,
+// 390 machines were counted as booting whose requests had not been sent, and
+// for minutes nothing was rented for those that waited.
+func TestRentalsDoNotPileUp(t *testing.T) {
+	l, clock := leaderWith(t)
+	for i := range 40 {
+		l.waits(t, wire.Job{
+			ID: fmt.Sprintf("job-%d", i), Team: "t", Kind: wire.KindArray, Priority: wire.PriorityHigh,
+			Tasks: 2, CPUs: 0.5 + float64(i%7)*8, MemoryGB: 1, Image: "img", Spot: i%2 == 0,
+		})
+		l.rent(clock.Now()) // no request is answered meanwhile
+		if n := len(l.fleet.asked); n > tuning.RentAtOnce {
+			t.Fatalf("%d rentals on their way after %d jobs", n, i+1)
+		}
+	}
+	if len(l.fleet.asked) == 0 {
+		t.Error("nothing is rented")
+	}
+}
+
+// Guards against deletions that pile up: one is on its way at a time, and
+// what comes meanwhile shares the next.
+func TestDeletionsShareARequest(t *testing.T) {
+	l, _ := leaderWith(t)
+	l.deleteMachines([]string{"n-1"})
+	l.deleteMachines([]string{"n-2"})
+	l.deleteMachines([]string{"n-3"})
+	if !l.fleet.deleting || len(l.fleet.doomed) != 2 {
+		t.Errorf("deleting %v, %v wait", l.fleet.deleting, l.fleet.doomed)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -61,9 +61,12 @@
 	// MaxResponse is the largest response body read from outside, in bytes:
 	// a watch has no limit of its own, a list page is 512 KiB.
 	MaxResponse = 4 << 20
-	// LeaderShare is the leader's share of the state service's and the
-	// cloud's limits; the other controllers divide the rest.
+	// LeaderShare is the leader's share of the state service's limits; the
+	// other controllers divide the rest.
 	LeaderShare = 0.6
+	// CloudLeaderShare is the same for the cloud, of which followers only ask
+	// the machine types, once a minute.
+	CloudLeaderShare = 0.85
 	// LimitMargin keeps our own rate below the published limit, since its
 	// window and ours do not start together.
 	LimitMargin = 0.9
@@ -212,6 +215,9 @@
 	// ThriftyFor is how long patient work that may run on spot machines waits
 	// for one, before an ordinary machine at several times the price is rented for it.
 	ThriftyFor = 12 * time.Second
+	// RentAtOnce is how many rentals may be on their way: enough to use the
+	// cloud's rate, few enough that none waits long for its turn.
+	RentAtOnce = 3
 	// RentSettle is how long a new leader waits before it rents: the machines
 	// that it took over report within that time.
 	RentSettle = 4 * time.Second
