Many machines emptied at a time; one rental of a kind on its way

Cause: one machine was emptied at a time, two replicas moved every 2 s, and any waiting job stopped it, also one that waited only for its team's limit, which is always so in a large deployment.

Now machines that save most for each task to go are emptied together, as long as their work fits on those that stay; moves are bounded by the time that they keep replicas down (0.3 %) and in number. Moves without a held image are allowed within that.

--- a/internal/controller/consolidate.go
+++ b/internal/controller/consolidate.go
@@ -13,81 +13,113 @@
 	"poppypass/internal/wire"
 )
 
-// consolidate empties a machine whose work fits on cheaper or fuller ones that
-// are kept anyway, so that it can be returned: a single replica would keep it
-// rented for as long as it lives. Tasks of arrays end by themselves; replicas
-// are moved a few at a time, to machines that hold their image, where they
-// start at once.
+// consolidate empties machines whose work fits on others that are kept anyway,
+// so that they can be returned: a single replica would keep one rented for as
+// long as it lives. Tasks of arrays end by themselves; replicas are moved a few
+// at a time.
 func (l *leader) consolidate(now time.Time) {
 	if now.Before(l.fleet.nextMove) {
 		return
 	}
 	l.fleet.nextMove = now.Add(tuning.MoveEvery)
-	items, _ := l.items(now)
-	var draining *roster.Machine
-	for _, m := range l.roster.Machines {
-		if m.Draining && (len(items) > 0 || !m.Alive() || !l.fitsElsewhere(m, now)) {
+	draining := l.draining()
+	short := l.shortOfRoom(now)
+	l.giveBack(short, draining, now)
+	// What is free on the others, less the room for what is expected.
+	open := l.openMachines(now)
+	expected := l.expected(now)
+	placement.Pass(now, expected, open, fleet.Unlimited(expected))
+	used := slices.DeleteFunc(open, func(v *placement.Machine) bool { return len(l.roster.Machines[v.Name].Places) == 0 })
+	for _, m := range draining {
+		if m.Draining && (!m.Alive() || !fitsOn(m, used, now)) {
 			m.Draining = false // its room is wanted after all
 		}
+	}
+	kept := !slices.ContainsFunc(expected, func(it *placement.Item) bool { return it.Waiting > 0 })
+	if len(short) == 0 && kept {
+		l.drainSurplus(used, now)
+	}
+	l.move(l.draining(), now)
+}
+
+func (l *leader) draining() []*roster.Machine {
+	var out []*roster.Machine
+	for _, m := range l.roster.Machines {
 		if m.Draining {
-			draining = m
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *roster.Machine) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// shortOfRoom are the jobs that wait for room. Those at their team's limit
+// wait for their team's own tasks: more machines would not help them.
+func (l *leader) shortOfRoom(now time.Time) []*placement.Item {
+	items, _ := l.items(now)
+	teams := l.teams()
+	return slices.DeleteFunc(items, func(it *placement.Item) bool { return placement.Left(it, teams) == 0 })
+}
+
+// giveBack ends the emptying of machines that have room for what waits.
+func (l *leader) giveBack(short []*placement.Item, draining []*roster.Machine, now time.Time) {
+	var views []*placement.Machine
+	for _, m := range draining {
+		if v, ok := l.view(m); ok && m.Alive() {
+			views = append(views, v)
 		}
 	}
-	if draining == nil && len(items) == 0 {
-		draining = l.surplus(now)
+	if len(short) == 0 || len(views) == 0 {
+		return
 	}
-	if draining != nil {
-		l.move(draining, now)
+	for _, p := range placement.Pass(now, short, views, l.teams()) {
+		l.roster.Machines[p.Machine.Name].Draining = false
 	}
 }
 
-// surplus finds the machine on which the most money is wasted among those
-// whose work fits elsewhere, and takes it out of placement.
-func (l *leader) surplus(now time.Time) *roster.Machine {
-	views := l.openMachines(now)
-	waste := func(v *placement.Machine) float64 { return v.Price * v.FreeShare() }
-	slices.SortFunc(views, func(a, b *placement.Machine) int {
-		return cmp.Or(cmp.Compare(waste(b), waste(a)), cmp.Compare(a.Name, b.Name))
+// drainSurplus finds machines whose work fits on the others in use, those
+// first that save the most money for each task that has to go, and takes them
+// out of placement.
+func (l *leader) drainSurplus(used []*placement.Machine, now time.Time) {
+	gain := func(v *placement.Machine) float64 {
+		return l.price(v) / float64(1+len(l.roster.Machines[v.Name].Places))
+	}
+	order := slices.SortedFunc(slices.Values(used), func(a, b *placement.Machine) int {
+		return cmp.Or(cmp.Compare(gain(b), gain(a)), cmp.Compare(a.Name, b.Name))
 	})
-	for _, v := range views[:min(len(views), tuning.MoveCandidates)] {
+	for _, v := range order[:min(len(order), max(tuning.MoveCandidates, len(order)/tuning.MoveCandidateShare))] {
 		m := l.roster.Machines[v.Name]
-		if len(m.Places) > 0 && l.fitsElsewhere(m, now) {
+		others := slices.DeleteFunc(slices.Clone(used), func(o *placement.Machine) bool { return o == v })
+		if fitsOn(m, others, now) {
 			m.Draining = true
-			l.log.Info("emptying machine", "machine", m.Name, "type", m.Type, "tasks", len(m.Places))
-			return m
+			used = others
+			l.log.Info("emptying machine", "machine", m.Name, "type", m.Type, "spot", m.Spot, "tasks", len(m.Places))
 		}
 	}
-	return nil
 }
 
-// fitsElsewhere tells whether a machine's tasks fit on others that are in use
-// and cheaper or fuller, with room left there and on idle ones for what is
-// expected.
-func (l *leader) fitsElsewhere(m *roster.Machine, now time.Time) bool {
-	view, ok := l.view(m)
-	if !ok {
-		return false
-	}
-	var others, idle []*placement.Machine
-	for _, o := range l.openMachines(now) {
-		switch {
-		case o.Name == m.Name:
-		case len(l.roster.Machines[o.Name].Places) == 0:
-			idle = append(idle, o)
-		case o.Price < view.Price || o.Price == view.Price && o.FreeShare() < view.FreeShare():
-			others = append(others, o)
+// price is what a machine costs an hour.
+func (l *leader) price(v *placement.Machine) float64 {
+	for _, t := range l.c.machineTypes() {
+		if t.Name == v.Type && v.Spot {
+			return t.SpotPrice
 		}
 	}
+	return v.Price
+}
+
+// fitsOn tells whether a machine's tasks fit on others, and if so takes the
+// room for them.
+func fitsOn(m *roster.Machine, others []*placement.Machine, now time.Time) bool {
 	items := itemsOn(m, now)
-	placement.Pass(now, items, others, fleet.Unlimited(items))
-	expected := l.expected(now)
-	placement.Pass(now, expected, append(others, idle...), fleet.Unlimited(expected))
-	for _, it := range append(items, expected...) {
-		if it.Waiting > 0 {
-			return false
-		}
+	placed := placement.Pass(now, items, others, fleet.Unlimited(items))
+	if len(placed) == len(m.Places) {
+		return true
+	}
+	for _, p := range placed {
+		p.Machine.Free.Sub(p.Item.Need(), -1)
 	}
-	return true
+	return false
 }
 
 // itemsOn are the tasks on a machine as if they waited to be placed.
@@ -107,16 +139,33 @@
 	return items
 }
 
-// move stops a few replicas of a machine that is being emptied; the next pass
-// places them anew. A start that is stopped within 30 s does not count, so
-// fresh ones stay for now.
-func (l *leader) move(m *roster.Machine, now time.Time) {
+// move stops replicas of machines that are being emptied; the next pass places
+// them anew. The time for which all moves together may keep replicas down is a
+// share of the time that all replicas run. A start that is stopped within 30 s
+// does not count, so fresh ones stay for now.
+func (l *leader) move(draining []*roster.Machine, now time.Time) {
+	replicas := 0
+	for _, j := range l.book.Jobs {
+		if j.Kind == wire.KindService {
+			replicas += j.Placed
+		}
+	}
+	budget := l.fleet.moveBudget + float64(replicas)*tuning.MoveEvery.Seconds()*tuning.MoveDownShare
+	l.fleet.moveBudget = min(budget, tuning.MoveBudgetMax.Seconds())
 	var moved []*jobs.Place
-	for _, p := range m.Places {
-		if p.Job.Kind != wire.KindService || p.Stop != nil || p.State != wire.TaskRunning || now.Sub(p.Running) < tuning.PreemptSettle {
+	for _, m := range draining {
+		if !m.Draining {
 			continue
 		}
-		if l.imageElsewhere(p, now) && len(moved) < tuning.MoveAtOnce {
+		for _, p := range m.Places {
+			if p.Job.Kind != wire.KindService || p.Stop != nil || p.State != wire.TaskRunning || now.Sub(p.Running) < tuning.PreemptSettle {
+				continue
+			}
+			down, ok := l.downFor(p, now)
+			if down += tuning.MoveDown.Seconds(); !ok || down > l.fleet.moveBudget || len(moved) >= max(tuning.MoveAtOnce, replicas/tuning.MoveAtOnceShare) {
+				continue
+			}
+			l.fleet.moveBudget -= down
 			p.Stop = &jobs.Stop{}
 			moved = append(moved, p)
 		}
@@ -124,14 +173,18 @@
 	l.direct(moved)
 }
 
-// imageElsewhere tells whether an open machine that holds a place's image has
-// room for it.
-func (l *leader) imageElsewhere(p *jobs.Place, now time.Time) bool {
-	it := &placement.Item{Job: &p.Job.Job, Since: now, Waiting: 1, Zones: cloneCounts(p.Job.Zones())}
+// downFor is how long a replica would fetch its image on the machine to which
+// it would move, in seconds; ok is false when no machine in use has room for it.
+func (l *leader) downFor(p *jobs.Place, now time.Time) (fetch float64, ok bool) {
+	it := &placement.Item{Job: &p.Job.Job, Since: now, Waiting: 1, Zones: cloneCounts(p.Job.Zones()), Prompt: true}
 	it.Zones[p.Zone]--
 	open := slices.DeleteFunc(l.openMachines(now), func(v *placement.Machine) bool {
-		return v.Name == p.Machine || v.FetchS(p.Job.Image, p.Job.ImageGB) > 0 || len(l.roster.Machines[v.Name].Places) == 0
+		return v.Name == p.Machine || len(l.roster.Machines[v.Name].Places) == 0
 	})
 	items := []*placement.Item{it}
-	return len(placement.Pass(now, items, open, fleet.Unlimited(items))) == 1
+	placed := placement.Pass(now, items, open, fleet.Unlimited(items))
+	if len(placed) == 0 {
+		return 0, false
+	}
+	return placed[0].Machine.FetchS(p.Job.Image, p.Job.ImageGB), true
 }
--- a/internal/controller/consolidate_test.go
+++ b/internal/controller/consolidate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"testing"
 
@@ -91,3 +92,63 @@
 		t.Error("emptied though its work fits nowhere else")
 	}
 }
+
+// fleetOf makes small machines that have reported, each with a settled replica
+// of a quarter of its size.
+func fleetOf(t *testing.T, n int) (*leader, *clockwork.FakeClock) {
+	l, clock := leaderWith(t)
+	delete(l.roster.Machines, "n-large")
+	delete(l.roster.Machines, "n-small")
+	for i := range n {
+		name := fmt.Sprintf("n-%03d", i)
+		if _, err := l.roster.Report(&wire.Report{Machine: name, Address: "127.0.0.1:1", Type: "small", Zone: "a", Session: 1, Seq: 1},
+			false, clock.Now(), func(roster.Key) bool { return false }); err != nil {
+			t.Fatal(err)
+		}
+		p := l.runs(t, fmt.Sprintf("job-%d", i), name, 1)
+		p.Running = clock.Now().Add(-tuning.PreemptSettle)
+	}
+	return l, clock
+}
+
+// Guards against a fleet that shrinks by one machine at a time: with hundreds
+// of machines half of the money was spent on room that nobody used.
+func TestALargeFleetShrinksManyMachinesAtATime(t *testing.T) {
+	l, clock := fleetOf(t, 160)
+	l.consolidate(clock.Now())
+	if got := len(l.draining()); got != 160/tuning.MoveCandidateShare {
+		t.Errorf("%d machines are emptied", got)
+	}
+	moving := 0
+	for _, m := range l.draining() {
+		for _, p := range m.Places {
+			if p.Stop != nil {
+				moving++
+			}
+		}
+	}
+	// More at a time would be down together if the leader died.
+	if moving != tuning.MoveAtOnce {
+		t.Errorf("%d replicas are moved at a time", moving)
+	}
+}
+
+// Guards against a fleet that never shrinks, because some job always waits
+// for its team's limit, and against machines that stay out of use though their
+// room is waited for.
+func TestOnlyWhatWaitsForRoomStopsTheShrinking(t *testing.T) {
+	l, clock := fleetOf(t, 16)
+	waiting := wire.Job{ID: "job-900", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 3, CPUs: 3, MemoryGB: 1, Image: "img"}
+	l.c.teams["t"] = config.Team{Name: "t", CPUsMax: 16} // all of it in use
+	l.waits(t, waiting)
+	l.consolidate(clock.Now())
+	if len(l.draining()) == 0 {
+		t.Fatal("nothing is emptied while a job waits for its team's limit")
+	}
+	l.c.teams["t"] = config.Team{Name: "t", CPUsMax: 100}
+	l.fleet.nextMove = clock.Now()
+	l.consolidate(clock.Now())
+	if n := len(l.draining()); n != 0 {
+		t.Errorf("%d machines stay out of use while a job waits for their room", n)
+	}
+}
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -22,16 +22,21 @@
 	nextList time.Time
 	nextMove time.Time
 	listing  bool
-	deleting bool                       // a deletion is on its way
-	doomed   []string                   // to be deleted after it
-	recent   []fleet.Arrival            // accepted within the last window
-	bookings int                        // request names used in this term
-	asked    map[string]fleet.Want      // rentals on their way, by request name
-	refused  map[fleet.Option]time.Time // not asked before
+	deleting bool     // a deletion is on its way
+	doomed   []string // to be deleted after it
+
+	moveBudget float64                    // seconds for which replicas may still be down for moves
+	recent     []fleet.Arrival            // accepted within the last window
+	bookings   int                        // request names used in this term
+	asked      map[string]fleet.Want      // rentals on their way, by request name
+	refused    map[fleet.Option]time.Time // not asked before
 }
 
 func newFleetState() fleetState {
-	return fleetState{asked: map[string]fleet.Want{}, refused: map[fleet.Option]time.Time{}}
+	return fleetState{
+		asked: map[string]fleet.Want{}, refused: map[fleet.Option]time.Time{},
+		moveBudget: tuning.MoveBudgetMax.Seconds(),
+	}
 }
 
 func (l *leader) stepFleet(now time.Time) {
@@ -158,18 +163,23 @@
 	in.Teams = fleet.Unlimited(in.Items)
 	in.Thrifty = true
 	wants = append(wants, fleet.Plan(&in)...)
+	// One request of a kind at a time: if it is refused, so would be the next.
+	busy := map[fleet.Option]bool{}
+	for _, w := range l.fleet.asked {
+		busy[w.Option] = true
+	}
 	for _, w := range wants {
-		for w.Count > 0 && len(l.fleet.asked) < tuning.RentAtOnce {
-			part := w
-			part.Count = min(w.Count, wire.MaxRent)
-			w.Count -= part.Count
-			// The term is in the name: no other controller, nor this one in
-			// another term, ever uses it again.
-			l.fleet.bookings++
-			name := fmt.Sprintf("pp-%d-%d", l.tenure.Term, l.fleet.bookings)
-			l.fleet.asked[name] = part
-			go l.rental(name, part)
+		if busy[w.Option] || len(l.fleet.asked) >= tuning.RentAtOnce {
+			continue
 		}
+		busy[w.Option] = true
+		w.Count = min(w.Count, wire.MaxRent)
+		// The term is in the name: no other controller, nor this one in
+		// another term, ever uses it again.
+		l.fleet.bookings++
+		name := fmt.Sprintf("pp-%d-%d", l.tenure.Term, l.fleet.bookings)
+		l.fleet.asked[name] = w
+		go l.rental(name, w)
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -224,12 +224,25 @@
 	// RentSettle is how long a new leader waits before it rents: the machines
 	// that it took over report within that time.
 	RentSettle = 4 * time.Second
-	// MoveEvery is how often replicas are moved off a machine that is to be
-	// returned, and MoveAtOnce how many: a moved replica is down for a moment.
-	MoveEvery  = 2 * time.Second
-	MoveAtOnce = 2
-	// MoveCandidates is how many machines are looked at for that, the most wasteful first.
-	MoveCandidates = 3
+	// MoveEvery is how often it is looked which machines could be emptied, and
+	// replicas are moved off those.
+	MoveEvery = 2 * time.Second
+	// MoveCandidates is how many machines are looked at for that at the least,
+	// and one in MoveCandidateShare of those in use: a large fleet has to shrink
+	// as fast as a small one, and each look tries all other machines.
+	MoveCandidates     = 3
+	MoveCandidateShare = 16
+	// MoveAtOnce is how many replicas are moved at a time at the least, and one
+	// in MoveAtOnceShare of all: those on their way wait longer if the leader dies.
+	MoveAtOnce      = 2
+	MoveAtOnceShare = 100
+	// MoveDown is how long a moved replica is down beside the fetch of its image.
+	MoveDown = 300 * time.Millisecond
+	// MoveDownShare is the share of all replicas' time that moves may cost: the
+	// strictest aims on replicas miss 0.1 to 0.2 %.
+	MoveDownShare = 0.003
+	// MoveBudgetMax is how much of that can be saved up: one move with a long fetch.
+	MoveBudgetMax = 10 * time.Second
 	// ListEvery is how often the cloud's list is read.
 	ListEvery = 5 * time.Second
 	// RefusedFor is how long a type, zone and kind is not asked again after "no capacity".
