Elections and loading do not wait for our own limits; starts are written first

Cause: polls that came while nobody led used up the follower's share of the state service's limit, and the campaign, then the reading of the records, waited behind them: after a leader's crash 6.2 s until another led and 1 s more until it placed anything. Finished tasks of large arrays shared a queue with the records that starts wait for.

Polls now leave half of the limit to others (they are told to come back), the election and the loading go at once, and what nobody waits for is written with what is to spare.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,7 +63,7 @@
 	}
 	c.redirects = redirects{sent: map[string]time.Time{}, kept: map[string]time.Time{}}
 	c.keeper = newKeeper(c)
-	c.elector = leadership.New(c.store, c, s.Member, clock, log)
+	c.elector = leadership.New(c.store.Urgent(), c, s.Member, clock, log)
 	for _, m := range s.Members {
 		c.endpoint[m.Name] = m.Endpoint
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -140,7 +140,7 @@
 	var revision uint64
 	read := func(prefix string, take func([]wire.Item)) bool {
 		for pause := tuning.StateRetry; ctx.Err() == nil; pause = min(2*pause, tuning.StateRetryMax) {
-			rev, err := l.c.store.ListAll(ctx, prefix, func(items []wire.Item) error {
+			rev, err := l.c.store.Urgent().ListAll(ctx, prefix, func(items []wire.Item) error {
 				_, err := ask(ctx, l, func(answer func(bool)) { take(items); answer(true) })
 				return err
 			})
@@ -278,7 +278,7 @@
 	if l.writing || !l.book.Due(now) {
 		return
 	}
-	batch := l.book.Take()
+	batch := l.book.Take(now, l.c.store.Room())
 	if batch == nil {
 		return
 	}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -47,6 +47,7 @@
 		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
 		return
 	}
+	begun := c.clock.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.SubmitWait)
 	defer cancel()
 	status, a, text := c.submit(ctx, body)
@@ -56,6 +57,7 @@
 			status, a, text = rs, ra, rt
 		}
 	}
+	c.log.Debug("submission answered", "status", status, "job", a.ID, "took_ms", c.clock.Since(begun).Milliseconds())
 	if status >= http.StatusBadRequest {
 		fail(w, status, text)
 		return
@@ -98,7 +100,7 @@
 	}
 	// The job is known, or can never run. A job that was accepted before must
 	// never be refused, whatever the machine types are by now.
-	status, s := c.status(ctx, job.ID)
+	status, s := c.status(ctx, job.ID, c.store)
 	switch {
 	case status == http.StatusOK:
 		return status, wire.Accepted{ID: s.ID, State: s.State}, ""
@@ -172,7 +174,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollWait)
 	defer cancel()
-	status, s := c.status(ctx, id)
+	status, s := c.status(ctx, id, c.store.Spare())
 	switch status {
 	case http.StatusOK:
 		httpjson.Write(w, status, s)
@@ -185,8 +187,9 @@
 
 // status finds a job's state: 200, 404, or 503 when it cannot be told now. It
 // comes from a final state, from the leader's memory within its right, or
-// from a fresh read of the state service.
-func (c *Controller) status(ctx context.Context, id string) (int, wire.JobStatus) {
+// from a fresh read of the state service by the given client: polls, of which
+// there are most, leave room in our limit for what cannot wait.
+func (c *Controller) status(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
 	if s, ok := c.finals.get(id); ok {
 		return http.StatusOK, s
 	}
@@ -201,7 +204,7 @@
 		}
 		return resp.Status, resp.Job
 	}
-	return c.storedStatus(ctx, id)
+	return c.storedStatus(ctx, id, store)
 }
 
 func (c *Controller) learn(s wire.JobStatus) {
@@ -213,9 +216,9 @@
 // storedStatus reads a job's state from the state service. The order matters:
 // a job's record is dropped in the transaction that stores its end, so a job
 // that has no record when it is read either ended before or was never accepted.
-func (c *Controller) storedStatus(ctx context.Context, id string) (int, wire.JobStatus) {
+func (c *Controller) storedStatus(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
 	s := wire.JobStatus{ID: id, State: wire.StateQueued}
-	item, live, err := c.store.Get(ctx, jobs.KeyJob(id))
+	item, live, err := store.Get(ctx, jobs.KeyJob(id))
 	if err == nil && live {
 		var rec jobs.Record
 		if err := json.Unmarshal(item.Value, &rec); err == nil && rec.Cancelled {
@@ -301,7 +304,7 @@
 	}
 	// The leader learns of accepted jobs a moment late: one that is stored
 	// but unknown to it is asked for again.
-	status, s := c.storedStatus(ctx, id)
+	status, s := c.storedStatus(ctx, id, c.store)
 	if status == http.StatusOK && !s.State.Final() {
 		status = http.StatusServiceUnavailable
 	}
@@ -339,7 +342,7 @@
 		if f, ok := c.finals.get(req.Job); ok {
 			return mesh.Response{Status: http.StatusOK, Job: f}
 		}
-		status, s = c.storedStatus(ctx, req.Job)
+		status, s = c.storedStatus(ctx, req.Job, c.store.Spare())
 	case mesh.Cancel:
 		status, s = c.cancel(ctx, req.Job)
 	default:
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -58,6 +58,7 @@
 type chunk struct {
 	version uint64
 	dirty   bool
+	urgent  bool // it holds a place that waits to be stored before its start
 	writing bool
 }
 
@@ -133,7 +134,8 @@
 	Jobs map[string]*Job
 
 	txnOps  int
-	dirty   []chunkRef // in the order in which they became dirty
+	dirty   []chunkRef // urgent ones, in the order in which they became so
+	slow    []chunkRef // the others, in the order in which they became dirty
 	ends    []*Job
 	garbage []wire.Condition // records of jobs that are over
 	lazyAt  time.Time        // when the oldest lazy change wants to be written
@@ -240,7 +242,7 @@
 	j.Placed++
 	j.zones[zone]++
 	b.touch(j, index/tuning.ChunkTasks)
-	b.urgent = true
+	b.hurry(j, index/tuning.ChunkTasks)
 	return p
 }
 
@@ -315,8 +317,19 @@
 func (b *Book) touch(j *Job, n int) {
 	if c := &j.chunks[n]; !c.dirty {
 		c.dirty = true
+		if !c.writing {
+			b.slow = append(b.slow, chunkRef{j, n})
+		}
+	}
+}
+
+// hurry has a dirty chunk written before those that nobody waits for.
+func (b *Book) hurry(j *Job, n int) {
+	if c := &j.chunks[n]; !c.urgent {
+		c.urgent = true
 		if !c.writing {
 			b.dirty = append(b.dirty, chunkRef{j, n})
+			b.urgent = true
 		}
 	}
 }
@@ -358,8 +371,14 @@
 }
 
 // Take gathers the next transaction, or nil when there is nothing to write.
-// Only one may be on its way at a time.
-func (b *Book) Take() *Batch {
+// Only one may be on its way at a time. What somebody waits for goes first;
+// spare is how many changes that nobody waits for may go with it: finished tasks
+// of large arrays would otherwise use up the limit on writes, and starts wait
+// behind them.
+func (b *Book) Take(now time.Time, spare int) *Batch {
+	if !b.lazyAt.IsZero() && now.Sub(b.lazyAt) > tuning.LazyMax {
+		spare = max(spare, tuning.LazyLeast)
+	}
 	w := &Batch{}
 	size := 0
 	guarded := map[string]bool{} // jobs whose stored record is a condition already
@@ -393,26 +412,27 @@
 		drop(KeyJob(j.ID), j.version)
 		for n := range j.chunks {
 			c := &j.chunks[n]
-			c.dirty = false
+			c.dirty, c.urgent = false, false
 			switch {
 			case c.version == 0:
 			case room(1):
 				drop(keyRun(j.ID, n), c.version)
 			default:
 				b.garbage = append(b.garbage, wire.Condition{Key: keyRun(j.ID, n), Version: c.version})
+				if b.lazyAt.IsZero() {
+					b.lazyAt = now
+				}
 			}
 		}
 		w.ends = append(w.ends, ref)
 	}
-	for len(b.dirty) > 0 && room(1) {
-		ref := b.dirty[0]
-		b.dirty = b.dirty[1:]
+	write := func(ref chunkRef) {
 		c := &ref.job.chunks[ref.n]
 		if !c.dirty || ref.job.ended {
-			continue
+			return
 		}
 		value, places := ref.job.encodeChunk(ref.n)
-		c.dirty, c.writing = false, true
+		c.dirty, c.urgent, c.writing = false, false, true
 		// Progress is only written for a job that is still stored as it was
 		// loaded: one that is over can never come back to life.
 		if !guarded[ref.job.ID] {
@@ -423,13 +443,24 @@
 		w.chunks = append(w.chunks, ref)
 		w.places = append(w.places, places...)
 	}
-	for len(b.garbage) > 0 && room(1) {
+	for len(b.dirty) > 0 && room(1) {
+		ref := b.dirty[0]
+		b.dirty = b.dirty[1:]
+		write(ref)
+	}
+	lazy := !b.lazyAt.IsZero() && !now.Before(b.lazyAt)
+	for limit := len(w.Txn.Then) + spare; lazy && len(b.slow) > 0 && room(1) && len(w.Txn.Then) < limit; {
+		ref := b.slow[0]
+		b.slow = b.slow[1:]
+		write(ref)
+	}
+	for limit := len(w.Txn.Then) + spare; lazy && len(b.garbage) > 0 && room(1) && len(w.Txn.Then) < limit; {
 		g := b.garbage[0]
 		b.garbage = b.garbage[1:]
 		drop(g.Key, g.Version)
 	}
-	b.urgent = len(b.ends)+len(b.dirty)+len(b.garbage) > 0
-	if !b.urgent {
+	b.urgent = len(b.ends)+len(b.dirty) > 0
+	if len(b.slow)+len(b.garbage) == 0 {
 		b.lazyAt = time.Time{}
 	}
 	if len(w.Txn.Then) == 0 {
@@ -466,9 +497,12 @@
 	for _, ref := range w.chunks {
 		c := &ref.job.chunks[ref.n]
 		c.version, c.writing = revision, false
-		if c.dirty {
+		switch {
+		case c.urgent:
 			b.dirty = append(b.dirty, ref)
 			b.urgent = true
+		case c.dirty:
+			b.slow = append(b.slow, ref)
 		}
 	}
 	for _, p := range w.places {
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -11,7 +11,11 @@
 	"poppypass/internal/wire"
 )
 
-var t0 = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+var (
+	t0 = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	// later is when what is lazy wants to be written.
+	later = t0.Add(tuning.LazyFlush)
+)
 
 // store applies a book's transactions like the state service, conditions included.
 type store struct {
@@ -49,7 +53,7 @@
 // flush writes all that is pending, and gives what may start and what is over.
 func (s *store) flush(b *Book) (start []*Place, over []Over) {
 	s.t.Helper()
-	for w := b.Take(); w != nil; w = b.Take() {
+	for w := b.Take(later, 1000); w != nil; w = b.Take(later, 1000) {
 		st, ov := b.Written(w, s.apply(w.Txn))
 		start, over = append(start, st...), append(over, ov...)
 	}
@@ -105,7 +109,7 @@
 	s.accept("job-1", 1)
 	b, _ := s.load(12)
 	p := b.Place(b.Jobs["job-1"], 0, "n-1", "a", 1, t0)
-	w := b.Take()
+	w := b.Take(later, 1000)
 	b.Gone(p, t0) // its machine's session ended while the record was on its way
 	if start, _ := b.Written(w, s.apply(w.Txn)); len(start) != 0 {
 		t.Fatalf("to start: %v", start)
@@ -198,7 +202,7 @@
 	p := b.Place(j, 0, "n-1", "a", 1, t0)
 	s.flush(b)
 	b.Finished(p, t0)
-	w := b.Take()
+	w := b.Take(later, 1000)
 	var told wire.JobState
 	b.Cancel(j, func(st wire.JobState) { told = st })
 	if _, over := b.Written(w, s.apply(w.Txn)); told != wire.StateDone || over[0].State != wire.StateDone {
@@ -216,7 +220,7 @@
 	for i := range 20 * tuning.ChunkTasks {
 		places = append(places, b.Place(j, i, fmt.Sprintf("n-%06d-with-a-long-name", i), "a-zone-with-a-long-name", 1<<40, t0))
 	}
-	for w := b.Take(); w != nil; w = b.Take() {
+	for w := b.Take(later, 1000); w != nil; w = b.Take(later, 1000) {
 		size := 0
 		for _, c := range w.Txn.Then {
 			if len(c.Value) > tuning.MinValueKB<<10 {
@@ -277,3 +281,38 @@
 		}
 	}
 }
+
+// Guards against starts that wait behind progress that nobody waits for: with
+// a hundred large arrays their finished tasks alone exceed the limit on writes.
+func TestStartsAreWrittenBeforeFinishedTasks(t *testing.T) {
+	s := newStore(t)
+	const n = 8
+	for i := range n {
+		s.accept(fmt.Sprintf("job-%d", i), 2)
+	}
+	b, _ := s.load(4)
+	var placed []*Place
+	for i := range n {
+		placed = append(placed, b.Place(b.Jobs[fmt.Sprintf("job-%d", i)], 0, "n-1", "a", 1, t0))
+	}
+	s.flush(b)
+	for _, p := range placed {
+		b.Finished(p, t0)
+	}
+	last := b.Jobs[fmt.Sprintf("job-%d", n-1)]
+	p := b.Place(last, 1, "n-1", "a", 1, t0)
+	w := b.Take(later, 0)
+	if w == nil || len(w.Txn.Then) != 1 {
+		t.Fatalf("the first transaction is %+v, want the start alone", w)
+	}
+	if start, _ := b.Written(w, s.apply(w.Txn)); len(start) != 1 || start[0] != p {
+		t.Fatalf("may start %v", start)
+	}
+	if w := b.Take(later, 0); w != nil {
+		t.Errorf("without room to spare %d changes are written", len(w.Txn.Then))
+	}
+	// They do not wait for ever.
+	if w := b.Take(later.Add(2*tuning.LazyMax), 0); w == nil || len(w.Txn.Then) != tuning.LazyLeast {
+		t.Errorf("written at last: %+v", w)
+	}
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -27,7 +27,7 @@
 // Store is what leadership needs of the state service.
 type Store interface {
 	Get(ctx context.Context, key string) (wire.Item, bool, error)
-	CommitNow(ctx context.Context, t wire.Txn) (uint64, error)
+	Commit(ctx context.Context, t wire.Txn) (uint64, error)
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Renew(ctx context.Context, lease uint64) error
 	Revoke(ctx context.Context, lease uint64) error
@@ -325,7 +325,7 @@
 	if err != nil {
 		return 0, t, false
 	}
-	revision, err := e.store.CommitNow(ctx, wire.Txn{
+	revision, err := e.store.Commit(ctx, wire.Txn{
 		If: []wire.Condition{{Key: keyHolder}, {Key: keyTerm, Version: item.Version}},
 		Then: []wire.Change{
 			{Put: keyHolder, Value: holderValue, Lease: lease},
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -45,6 +45,37 @@
 	watches *http.Client
 	calls   *rate.Limiter
 	writes  *rate.Limiter
+	class   class
+}
+
+// class tells how a call stands to our own limits.
+type class int
+
+const (
+	ordinary class = iota // waits for its turn
+	urgent                // goes at once: nothing of ours may hold it up
+	spare                 // goes only while half of the limit's burst is free
+)
+
+// Urgent gives a view of the client for the few calls that must not wait for
+// our own limits: elections, and what a new leader reads. Once polls that came
+// while nobody led had used up the limit, and the election waited behind them.
+func (c *Client) Urgent() *Client { return c.as(urgent) }
+
+// Spare gives a view of the client for calls that are to leave room for
+// others: they are refused at once when the limit is half used up.
+func (c *Client) Spare() *Client { return c.as(spare) }
+
+func (c *Client) as(k class) *Client {
+	view := *c
+	view.class = k
+	return &view
+}
+
+// Room is how many changes could be written now without using up more than
+// half of what may be written at once.
+func (c *Client) Room() int {
+	return int(c.writes.Tokens() - float64(c.writes.Burst())/2)
 }
 
 // New makes a client; rps and writeRPS are the limits that all controllers share.
@@ -53,18 +84,25 @@
 		base: "http://" + addr, rps: rps, wps: writeRPS,
 		http:    httpjson.NewClient(16, 8, tuning.StateTimeout),
 		watches: httpjson.NewClient(4, 2, tuning.StateTimeout),
-		calls:   rate.NewLimiter(1, 1), writes: rate.NewLimiter(1, 1),
 	}
-	c.SetShare(1)
+	// Both begin with all that may be used at once.
+	c.calls = rate.NewLimiter(limit(rps, 1))
+	c.writes = rate.NewLimiter(limit(writeRPS, 1))
 	return c
 }
 
+// limit is the rate and the burst of a share of a published limit.
+func limit(published, share float64) (rate.Limit, int) {
+	own := published * share * tuning.LimitMargin
+	return rate.Limit(own), max(1, int(own))
+}
+
 // SetShare sets which share of the limits this controller may use.
 func (c *Client) SetShare(share float64) {
-	set := func(l *rate.Limiter, limit float64) {
-		limit *= share * tuning.LimitMargin
-		l.SetLimit(rate.Limit(limit))
-		l.SetBurst(max(1, int(limit)))
+	set := func(l *rate.Limiter, published float64) {
+		r, burst := limit(published, share)
+		l.SetLimit(r)
+		l.SetBurst(burst)
 	}
 	set(c.calls, c.rps)
 	set(c.writes, c.wps)
@@ -91,6 +129,12 @@
 }
 
 func (c *Client) wait(ctx context.Context) error {
+	if c.class == urgent {
+		return nil
+	}
+	if c.class == spare && c.calls.Tokens() < float64(c.calls.Burst())/2 {
+		return fmt.Errorf("%w: our own limit is needed for others", ErrNotExecuted)
+	}
 	if err := c.calls.Wait(ctx); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotExecuted, err)
 	}
@@ -159,18 +203,11 @@
 	if err := c.wait(ctx); err != nil {
 		return 0, err
 	}
-	if n := min(len(t.Then), c.writes.Burst()); n > 0 {
+	if n := min(len(t.Then), c.writes.Burst()); n > 0 && c.class != urgent {
 		if err := c.writes.WaitN(ctx, n); err != nil {
 			return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
 		}
 	}
-	return c.commit(ctx, t)
-}
-
-// CommitNow is Commit for the few transactions, such as an election, that no limit of our own may hold up.
-func (c *Client) CommitNow(ctx context.Context, t wire.Txn) (uint64, error) { return c.commit(ctx, t) }
-
-func (c *Client) commit(ctx context.Context, t wire.Txn) (uint64, error) {
 	if t.If == nil {
 		t.If = []wire.Condition{}
 	}
--- a/internal/statestore/statestore_test.go
+++ b/internal/statestore/statestore_test.go
@@ -1,6 +1,7 @@
 package statestore
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"poppypass/internal/wire"
 )
 
@@ -76,3 +79,32 @@
 		t.Errorf("renew in an outage: %v", err)
 	}
 }
+
+// Guards against an election, or a submission, that waits behind the polls
+// that came while nobody led: the limit of our own is shared by all of them.
+func TestPollsLeaveRoomAndElectionsDoNotWait(t *testing.T) {
+	c := answering(t, 200, `{"path":"a","data":1,"stamp":1}`)
+	c.calls = rate.NewLimiter(rate.Every(time.Hour), 4)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute) // sooner than the next call is due
+	defer cancel()
+	got := 0
+	for range 10 {
+		if _, _, err := c.Spare().Get(ctx, "a"); err == nil {
+			got++
+		} else if !errors.Is(err, ErrNotExecuted) {
+			t.Fatal(err)
+		}
+	}
+	if got != 3 { // the third leaves less than half
+		t.Errorf("%d polls of 10 are served", got)
+	}
+	if _, _, err := c.Get(ctx, "a"); err != nil {
+		t.Errorf("a call that may wait finds no room: %v", err)
+	}
+	if _, _, err := c.Get(ctx, "a"); err == nil {
+		t.Error("the limit is used up, and a call goes on")
+	}
+	if _, _, err := c.Urgent().Get(ctx, "a"); err != nil {
+		t.Errorf("an urgent call waits: %v", err)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -116,6 +116,10 @@
 	// LazyFlush is how long a change that nobody waits for (one finished task
 	// of many, a lost task) may stay unwritten, to share a write with others.
 	LazyFlush = 500 * time.Millisecond
+	// LazyMax is how long such a change waits for the limit on writes to have
+	// room to spare; then LazyLeast of them go with each transaction all the same.
+	LazyMax   = 5 * time.Second
+	LazyLeast = 2
 	// CommitBytes bounds a transaction's size in bytes, under the protocol's 64 KiB.
 	CommitBytes = 48 << 10
 	// JobWatch is how long the leader's watch for new jobs waits.
