Room for the square root of the arrays expected; users' writes apart from the leader's

Cause 1: room was kept for all arrays expected within a boot, though most find the room of those that end meanwhile; at scale a fifth of the fleet stood ready. The fluctuation grows as the square root. All members now have equal shares for users, and the leader's loop its own.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -70,24 +70,24 @@
 	for _, t := range s.Cluster.Teams {
 		c.teams[t.Name] = t
 	}
-	c.setShares(false)
+	c.store = c.store.Share(c.memberShare(tuning.LeaderShare))
+	c.setCloudShare(false)
 	return c
 }
 
-// setShares divides the limits that all controllers share.
-func (c *Controller) setShares(leads bool) {
-	share := func(leader float64) float64 {
-		switch n := len(c.settings.Members); {
-		case n == 0:
-			return 1
-		case leads:
-			return leader
-		default:
-			return (1 - leader) / float64(n)
-		}
+// memberShare is what one member may use of a limit that all share, when the
+// leader's work may use a share of it.
+func (c *Controller) memberShare(leader float64) float64 {
+	return (1 - leader) / float64(1+len(c.settings.Members))
+}
+
+// setCloudShare divides the cloud's limit: followers ask it very little.
+func (c *Controller) setCloudShare(leads bool) {
+	share := c.memberShare(tuning.CloudLeaderShare)
+	if leads {
+		share = tuning.CloudLeaderShare
 	}
-	c.store.SetShare(share(tuning.LeaderShare))
-	c.cloud.SetShare(share(tuning.CloudLeaderShare))
+	c.cloud.SetShare(share)
 }
 
 // Run serves until ctx ends.
--- a/internal/controller/keeper.go
+++ b/internal/controller/keeper.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
@@ -203,9 +204,9 @@
 }
 
 // readKept reads which machines followers answer.
-func (c *Controller) readKept(ctx context.Context) (map[string]bool, error) {
+func readKept(ctx context.Context, store *statestore.Client) (map[string]bool, error) {
 	kept := map[string]bool{}
-	_, err := c.store.ListAll(ctx, prefixKeep, func(items []wire.Item) error {
+	_, err := store.ListAll(ctx, prefixKeep, func(items []wire.Item) error {
 		for _, item := range items {
 			var r keepRecord
 			if err := json.Unmarshal(item.Value, &r); err != nil {
--- a/internal/controller/keeper_test.go
+++ b/internal/controller/keeper_test.go
@@ -42,7 +42,7 @@
 // recorded is what a leader would read.
 func (w *keeperWorld) recorded(machine string) bool {
 	w.t.Helper()
-	kept, err := w.c.readKept(w.t.Context())
+	kept, err := readKept(w.t.Context(), w.c.store)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -16,6 +16,7 @@
 	"poppypass/internal/leadership"
 	"poppypass/internal/placement"
 	"poppypass/internal/roster"
+	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
@@ -30,6 +31,7 @@
 	ended  context.Context
 	end    context.CancelCauseFunc
 
+	store   *statestore.Client // with the leader's share of the limits
 	book    *jobs.Book
 	roster  *roster.Roster
 	fleet   fleetState
@@ -51,11 +53,11 @@
 	l := newLeader(c, t)
 	ctx, l.end = context.WithCancelCause(ctx)
 	l.ended = ctx
-	c.setShares(true)
+	c.setCloudShare(true)
 	c.leading.Store(l)
 	defer func() {
 		c.leading.Store(nil)
-		c.setShares(false)
+		c.setCloudShare(false)
 		l.end(errTenureOver)
 	}()
 	go l.load(ctx)
@@ -73,6 +75,7 @@
 	return &leader{
 		c: c, tenure: t, log: c.log.With("term", t.Term), inbox: make(chan func(), tuning.Inbox),
 		book: jobs.NewBook(c.settings.Cluster.State.TxnOps), roster: roster.New(t.Term, c.settings.Cluster.Workers.LeaseS),
+		store: c.store.Share(tuning.LeaderShare),
 		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(),
 	}
 }
@@ -140,7 +143,7 @@
 	var revision uint64
 	read := func(prefix string, take func([]wire.Item)) bool {
 		for pause := tuning.StateRetry; ctx.Err() == nil; pause = min(2*pause, tuning.StateRetryMax) {
-			rev, err := l.c.store.Urgent().ListAll(ctx, prefix, func(items []wire.Item) error {
+			rev, err := l.store.Urgent().ListAll(ctx, prefix, func(items []wire.Item) error {
 				_, err := ask(ctx, l, func(answer func(bool)) { take(items); answer(true) })
 				return err
 			})
@@ -166,7 +169,7 @@
 	}
 	l.post(func() { l.takeProgress(progress) })
 	for ctx.Err() == nil {
-		r, err := l.c.store.Watch(ctx, jobs.PrefixJob, revision, tuning.JobWatch)
+		r, err := l.store.Watch(ctx, jobs.PrefixJob, revision, tuning.JobWatch)
 		switch {
 		case errors.Is(err, errCompacted):
 			l.end(fmt.Errorf("missed changes of jobs: %w", err))
@@ -260,7 +263,7 @@
 	}
 	l.asking = true
 	go func() {
-		kept, err := l.c.readKept(l.ended)
+		kept, err := readKept(l.ended, l.store)
 		l.post(func() {
 			done := l.c.clock.Now()
 			l.asking, l.nextAsk = false, done.Add(tuning.KeptEvery)
@@ -278,7 +281,7 @@
 	if l.writing || !l.book.Due(now) {
 		return
 	}
-	batch := l.book.Take(now, l.c.store.Room())
+	batch := l.book.Take(now, l.store.Room())
 	if batch == nil {
 		return
 	}
@@ -302,7 +305,7 @@
 		if err := l.ended.Err(); err != nil {
 			return 0, err
 		}
-		revision, err := l.c.store.Commit(l.ended, t)
+		revision, err := l.store.Commit(l.ended, t)
 		if err == nil {
 			return revision, nil
 		}
@@ -340,7 +343,7 @@
 		if change.Put == "" {
 			continue
 		}
-		item, ok, err := l.c.store.Get(l.ended, change.Put)
+		item, ok, err := l.store.Get(l.ended, change.Put)
 		switch {
 		case err != nil:
 			return 0, err
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -115,6 +115,15 @@
 	if got := tasks(30*time.Second, 0.3); !reflect.DeepEqual(got, []int{12}) {
 		t.Errorf("of a third expects %v", got)
 	}
+	// At scale most arrays find the room of those that end: of nine expected
+	// room is kept for three.
+	many := make([]Arrival, 0, 36)
+	for i := range 36 {
+		many = append(many, Arrival{At: now.Add(time.Duration(i-36) * 10 * time.Second / 3), Job: &wire.Job{ID: "job-1", Team: "t", Class: "c", Kind: wire.KindArray, Tasks: 1}})
+	}
+	if got := Expected(now, many, 30*time.Second, func(string) float64 { return 1 }); len(got) != 3 {
+		t.Errorf("keeps room for %d arrays", len(got))
+	}
 	old := []Arrival{{At: now.Add(-time.Hour), Job: recent[0].Job}}
 	if got := Expected(now, old, time.Minute, func(string) float64 { return 1 }); len(got) != 0 {
 		t.Errorf("expects %v of an hour ago", got)
--- a/internal/fleet/headroom.go
+++ b/internal/fleet/headroom.go
@@ -40,6 +40,12 @@
 	for _, class := range slices.Sorted(maps.Keys(byClass)) {
 		of := byClass[class]
 		expect := float64(len(of)) * horizon.Seconds() / seen.Seconds() * promptness(class)
+		// Of many arrays that are expected, most find the room of those that end
+		// meanwhile. Room is kept for what more may come than end: that grows
+		// as the square root. Replicas stay.
+		if of[0].Job.Kind == wire.KindArray {
+			expect = min(expect, math.Sqrt(expect))
+		}
 		n := min(int(math.Ceil(expect)), len(of))
 		for _, a := range of[len(of)-n:] {
 			items = append(items, &placement.Item{Job: a.Job, Since: now, Waiting: a.Job.Tasks, Zones: map[string]int{}})
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -85,27 +85,23 @@
 		http:    httpjson.NewClient(16, 8, tuning.StateTimeout),
 		watches: httpjson.NewClient(4, 2, tuning.StateTimeout),
 	}
-	// Both begin with all that may be used at once.
-	c.calls = rate.NewLimiter(limit(rps, 1))
-	c.writes = rate.NewLimiter(limit(writeRPS, 1))
-	return c
+	return c.Share(1)
 }
 
-// limit is the rate and the burst of a share of a published limit.
+// limit is the rate and the burst of a share of a published limit. A limiter
+// made of it begins with all that may be used at once.
 func limit(published, share float64) (rate.Limit, int) {
 	own := published * share * tuning.LimitMargin
 	return rate.Limit(own), max(1, int(own))
 }
 
-// SetShare sets which share of the limits this controller may use.
-func (c *Client) SetShare(share float64) {
-	set := func(l *rate.Limiter, published float64) {
-		r, burst := limit(published, share)
-		l.SetLimit(r)
-		l.SetBurst(burst)
-	}
-	set(c.calls, c.rps)
-	set(c.writes, c.wps)
+// Share gives a client of the same service with limits of its own: a share of
+// the published ones.
+func (c *Client) Share(share float64) *Client {
+	view := *c
+	view.calls = rate.NewLimiter(limit(c.rps, share))
+	view.writes = rate.NewLimiter(limit(c.wps, share))
+	return &view
 }
 
 func (c *Client) call(ctx context.Context, hc *http.Client, timeout time.Duration, method, path string, in any, decode func(int) any) (int, error) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -61,8 +61,9 @@
 	// MaxResponse is the largest response body read from outside, in bytes:
 	// a watch has no limit of its own, a list page is 512 KiB.
 	MaxResponse = 4 << 20
-	// LeaderShare is the leader's share of the state service's limits; the
-	// other controllers divide the rest.
+	// LeaderShare is the share of the state service's limits that the leader's
+	// loop may use. All members, the leading one too, divide the rest for what
+	// users ask of them: a submission must not wait behind hundreds of starts.
 	LeaderShare = 0.6
 	// CloudLeaderShare is the same for the cloud, of which followers only ask
 	// the machine types, once a minute.
