--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -617,7 +617,8 @@
 		p := v.Ref.(*jobs.Place)
 		p.Stop = &jobs.Stop{}
 		stopped = append(stopped, p)
-		l.log.Debug("making room", "task", p.Task().String(), "class", p.Job.Class, "machine", p.Machine, "lost_s", v.Cost)
+		l.log.Debug("making room", "task", p.Task().String(), "class", p.Job.Class, "machine", p.Machine,
+			"lost_s", v.Cost, "for", v.For.ID, "for_class", v.For.Class)
 	}
 	for _, it := range due {
 		if it.Waiting < before[it] {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -11,8 +11,9 @@
 // Victim is a placed task that may have to make room.
 type Victim struct {
 	Job  *wire.Job
-	Cost float64 // seconds of work that are lost when it is stopped
-	Ref  any     // the caller's own name for it
+	Cost float64   // seconds of work that are lost when it is stopped
+	Ref  any       // the caller's own name for it
+	For  *wire.Job // the job that it makes room for, once it is chosen
 }
 
 // within tells whether a task more keeps the team within its guarantee.
@@ -49,6 +50,7 @@
 			}
 			for _, i := range chosen {
 				v := best.Victims[i]
+				v.For = it.Job
 				out = append(out, v)
 				best.Free.Sub(Room{v.Job.CPUs, v.Job.GPUs, v.Job.MemoryGB}, -1)
 				if t := teams[v.Job.Team]; t != nil {
