Followers keep workers at once while the leader does not answer

A worker tried controllers that it could not reach for 5 s each; the one that it reached sent it to the leader, and it came back 20 to 30 s later, past its lease of 18 s: 510 and 512 tasks killed. Kept workers were sent to try the leader every 20 s, with the same result. Three controllers hid it.

Each follower now pings the leader; after two pings without any answer it keeps workers from their first report on, and sends them to try the leader only if they would be back within 0.8 of their lease. A refused connection is no cut. The record of kept machines is bounded by the value size, not by 300 names.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -46,6 +46,7 @@
 	types   atomic.Pointer[[]wire.MachineType]
 	finals  *finals
 
+	reach     reach
 	redirects redirects
 	keeper    *keeper
 }
@@ -117,6 +118,9 @@
 	wg.Go(func() { c.readTypes(ctx) })
 	wg.Go(func() { c.keeper.run(ctx) })
 	wg.Go(func() { c.elector.Run(ctx, c.lead) })
+	if len(c.endpoint) > 0 {
+		wg.Go(func() { c.pingLeader(ctx) })
+	}
 	wg.Go(func() {
 		<-ctx.Done()
 		srv.Close()
--- a/internal/controller/keeper.go
+++ b/internal/controller/keeper.go
@@ -134,7 +134,7 @@
 	begin := len(k.written) == 0
 	names := sortedKeys(k.names)
 	value, err := json.Marshal(keepRecord{Machines: names})
-	if err != nil || len(names) > tuning.KeepMachines {
+	if err != nil || float64(len(value)) > k.c.settings.Cluster.State.ValueKB*1024 {
 		return false
 	}
 	key := fmt.Sprintf("%s%s/%d", prefixKeep, k.c.settings.Member, k.lease)
--- a/internal/controller/keeper_test.go
+++ b/internal/controller/keeper_test.go
@@ -27,7 +27,7 @@
 	c := New(&config.Settings{
 		Member: "m1", Outside: config.Outside{State: state.Addr(), Cloud: "127.0.0.1:1"},
 		Cluster: config.Cluster{
-			Workers: config.Workers{LeaseS: 10}, State: config.State{RPS: 1e6, WriteRPS: 1e6, TxnOps: 12}, Cloud: config.Cloud{RPS: 1},
+			Workers: config.Workers{LeaseS: 10}, State: config.State{RPS: 1e6, WriteRPS: 1e6, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 1},
 		},
 	}, tuning.Defaults(), clock, slog.New(slog.DiscardHandler))
 	return &keeperWorld{t, clock, state, c.keeper}
@@ -138,3 +138,56 @@
 		t.Error("a kept worker tries the leader at the wrong times")
 	}
 }
+
+// Guards against workers of a cut zone that lose their leases on the way: of
+// five controllers they reached one, which sent them to a leader that they did
+// not reach, and they tried the others for 5 s each before they came back. On
+// a hunted day 400 tasks were lost so.
+func TestAWorkerIsKeptWhileTheLeaderDoesNotAnswer(t *testing.T) {
+	w := newKeeperWorld(t)
+	ctx := t.Context()
+	go func() {
+		for {
+			select {
+			case r := <-w.requests:
+				if w.lease != 0 {
+					w.renew(ctx)
+				}
+				w.serve(ctx, []keepRequest{r})
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	w.c.endpoint["m0"] = "127.0.0.1:1" // refuses, if it is called
+	rep := &wire.Report{Machine: "n-1", Token: 3, Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}}}
+	for range tuning.ReachMissed {
+		if w.c.reach.cut("m0") {
+			t.Error("one missed ping is no cut")
+		}
+		w.c.reach.note("m0", true)
+	}
+	if w.c.reach.cut("m2") {
+		t.Error("another leader was not asked yet")
+	}
+	kept := func() bool { _, ok := w.c.help(ctx, nil, rep, "m0"); return ok }
+	w.c.settings.Members = make([]config.Member, 4) // 20 s for all of them, with a lease of 10 s
+	for range 2 {
+		if !kept() {
+			t.Error("sent to a leader that does not answer")
+		}
+		w.clock.Advance(tuning.KeepProbe)
+	}
+	w.c.settings.Members = w.c.settings.Members[:1]
+	if !kept() {
+		t.Error("sent to the leader at once")
+	}
+	w.clock.Advance(tuning.KeepProbe)
+	if kept() {
+		t.Error("never tries the leader again, though it would be back in time")
+	}
+	w.c.reach.note("m0", false)
+	if w.c.reach.cut("m0") {
+		t.Error("an answer does not end the cut")
+	}
+}
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
+	"sync"
+	"time"
 
 	"poppypass/internal/mesh"
+	"poppypass/internal/tuning"
 )
 
 func yesOrNo(yes bool) mesh.Response {
@@ -36,3 +41,62 @@
 
 // NobodyLeads asks all other members whether they do not lead.
 func (c *Controller) NobodyLeads(ctx context.Context) bool { return c.all(ctx, mesh.NotLeading) }
+
+// reach tells whether the leader is cut off from this member: it does not
+// answer at all. A refused connection is no cut: a process that ended refuses,
+// and so may a packet filter between controllers while workers pass.
+type reach struct {
+	mu     sync.Mutex
+	leader string
+	missed int // pings in a row without any answer
+}
+
+func (r *reach) note(leader string, missed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if leader != r.leader || !missed {
+		r.leader, r.missed = leader, 0
+	}
+	if missed {
+		r.missed++
+	}
+}
+
+// cut tells whether the leader has not answered for a while.
+func (r *reach) cut(leader string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return leader == r.leader && r.missed >= tuning.ReachMissed
+}
+
+// pingLeader looks again and again whether the leader can be reached.
+func (c *Controller) pingLeader(ctx context.Context) {
+	for ctx.Err() == nil {
+		leader := c.elector.Leader()
+		missed := false
+		if addr := c.endpoint[leader]; addr != "" {
+			_, err := c.peers.Call(ctx, addr, mesh.Request{Verb: mesh.Ping})
+			missed = unanswered(err)
+		}
+		c.reach.note(leader, missed)
+		c.sleep(ctx, tuning.ReachEvery)
+	}
+}
+
+// unanswered tells whether a call ended because nothing at all came back.
+func unanswered(err error) bool {
+	var ne net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+}
+
+// wayBack is how long a worker takes at most that is sent to the leader, does
+// not reach it nor any other controller, and comes back here.
+func (c *Controller) wayBack() time.Duration {
+	return time.Duration(len(c.settings.Members)) * tuning.WorkerTry
+}
+
+// mayProbe tells whether a worker whose leader does not answer us may be sent
+// to it: only if it would be back well within its lease.
+func (c *Controller) mayProbe() bool {
+	return c.wayBack() < time.Duration(float64(c.keeper.workerLease())*tuning.ProbeLeaseShare)
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -318,6 +318,8 @@
 	switch req.Verb {
 	case mesh.Promise:
 		return yesOrNo(c.elector.Promise(ctx))
+	case mesh.Ping:
+		return yesOrNo(true)
 	case mesh.NotLeading:
 		return yesOrNo(c.elector.NotLeading())
 	case mesh.Report:
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -15,8 +15,8 @@
 )
 
 // serveReport takes a worker's report. A leader within its right answers it.
-// A follower names the leader; a worker that has evidently lost the leader is
-// helped instead.
+// A follower names the leader; a worker that has evidently lost the leader, or
+// comes while the leader does not answer us either, is helped instead.
 func (c *Controller) serveReport(w http.ResponseWriter, r *http.Request) {
 	body, err := httpjson.ReadBody(r, tuning.MaxReport)
 	if err != nil {
@@ -49,7 +49,7 @@
 		unavailable(w, "nobody leads")
 		return
 	}
-	if c.redirects.lost(&rep, term, c.clock.Now()) {
+	if c.redirects.lost(&rep, term, c.clock.Now()) || c.reach.cut(name) {
 		if a, ok := c.help(r.Context(), body, &rep, name); ok {
 			httpjson.Write(w, http.StatusOK, a)
 			return
@@ -84,14 +84,21 @@
 	if addr == "" {
 		return a, false
 	}
-	resp, err := c.peers.Call(ctx, addr, mesh.Request{Verb: mesh.Report, Payload: body})
-	if err == nil {
-		if resp.Status != http.StatusOK || json.Unmarshal(resp.Payload, &a) != nil {
-			return a, false
+	cut := c.reach.cut(leader)
+	if !cut {
+		resp, err := c.peers.Call(ctx, addr, mesh.Request{Verb: mesh.Report, Payload: body})
+		if err == nil {
+			if resp.Status != http.StatusOK || json.Unmarshal(resp.Payload, &a) != nil {
+				return a, false
+			}
+			return a, true
 		}
-		return a, true
+		cut = unanswered(err)
 	}
-	if c.redirects.probe(rep.Machine, c.clock.Now()) {
+	// A cut between us and the leader is probably one between those two, too.
+	// With five controllers, two of which can be reached, a worker that was
+	// sent on took 30 s to come back, and its lease of 18 s was over.
+	if (!cut || c.mayProbe()) && c.redirects.probe(rep.Machine, c.clock.Now()) {
 		return a, false
 	}
 	return c.keep(ctx, rep)
--- a/internal/mesh/fb/Verb.go
+++ b/internal/mesh/fb/Verb.go
@@ -13,6 +13,7 @@
 	VerbNotLeading Verb = 3
 	VerbReport     Verb = 4
 	VerbSubmit     Verb = 5
+	VerbPing       Verb = 6
 )
 
 var EnumNamesVerb = map[Verb]string{
@@ -22,6 +23,7 @@
 	VerbNotLeading: "NotLeading",
 	VerbReport:     "Report",
 	VerbSubmit:     "Submit",
+	VerbPing:       "Ping",
 }
 
 var EnumValuesVerb = map[string]Verb{
@@ -31,6 +33,7 @@
 	"NotLeading": VerbNotLeading,
 	"Report":     VerbReport,
 	"Submit":     VerbSubmit,
+	"Ping":       VerbPing,
 }
 
 func (v Verb) String() string {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -38,6 +38,7 @@
 	NotLeading = Verb(fb.VerbNotLeading) // whether a member does not lead
 	Report     = Verb(fb.VerbReport)     // a worker's report, to the leader
 	Submit     = Verb(fb.VerbSubmit)     // a submission, to any member
+	Ping       = Verb(fb.VerbPing)       // whether a member can be reached
 )
 
 // Request asks another member.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -169,8 +169,17 @@
 	// KeepProbe is after how long a worker kept without commands is sent to
 	// the leader once more; if it does not find it, it loses about 5 s of its lease.
 	KeepProbe = 20 * time.Second
-	// KeepMachines bounds the record to a few KiB.
-	KeepMachines = 300
+	// ReachEvery is how often a follower looks whether it reaches the leader, and
+	// ReachMissed how many pings in a row must have no answer for a cut: one may
+	// miss a starved process.
+	ReachEvery  = 1 * time.Second
+	ReachMissed = 2
+	// WorkerTry is how long a worker takes for a controller that does not answer:
+	// 4 s for the answer, 1 s until the next.
+	WorkerTry = 5 * time.Second
+	// ProbeLeaseShare is the share of a worker's lease within which it must be
+	// back if it is sent to a leader that does not answer us.
+	ProbeLeaseShare = 0.8
 	// KeptEvery is the least time between two readings of these records by the leader.
 	KeptEvery = 500 * time.Millisecond
 )
