--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -637,7 +637,7 @@
 		p.Stop = &jobs.Stop{}
 		stopped = append(stopped, p)
 		l.log.Debug("making room", "task", p.Task().String(), "class", p.Job.Class, "machine", p.Machine,
-			"lost_s", v.Cost, "for", v.For.ID, "for_class", v.For.Class)
+			"cost_s", v.Cost, "for", v.For.ID, "for_class", v.For.Class)
 	}
 	for _, it := range due {
 		if it.Waiting < before[it] {
@@ -656,13 +656,14 @@
 		if p.Stop != nil || !p.Committed || p.Attempt > 1 || p.State != wire.TaskRunning && p.State != wire.TaskFetching {
 			continue
 		}
-		v := placement.Victim{Job: &p.Job.Job, Ref: p}
+		v := placement.Victim{Job: &p.Job.Job, Ref: p, Cost: tuning.PriorityCost * float64(p.Job.Priority.Level())}
 		if p.State == wire.TaskRunning {
 			ran := now.Sub(p.Running)
-			v.Cost = ran.Seconds()
+			lost := ran.Seconds()
 			if p.Job.CheckpointS > 0 {
-				v.Cost = min(v.Cost, p.Job.CheckpointS)
+				lost = min(lost, p.Job.CheckpointS)
 			}
+			v.Cost += lost
 			if ran < tuning.PreemptSettle {
 				v.Cost += tuning.FreshCost
 			}
--- a/internal/controller/preempt_test.go
+++ b/internal/controller/preempt_test.go
@@ -6,6 +6,7 @@
 
 	"poppypass/internal/jobs"
 	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
 
@@ -13,7 +14,7 @@
 // drawn day one task was stopped 19 times, and nothing of its job got done.
 func TestATaskIsStoppedForOthersAtMostOnce(t *testing.T) {
 	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	job := &jobs.Job{Job: wire.Job{ID: "job-1", CheckpointS: 10}}
+	job := &jobs.Job{Job: wire.Job{ID: "job-1", Priority: wire.PriorityLow, CheckpointS: 10}}
 	place := func(attempt uint64, state wire.TaskState) *jobs.Place {
 		return &jobs.Place{Job: job, Attempt: attempt, Committed: true, State: state, Running: now.Add(-time.Hour)}
 	}
@@ -33,4 +34,10 @@
 	if got[0].Cost != 10 {
 		t.Errorf("costs %v s; it saves every 10 s", got[0].Cost)
 	}
+	// Guards against urgent work of a team that borrows being stopped for
+	// patient work within a guarantee, while there is other patient work.
+	job.Priority = wire.PriorityHigh
+	if urgent := victims(m, now); len(urgent) != 1 || urgent[0].Cost != 10+2*tuning.PriorityCost {
+		t.Errorf("urgent work costs %v", urgent)
+	}
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -11,7 +11,7 @@
 // Victim is a placed task that may have to make room.
 type Victim struct {
 	Job  *wire.Job
-	Cost float64   // seconds of work that are lost when it is stopped
+	Cost float64   // what stopping it costs, in seconds of work
 	Ref  any       // the caller's own name for it
 	For  *wire.Job // the job that it makes room for, once it is chosen
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -209,6 +209,9 @@
 	PreemptAgain = 2 * time.Second
 	// FreshCost is what stopping a task within PreemptSettle costs beyond its work, in seconds: its start does not count.
 	FreshCost = 30.0
+	// PriorityCost is what stopping a task costs for each step of its priority,
+	// in seconds of work: what is borrowed is taken back from patient work first.
+	PriorityCost = 30.0
 	// PreemptSettle is how long a task must have run before it may be stopped
 	// for others: a start that is stopped within 30 s does not count.
 	PreemptSettle = 31 * time.Second
