Images leave a full cache in our books too

Cause: an image that a machine once had counted as held for ever; with 40 images of 1 to 6 GB and caches of 25 to 70 GB most were gone, and replicas that moved 'at once', or prompt tasks, fetched for 2 to 7 s. Ruled out: the number of replicas moved at a time.

Now what fits the cache by last use counts.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -744,7 +744,7 @@
 func fetchTime(m *roster.Machine, t wire.MachineType) func(image string, gb float64) float64 {
 	sharing := 0 // counted when it is first asked for: full machines never are
 	return func(image string, gb float64) float64 {
-		if _, held := m.Images[image]; held || t.FetchGBPerS <= 0 {
+		if t.FetchGBPerS <= 0 || m.Holds(image, t.CacheGB) {
 			return 0
 		}
 		if sharing == 0 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -53,7 +53,7 @@
 	strays map[Key]bool // reported tasks that no record places here
 	sent   map[Key]int  // starts sent by direct commands that had no answer (yet)
 
-	Images    map[string]time.Time // images that it has, as far as its tasks show, by last use
+	images    map[string]*imageUse // images that its tasks had it fetch
 	IdleSince time.Time
 	Added     time.Time // when we learned of it
 	Rented    time.Time // when it was rented, as far as known
@@ -80,6 +80,50 @@
 	return a
 }
 
+// imageUse is what is known of an image on a machine.
+type imageUse struct {
+	gb    float64
+	tasks int       // placed tasks that use it
+	last  time.Time // when the last one was placed or went
+}
+
+func (m *Machine) use(p *jobs.Place, now time.Time) {
+	u := m.images[p.Job.Image]
+	if u == nil {
+		if len(m.images) >= tuning.ImagesKnown {
+			clear(m.images) // it cannot hold so many; what is used is noted again
+		}
+		u = &imageUse{gb: p.Job.ImageGB}
+		m.images[p.Job.Image] = u
+	}
+	u.tasks++
+	u.last = now
+}
+
+func (m *Machine) unuse(p *jobs.Place, now time.Time) {
+	if u := m.images[p.Job.Image]; u != nil {
+		u.tasks = max(0, u.tasks-1)
+		u.last = now
+	}
+}
+
+// Holds tells whether a machine with a cache of that size has an image, as far
+// as its tasks show: one of them uses it, or what was used since leaves room
+// for it. Without the size every image once used would count for ever.
+func (m *Machine) Holds(image string, cacheGB float64) bool {
+	u := m.images[image]
+	if u == nil || u.tasks > 0 || cacheGB <= 0 {
+		return u != nil
+	}
+	sum := u.gb
+	for _, o := range m.images {
+		if o != u && (o.tasks > 0 || o.last.After(u.last)) {
+			sum += o.gb
+		}
+	}
+	return sum <= cacheGB
+}
+
 // NoteError counts a failed task; many jobs failing on a machine make it bad.
 func (m *Machine) NoteError(job string) {
 	if m.errorsOf == nil {
@@ -127,7 +171,7 @@
 	if m == nil {
 		m = &Machine{
 			Name: name, Places: map[Key]*jobs.Place{}, strays: map[Key]bool{}, sent: map[Key]int{},
-			Images: map[string]time.Time{}, Added: now, IdleSince: now, Rented: now,
+			images: map[string]*imageUse{}, Added: now, IdleSince: now, Rented: now,
 		}
 		r.Machines[name] = m
 	}
@@ -139,6 +183,7 @@
 func (r *Roster) Inherit(p *jobs.Place, begun time.Time) {
 	m := r.ensure(p.Machine, begun)
 	m.Places[keyOf(p)] = p
+	m.use(p, begun)
 	m.Session = max(m.Session, p.Session)
 	m.Zone = p.Zone
 	if m.LeaseEnd.Before(begun.Add(r.lease)) {
@@ -157,13 +202,16 @@
 func (r *Roster) Add(p *jobs.Place, now time.Time) {
 	m := r.ensure(p.Machine, now)
 	m.Places[keyOf(p)] = p
-	m.Images[p.Job.Image] = now
+	m.use(p, now)
 }
 
 // Remove takes a place that is proven gone off its machine.
 func (r *Roster) Remove(p *jobs.Place, now time.Time) {
 	if m := r.Machines[p.Machine]; m != nil {
-		delete(m.Places, keyOf(p))
+		if _, there := m.Places[keyOf(p)]; there {
+			delete(m.Places, keyOf(p))
+			m.unuse(p, now)
+		}
 		if len(m.Places) == 0 {
 			m.IdleSince = now
 		}
@@ -264,7 +312,6 @@
 		default:
 			if t.State == wire.TaskRunning && p.State != wire.TaskRunning {
 				p.Running = now
-				m.Images[p.Job.Image] = now
 			}
 			p.State = t.State
 			if p.Stop != nil && (t.State != wire.TaskSaving || p.Stop.GraceS == 0) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -260,3 +260,36 @@
 		t.Fatalf("not gone though nobody kept it for a lease: %v", outs)
 	}
 }
+
+// Guards against prompt work that is sent where its image was once, and waits
+// there for a fetch: a cache keeps what was used most recently.
+func TestImagesLeaveAFullCache(t *testing.T) {
+	f := newFixture(t)
+	use := func(image string, at time.Duration) *jobs.Place {
+		p := place(1)
+		p.Job = &jobs.Job{Job: wire.Job{ID: "job-" + image, Tasks: 1, Image: image, ImageGB: 4}}
+		f.Add(p, t0.Add(at))
+		return p
+	}
+	f.report(report(1, 1, 0), 0, no)
+	pinned := use("1", 0)
+	f.Remove(use("2", 0), t0.Add(time.Second))
+	f.Remove(use("3", 0), t0.Add(2*time.Second))
+	m := f.Machines["n-1"]
+	holds := func(want string) {
+		t.Helper()
+		got := ""
+		for _, image := range []string{"1", "2", "3", "4"} {
+			if m.Holds(image, 10) { // two of 4 GB
+				got += image
+			}
+		}
+		if got != want {
+			t.Errorf("holds %q, want %q", got, want)
+		}
+	}
+	holds("13")
+	f.Remove(pinned, t0.Add(3*time.Second))
+	f.Remove(use("2", 4*time.Second), t0.Add(5*time.Second))
+	holds("12")
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -146,6 +146,9 @@
 	BadJobMachines = 3
 	// NoRoomPause is how long a machine that refused a task for room gets none.
 	NoRoomPause = 2 * time.Second
+	// ImagesKnown bounds what is remembered of a machine's images, in names: more
+	// than any cache holds.
+	ImagesKnown = 256
 	// AvoidFor is how long a job avoids a machine on which its task failed.
 	AvoidFor = 300 * time.Second
 )
