Members hear from each other who leads

It named itself to workers and then answered 503, the other named it too, and workers went from one to the other for 25 s while the third led; all 1000 tasks lost their leases of 10 s.

The pings of members to each other tell who leads and in which term; a higher term than is known, and than is known to be over, is believed for redirects and relays, never for a right to act.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -119,7 +119,7 @@
 	wg.Go(func() { c.keeper.run(ctx) })
 	wg.Go(func() { c.elector.Run(ctx, c.lead) })
 	if len(c.endpoint) > 0 {
-		wg.Go(func() { c.pingLeader(ctx) })
+		wg.Go(func() { c.pingPeers(ctx) })
 	}
 	wg.Go(func() {
 		<-ctx.Done()
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -69,20 +69,34 @@
 	return leader == r.leader && r.missed >= tuning.ReachMissed
 }
 
-// pingLeader looks again and again whether the leader can be reached.
-func (c *Controller) pingLeader(ctx context.Context) {
+// pingPeers looks again and again whether the leader can be reached, and hears
+// from the others who leads.
+func (c *Controller) pingPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		leader := c.elector.Leader()
-		missed := false
-		if addr := c.endpoint[leader]; addr != "" {
-			_, err := c.peers.Call(ctx, addr, mesh.Request{Verb: mesh.Ping})
-			missed = unanswered(err)
+		var wg sync.WaitGroup
+		for name, addr := range c.endpoint {
+			wg.Go(func() {
+				r, err := c.peers.Call(ctx, addr, mesh.Request{Verb: mesh.Ping})
+				if err == nil {
+					c.elector.Hint(r.Leader, r.Term)
+				}
+				if name == leader {
+					c.reach.note(leader, unanswered(err))
+				}
+			})
 		}
-		c.reach.note(leader, missed)
+		wg.Wait()
 		c.sleep(ctx, tuning.ReachEvery)
 	}
 }
 
+// servePing answers a ping.
+func (c *Controller) servePing() mesh.Response {
+	name, term := c.elector.Holder()
+	return mesh.Response{Status: http.StatusOK, Leader: name, Term: term}
+}
+
 // unanswered tells whether a call ended because nothing at all came back.
 func unanswered(err error) bool {
 	var ne net.Error
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -319,7 +319,7 @@
 	case mesh.Promise:
 		return yesOrNo(c.elector.Promise(ctx))
 	case mesh.Ping:
-		return yesOrNo(true)
+		return c.servePing()
 	case mesh.NotLeading:
 		return yesOrNo(c.elector.NotLeading())
 	case mesh.Report:
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -69,6 +69,7 @@
 	validUntil time.Time // our right to act ends here, by the local steady clock
 	leader     string    // the member that leads, as far as we know
 	leaderTerm uint64    // its term
+	overTerm   uint64    // this term and the earlier ones are over, as far as we know
 
 	campaigning bool      // a campaign is on its way on whose success we would act
 	quietUntil  time.Time // we promised not to campaign before
@@ -120,9 +121,23 @@
 func (e *Elector) setLeader(name string, term uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if name == "" {
+		e.overTerm = max(e.overTerm, e.leaderTerm)
+	}
 	e.leader, e.leaderTerm = name, term
 }
 
+// Hint takes in who leads by another member's knowledge: the state service may
+// refuse us alone, and workers that come here must find the leader all the
+// same. No right to act hangs on it.
+func (e *Elector) Hint(name string, term uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if name != "" && term > e.leaderTerm && term > e.overTerm {
+		e.leader, e.leaderTerm = name, term
+	}
+}
+
 // publish sets our own right to act. sent is when the request that gained it
 // was sent: the lease cannot have begun earlier, and our clock may run fast or slow.
 func (e *Elector) publish(term uint64, sent time.Time) {
@@ -136,7 +151,11 @@
 func (e *Elector) clear() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.term, e.leader, e.unanswered = 0, "", false
+	e.overTerm = max(e.overTerm, e.term)
+	if e.leaderTerm <= e.term {
+		e.leader = "" // unless we heard of a later one
+	}
+	e.term, e.unanswered = 0, false
 	e.round++
 }
 
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -236,3 +236,35 @@
 		t.Errorf("acted for %v on void rounds", clock.Since(begun))
 	}
 }
+
+// Guards against members that send workers in a circle: two of three were
+// refused by the state service, one of them the old leader, and both named it
+// for as long as that lasted, while the third led.
+func TestWhoLeadsIsHeardFromOthers(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := New(nil, alone, "a", clock, slog.New(slog.DiscardHandler))
+	holds := func(want string, wantTerm uint64) {
+		t.Helper()
+		if name, term := e.Holder(); name != want || term != wantTerm && want != "" {
+			t.Errorf("leader %q of term %d, want %q of %d", name, term, want, wantTerm)
+		}
+	}
+	e.publish(3, clock.Now())
+	e.setLeader("a", 3)
+	e.Hint("b", 2) // by one that lags behind
+	e.Hint("", 9)
+	holds("a", 3)
+	clock.Advance(tuning.LeaseTTL) // renewals are refused: the right ends, the tenure does not
+	e.Hint("b", 4)
+	holds("b", 4)
+	if e.Valid(4) || e.Valid(3) {
+		t.Error("what is heard gives a right to act")
+	}
+	e.clear() // the own tenure's end comes later
+	holds("b", 4)
+	e.setLeader("", 0) // the state service says that nobody leads
+	e.Hint("b", 4)
+	holds("", 0)
+	e.Hint("c", 5)
+	holds("c", 5)
+}
--- a/internal/mesh/fb/Response.go
+++ b/internal/mesh/fb/Response.go
@@ -123,8 +123,28 @@
 	return false
 }
 
+func (rcv *Response) Leader() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Response) Term() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Response) MutateTerm(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(18, n)
+}
+
 func ResponseStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(8)
 }
 func ResponseAddSeq(builder *flatbuffers.Builder, seq uint64) {
 	builder.PrependUint64Slot(0, seq, 0)
@@ -147,6 +167,12 @@
 func ResponseStartPayloadVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(1, numElems, 1)
 }
+func ResponseAddLeader(builder *flatbuffers.Builder, leader flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(leader), 0)
+}
+func ResponseAddTerm(builder *flatbuffers.Builder, term uint64) {
+	builder.PrependUint64Slot(7, term, 0)
+}
 func ResponseEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -38,7 +38,7 @@
 	NotLeading = Verb(fb.VerbNotLeading) // whether a member does not lead
 	Report     = Verb(fb.VerbReport)     // a worker's report, to the leader
 	Submit     = Verb(fb.VerbSubmit)     // a submission, to any member
-	Ping       = Verb(fb.VerbPing)       // whether a member can be reached
+	Ping       = Verb(fb.VerbPing)       // whether a member can be reached, and who leads by its knowledge
 )
 
 // Request asks another member.
@@ -53,6 +53,8 @@
 	Status  int
 	Job     wire.JobStatus
 	Payload []byte // the body for the one who asked
+	Leader  string // answers a ping: who leads, and in which term
+	Term    uint64
 }
 
 // Handler answers a request.
@@ -96,6 +98,7 @@
 	b := flatbuffers.NewBuilder(128 + len(r.Payload))
 	payload := b.CreateByteVector(r.Payload)
 	state := b.CreateString(string(r.Job.State))
+	leader := b.CreateString(r.Leader)
 	fb.ResponseStart(b)
 	fb.ResponseAddSeq(b, seq)
 	fb.ResponseAddStatus(b, uint16(r.Status))
@@ -103,6 +106,8 @@
 	fb.ResponseAddDone(b, uint32(r.Job.Done))
 	fb.ResponseAddRunning(b, uint32(r.Job.Running))
 	fb.ResponseAddPayload(b, payload)
+	fb.ResponseAddLeader(b, leader)
+	fb.ResponseAddTerm(b, r.Term)
 	b.Finish(fb.ResponseEnd(b))
 	return frame(b)
 }
@@ -133,7 +138,7 @@
 		seq = m.Seq()
 		r = Response{Status: int(m.Status()), Job: wire.JobStatus{
 			State: wire.JobState(m.State()), Done: int(m.Done()), Running: int(m.Running()),
-		}, Payload: m.PayloadBytes()}
+		}, Payload: m.PayloadBytes(), Leader: string(m.Leader()), Term: m.Term()}
 	})
 	return seq, r, err
 }
