Many silent machines are kept: a cut ends

Ruled out: dead machines, which the cloud lists as failed.

A machine listed as running counts as silent, not as never up, and while 3 machines and 5 % of all are silent they are kept for 90 s instead of 20.

--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -279,18 +279,23 @@
 	}
 	var names []string
 	needed := l.needed(now)
+	release := l.silentRelease()
 	for _, m := range l.roster.Machines {
 		if m.Returning || len(m.Places) > 0 {
 			continue
 		}
 		var why string
 		switch {
+		case m.Heard.IsZero() && m.Up:
+			if now.Sub(m.Added) > stretched(l.workerLease())+release {
+				why = "silent"
+			}
 		case m.Heard.IsZero() && m.Session == 0:
 			if now.Sub(m.Rented) > l.bootTime(m.Type, tuning.BootGiveUp) && now.Sub(m.Added) > tuning.AdoptWait {
 				why = "never came up"
 			}
 		case !m.Alive():
-			if now.Sub(m.LeaseEnd) > tuning.SilentRelease {
+			if now.Sub(m.LeaseEnd) > release {
 				why = "silent"
 			}
 		case m.HasStrays():
@@ -312,6 +317,26 @@
 	l.deleteMachines(names)
 }
 
+func (l *leader) workerLease() time.Duration { return l.c.keeper.workerLease() }
+
+// silentRelease is how long machines may be silent after their leases before
+// they are returned. Many silent together are cut off, not dead, and are of
+// use again once the cut ends; the dead among them the cloud lists as failed.
+// After a takeover in a cut 74 machines of the other zone, listed as running,
+// were returned as never having come up.
+func (l *leader) silentRelease() time.Duration {
+	silent := 0
+	for _, m := range l.roster.Machines {
+		if !m.Alive() && (m.Up || m.Session > 0) {
+			silent++
+		}
+	}
+	if silent >= tuning.SilentMany && float64(silent) >= tuning.SilentManyShare*float64(len(l.roster.Machines)) {
+		return tuning.SilentReleaseMany
+	}
+	return tuning.SilentRelease
+}
+
 // deleteMachines deletes one batch at a time: what comes meanwhile waits for
 // the next, so that deletions take little of the cloud's rate.
 func (l *leader) deleteMachines(names []string) {
@@ -383,6 +408,9 @@
 				l.log.Info("machine found", "machine", lm.Name, "state", lm.State)
 			}
 		}
+		if m := l.roster.Machines[lm.Name]; m != nil {
+			m.Up = lm.State == wire.MachineRunning
+		}
 	}
 	if len(failed) > 0 {
 		l.log.Info("machines failed", "machines", failed)
--- a/internal/controller/rent_test.go
+++ b/internal/controller/rent_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"poppypass/internal/jobs"
 	"poppypass/internal/tuning"
@@ -57,3 +58,42 @@
 		t.Errorf("deleting %v, %v wait", l.fleet.deleting, l.fleet.doomed)
 	}
 }
+
+// Guards against a leader that returns half of the fleet because it is cut
+// off from it: machines that the cloud lists as running are of use again.
+func TestManySilentMachinesAreKeptForACut(t *testing.T) {
+	for _, c := range []struct {
+		silent int
+		keeps  time.Duration
+	}{{1, tuning.SilentRelease}, {10, tuning.SilentReleaseMany}} {
+		l, clock := leaderWith(t)
+		var listed []wire.ListedMachine
+		for i := range c.silent {
+			listed = append(listed, wire.ListedMachine{Name: fmt.Sprintf("n-%d", i), Type: "small", Zone: "a", State: wire.MachineRunning, AgeS: 600})
+		}
+		l.compare(listed, clock.Now())
+		returned := func() int {
+			for name := range l.roster.Machines { // the others report
+				if m := l.roster.Machines[name]; m.Session > 0 {
+					m.Heard, m.IdleSince = clock.Now(), clock.Now()
+				}
+			}
+			l.returnMachines(clock.Now())
+			n := 0
+			for _, m := range l.roster.Machines {
+				if m.Returning {
+					n++
+				}
+			}
+			return n
+		}
+		clock.Advance(l.workerLease() + c.keeps - time.Second)
+		if n := returned(); n != 0 {
+			t.Errorf("%d silent: %d returned too soon", c.silent, n)
+		}
+		clock.Advance(2 * time.Second)
+		if n := returned(); n != c.silent {
+			t.Errorf("%d silent: %d returned in the end", c.silent, n)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -61,6 +61,7 @@
 	Returning bool      // it gets no more tasks and is being deleted
 	Bad       bool      // tasks of several jobs failed on it
 	NoRoom    time.Time // it refused a task for room; not asked before
+	Up        bool      // the cloud lists it as running
 	Unlisted  int       // lists in a row that lacked it, since it was last listed or heard
 	errorsOf  map[string]bool
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -285,6 +285,11 @@
 	// SilentRelease is how long a machine may be silent after its lease ran
 	// out before it is returned.
 	SilentRelease = 20 * time.Second
+	// SilentReleaseMany is the same while at least SilentMany machines and
+	// SilentManyShare of all are silent: a cut, which rarely lasts a minute.
+	SilentReleaseMany = 90 * time.Second
+	SilentMany        = 3
+	SilentManyShare   = 0.05
 	// ForgetReleased is how long the name of a returned machine is remembered, against late messages.
 	ForgetReleased = 15 * time.Minute
 	// UnlistedLists is how many lists in a row must lack a silent machine before it counts as taken.
