--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -48,12 +48,15 @@
 		return
 	}
 	begun := c.clock.Now()
-	ctx, cancel := context.WithTimeout(r.Context(), tuning.SubmitWait)
+	// One deadline covers all that is tried, however many members there are.
+	all, cancel := context.WithTimeout(r.Context(), tuning.SubmitTotal)
 	defer cancel()
+	ctx, cancelOwn := context.WithTimeout(all, tuning.SubmitWait)
+	defer cancelOwn()
 	status, a, text := c.submit(ctx, body)
 	if status == http.StatusServiceUnavailable {
 		// The state service may refuse this member alone: others can accept.
-		if rs, ra, rt, ok := c.relaySubmission(r.Context(), body); ok {
+		if rs, ra, rt, ok := c.relaySubmission(all, body); ok {
 			status, a, text = rs, ra, rt
 		}
 	}
@@ -116,6 +119,9 @@
 	for _, name := range slices.SortedFunc(maps.Keys(c.endpoint), func(x, y string) int {
 		return cmp.Or(cmp.Compare(btoi(y == leader), btoi(x == leader)), cmp.Compare(x, y))
 	}) {
+		if ctx.Err() != nil {
+			break
+		}
 		r, err := c.peers.Call(ctx, c.endpoint[name], mesh.Request{Verb: mesh.Submit, Payload: body})
 		if err == nil && r.Status != http.StatusServiceUnavailable {
 			job, err := wire.ParseJob(body)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -96,6 +96,9 @@
 	// SubmitWait bounds how long a member tries to store a submission, our own
 	// rate limit included; then a peer is asked, or the user told to come back.
 	SubmitWait = 2 * time.Second
+	// SubmitTotal bounds a submission with all members that are asked in turn: a
+	// user waits 5 s, and is to be told when to come back.
+	SubmitTotal = 4 * time.Second
 	// PollWait bounds the search for an answer to a poll: a user waits 2 s.
 	PollWait = 1800 * time.Millisecond
 	// IdleTimeout closes a connection on which nothing is asked. Users poll
