--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -60,6 +60,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { silent.Close() })
+	l.c.settings.Cluster.State.ValueKB = 16
 	l.c.store = statestore.New(silent.Addr().String(), 1e6, 1e6)
 	peer, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
