A team's cap of 0 is no cap: guests' jobs are accepted

Cause: a guest comes with neither guarantee nor cap, and its cap of 0 was taken as a cap of nothing, so each of its jobs got 422.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 
@@ -50,7 +51,9 @@
 	Limits       Limits      `toml:"limits"`
 }
 
-// Team has a guarantee and a limit; a limit of 0 means none of it.
+// Team has a guarantee and a cap. In the file an amount of 0, or none, means
+// that there is none: no guarantee, or no cap. Load turns the latter into an
+// endless cap, so that nobody else has to know.
 type Team struct {
 	Name    string  `toml:"name"`
 	CPUs    float64 `toml:"cpus"`
@@ -108,9 +111,22 @@
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("settings %s: %w", path, err)
 	}
+	for i := range s.Cluster.Teams {
+		t := &s.Cluster.Teams[i]
+		t.CPUsMax, t.GPUsMax = endless(t.CPUsMax), endless(t.GPUsMax)
+	}
 	return &s, nil
 }
 
+// endless gives a cap that was not set: a guest team that comes with neither
+// guarantee nor cap had each of its jobs refused as beyond a cap of nothing.
+func endless(limit float64) float64 {
+	if limit == 0 {
+		return math.Inf(1)
+	}
+	return limit
+}
+
 func (s *Settings) check() error {
 	if s.Member == "" {
 		return errors.New("field member is missing")
@@ -141,8 +157,10 @@
 			return fmt.Errorf("field cluster.teams[%d].name is missing or doubled", i)
 		}
 		teams[t.Name] = true
-		if !(t.CPUs >= 0 && t.CPUsMax >= 0 && t.GPUs >= 0 && t.GPUsMax >= 0) {
-			return fmt.Errorf("field cluster.teams[%d]: an amount is negative", i)
+		for _, a := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if !(a >= 0) || math.IsInf(a, 1) {
+				return fmt.Errorf("field cluster.teams[%d]: an amount is negative or not finite", i)
+			}
 		}
 	}
 	if len(teams) == 0 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"math"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -51,6 +52,18 @@
 	}
 }
 
+// A guest team comes without amounts: it has no guarantee and no cap, rather
+// than a cap of nothing.
+func TestTeamWithoutAmountsHasNoCap(t *testing.T) {
+	s, err := Load(standin.File(t, "s.toml", good+"[[cluster.teams]]\nname = \"guest\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g := s.Cluster.Teams[1]; g.CPUs != 0 || !math.IsInf(g.CPUsMax, 1) || !math.IsInf(g.GPUsMax, 1) {
+		t.Errorf("the guest has %+v", g)
+	}
+}
+
 func TestLoadNamesTheBadField(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`member = "m0"`, ``, "member is missing"},
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -335,14 +335,11 @@
 		return 0
 	}
 	need := it.Need()
-	n := 0
-	probe := *t
-	for n < it.Waiting && probe.fits(need) {
-		probe.add(need)
-		n++
-		if need.CPUs == 0 && need.GPUs == 0 {
-			return it.Waiting
+	left := float64(it.Waiting)
+	for _, r := range [][2]float64{{t.CPUsMax - t.CPUs, need.CPUs}, {t.GPUsMax - t.GPUs, need.GPUs}} {
+		if r[1] > 0 {
+			left = min(left, math.Floor((r[0]+slack)/r[1]))
 		}
 	}
-	return n
+	return int(max(0, left))
 }
