Members use what others leave of the state service's limits

Cause: users' writes had fixed equal shares, so with tiny jobs (15 a second) members queued at 4.3 writes a second while the service did a quarter of what it may, and the shares of dead members lay idle. Ruled out: the service's own limits (0 refused). Each pace now grows to the whole limit while nothing is refused, and halves at a refusal, down to the old share.

--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -6,13 +6,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"poppypass/internal/httpjson"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -21,6 +20,8 @@
 var (
 	// ErrNotExecuted tells that the service refused a request without executing it.
 	ErrNotExecuted = errors.New("state service refused the request")
+	// ErrBusy tells that it refused it because of its limits.
+	ErrBusy = fmt.Errorf("%w: too many requests", ErrNotExecuted)
 	// ErrUnknown tells that a request may have been executed, or may still be.
 	ErrUnknown = errors.New("state service gave no usable answer")
 	// ErrNoLease tells that the lease has ended.
@@ -43,9 +44,10 @@
 	wps     float64
 	http    *http.Client
 	watches *http.Client
-	calls   *rate.Limiter
-	writes  *rate.Limiter
+	calls   *pace
+	writes  *pace
 	class   class
+	rest    func(context.Context) // after a refusal
 }
 
 // class tells how a call stands to our own limits.
@@ -75,7 +77,7 @@
 // Room is how many changes could be written now without using up more than
 // half of what may be written at once.
 func (c *Client) Room() int {
-	return int(c.writes.Tokens() - float64(c.writes.Burst())/2)
+	return int((c.writes.free() - 0.5) * float64(c.writes.limiter.Burst()))
 }
 
 // New makes a client; rps and writeRPS are the limits that all controllers share.
@@ -83,24 +85,17 @@
 	c := &Client{
 		base: "http://" + addr, rps: rps, wps: writeRPS,
 		http:    httpjson.NewClient(16, 8, tuning.StateTimeout),
-		watches: httpjson.NewClient(4, 2, tuning.StateTimeout),
+		watches: httpjson.NewClient(4, 2, tuning.StateTimeout), rest: rest,
 	}
 	return c.Share(1)
 }
 
-// limit is the rate and the burst of a share of a published limit. A limiter
-// made of it begins with all that may be used at once.
-func limit(published, share float64) (rate.Limit, int) {
-	own := published * share * tuning.LimitMargin
-	return rate.Limit(own), max(1, int(own))
-}
-
-// Share gives a client of the same service with limits of its own: a share of
-// the published ones.
+// Share gives a client of the same service with limits of its own: at least a
+// share of the published ones, and what others leave.
 func (c *Client) Share(share float64) *Client {
 	view := *c
-	view.calls = rate.NewLimiter(limit(c.rps, share))
-	view.writes = rate.NewLimiter(limit(c.wps, share))
+	now := time.Now()
+	view.calls, view.writes = newPace(c.rps, share, now), newPace(c.wps, share, now)
 	return &view
 }
 
@@ -111,7 +106,14 @@
 	switch {
 	case err != nil:
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
-	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+	case status == http.StatusTooManyRequests:
+		if path == wire.PathTxn {
+			c.writes.refused(time.Now())
+		} else {
+			c.calls.refused(time.Now())
+		}
+		return status, ErrBusy
+	case status == http.StatusServiceUnavailable:
 		return status, fmt.Errorf("%w: status %d", ErrNotExecuted, status)
 	}
 	return status, nil
@@ -128,10 +130,10 @@
 	if c.class == urgent {
 		return nil
 	}
-	if c.class == spare && c.calls.Tokens() < float64(c.calls.Burst())/2 {
+	if c.class == spare && c.calls.free() < 0.5 {
 		return fmt.Errorf("%w: our own limit is needed for others", ErrNotExecuted)
 	}
-	if err := c.calls.Wait(ctx); err != nil {
+	if err := c.calls.wait(ctx, 1); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotExecuted, err)
 	}
 	return nil
@@ -194,13 +196,35 @@
 }
 
 // Commit executes a transaction and returns its revision. The error is a
-// *Conflict, ErrNoLease, ErrMalformed, ErrNotExecuted or ErrUnknown.
+// *Conflict, ErrNoLease, ErrMalformed, ErrNotExecuted or ErrUnknown. One that
+// is refused because of the service's limits waits for another turn.
 func (c *Client) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	for {
+		revision, err := c.commitOnce(ctx, t)
+		if !errors.Is(err, ErrBusy) || c.class == urgent {
+			return revision, err
+		}
+		if c.rest(ctx); ctx.Err() != nil {
+			return 0, err
+		}
+	}
+}
+
+// rest is the pause of a refused transaction, which differs so that several
+// do not come back together.
+func rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(tuning.BusyPause/2 + rand.N(tuning.BusyPause)):
+	}
+}
+
+func (c *Client) commitOnce(ctx context.Context, t wire.Txn) (uint64, error) {
 	if err := c.wait(ctx); err != nil {
 		return 0, err
 	}
-	if n := min(len(t.Then), c.writes.Burst()); n > 0 && c.class != urgent {
-		if err := c.writes.WaitN(ctx, n); err != nil {
+	if len(t.Then) > 0 && c.class != urgent {
+		if err := c.writes.wait(ctx, len(t.Then)); err != nil {
 			return 0, fmt.Errorf("%w: %w", ErrNotExecuted, err)
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -62,9 +62,17 @@
 	// a watch has no limit of its own, a list page is 512 KiB.
 	MaxResponse = 4 << 20
 	// LeaderShare is the share of the state service's limits that the leader's
-	// loop may use. All members, the leading one too, divide the rest for what
-	// users ask of them: a submission must not wait behind hundreds of starts.
+	// loop may use in any case. All members, the leading one too, divide the rest
+	// for what users ask of them: a submission must not wait behind hundreds of
+	// starts. Each may use more while the service refuses nothing.
 	LeaderShare = 0.6
+	// PaceRecover is how long our own limit takes to grow from its share to the
+	// whole of the published limit: the refusals in between tell where the others are.
+	PaceRecover = 4 * time.Second
+	// PaceBurst times a second's share may be used at once.
+	PaceBurst = 2.0
+	// BusyPause is about how long a refused transaction waits before its next turn.
+	BusyPause = 60 * time.Millisecond
 	// CloudLeaderShare is the same for the cloud, of which followers only ask
 	// the machine types, once a minute.
 	CloudLeaderShare = 0.85
