A job that has only ever failed is on trial: one task at a time, nothing makes room for it

Cause: all tasks of a job with a mistake were started at once, again and again (177 starts of one job), the machine was blamed until the job had failed on three, and a guarantee or a long wait could stop others' work for it. Failures now count against a machine only for jobs that work elsewhere, and against none on which tasks complete; tries in vain are stored, so that a new leader does not begin with a wave again.

--- a/internal/controller/consolidate.go
+++ b/internal/controller/consolidate.go
@@ -58,7 +58,7 @@
 func (l *leader) shortOfRoom(now time.Time) []*placement.Item {
 	items, _ := l.items(now)
 	teams := l.teams()
-	return slices.DeleteFunc(items, func(it *placement.Item) bool { return placement.Left(it, teams) == 0 })
+	return slices.DeleteFunc(items, func(it *placement.Item) bool { return it.Trial || placement.Left(it, teams) == 0 })
 }
 
 // giveBack ends the emptying of machines that have room for what waits.
--- a/internal/controller/errors_test.go
+++ b/internal/controller/errors_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"poppypass/internal/fleet"
 	"poppypass/internal/jobs"
 	"poppypass/internal/roster"
 	"poppypass/internal/tuning"
@@ -16,56 +17,83 @@
 	l.settle([]roster.Outcome{{Place: p, Why: why}}, l.c.clock.Now())
 }
 
+// A machine is bad on which jobs fail that work elsewhere, and none completes.
 func TestAMachineOnWhichSeveralJobsFailIsBad(t *testing.T) {
-	l, _ := leaderWith(t)
+	l, clock := leaderWith(t)
 	for i := range tuning.BadMachineJobs {
 		if l.roster.Machines["n-large"].Bad {
 			t.Fatalf("bad after %d jobs", i)
 		}
 		l.ends(l.runs(t, fmt.Sprintf("job-%d", i), "n-large", 1), wire.WhyError)
+		again := l.runs(t, fmt.Sprintf("job-%d", i), "n-small", 1)
+		clock.Advance(tuning.WorksAfter)
+		l.items(clock.Now())
+		if again.Job.Tries != 0 {
+			t.Error("a job that works is still on trial")
+		}
 	}
 	if !l.roster.Machines["n-large"].Bad || l.roster.Machines["n-small"].Bad {
 		t.Error("the faulty machine is not told from the good one")
 	}
+	m := l.roster.Machines["n-small"]
+	m.NoteError("job-8")
+	l.ends(l.runs(t, "job-9", "n-small", 1), wire.WhyDone)
+	if m.NoteError("job-10"); m.Bad {
+		t.Error("a machine on which tasks complete is held to be faulty")
+	}
 }
 
-// Guards against a job submitted with a mistake, which fails on every machine:
-// it must not make them look faulty, nor have machines rented for it, and it
-// is tried ever more seldom.
-func TestAJobThatFailsEverywhereHarmsNobody(t *testing.T) {
+// Guards against jobs submitted with a mistake, which fail on every machine:
+// they must not make one look faulty, nor have machines rented, tasks stopped
+// or room kept for them, and each is tried with one task at a time, ever more seldom.
+func TestJobsThatFailEverywhereHarmNobody(t *testing.T) {
 	l, clock := leaderWith(t)
-	p := l.runs(t, "job-1", "n-large", 1)
-	j := p.Job
-	j.Kind = wire.KindArray
-	var pause time.Duration
-	for i := range 8 {
-		l.ends(p, wire.WhyError)
-		m := fmt.Sprintf("n-%d", i)
-		l.roster.Know(m, "small", "a", false, clock.Now(), clock.Now())
-		p = l.book.Place(j, 0, m, "a", 1, clock.Now())
-		l.roster.Add(p, clock.Now())
-		if i < tuning.BadJobMachines {
-			continue
+	for _, id := range []string{"job-1", "job-2"} {
+		p := l.runs(t, id, "n-large", 1)
+		j := p.Job
+		l.fleet.recent = append(l.fleet.recent, fleet.Arrival{At: clock.Now(), Job: &j.Job})
+		j.Kind = wire.KindArray
+		j.Tasks = append(j.Tasks, make([]jobs.Task, 3)...)
+		for range 8 {
+			pause := j.PauseUntil.Sub(clock.Now())
+			for _, m := range []string{"n-large", "n-small"} { // a wave is one try
+				l.ends(p, wire.WhyError)
+				p = l.book.Place(j, 0, m, "a", 1, clock.Now())
+				l.roster.Add(p, clock.Now())
+			}
+			l.ends(p, wire.WhyError)
+			next := j.PauseUntil.Sub(clock.Now())
+			if next < pause || next > tuning.ErrorPauseMax {
+				t.Fatalf("pause %v after %v", next, pause)
+			}
+			clock.Advance(next)
+			items, _ := l.items(clock.Now())
+			if len(items) == 0 || !items[len(items)-1].Trial || items[len(items)-1].Waiting != 1 {
+				t.Fatalf("it is tried as %+v", items)
+			}
+			p = l.book.Place(j, 0, "n-large", "a", 1, clock.Now())
+			l.roster.Add(p, clock.Now())
 		}
-		next := j.PauseUntil.Sub(clock.Now())
-		if next < pause || next > tuning.ErrorPauseMax {
-			t.Fatalf("pause %v after %v", next, pause)
+		l.ends(p, wire.WhyError)
+		if j.Tries != 9 || j.PauseUntil.Sub(clock.Now()) != tuning.ErrorPauseMax {
+			t.Errorf("%d tries, and a pause of %v", j.Tries, j.PauseUntil.Sub(clock.Now()))
 		}
-		pause = next
-	}
-	if pause < 4*tuning.ErrorPause {
-		t.Errorf("the pause is only %v after many failures", pause)
 	}
 	for name, m := range l.roster.Machines {
 		if m.Bad {
 			t.Errorf("%s is held to be faulty", name)
 		}
 	}
-	l.ends(p, wire.WhyError)
 	clock.Advance(tuning.ErrorPauseMax)
 	if l.rent(clock.Now()); len(l.fleet.asked) != 0 {
 		t.Errorf("rents for it: %v", l.fleet.asked)
 	}
+	if short := l.shortOfRoom(clock.Now()); len(short) != 0 {
+		t.Errorf("makes room for it: %+v", short)
+	}
+	if a := l.arrivals(clock.Now()); len(a) != 0 {
+		t.Errorf("%d such jobs are expected to come", len(a))
+	}
 }
 
 func TestRefusedStartsWaitAgain(t *testing.T) {
--- /dev/null
+++ b/internal/controller/failures.go
@@ -0,0 +1,79 @@
+package controller
+
+import (
+	"time"
+
+	"poppypass/internal/fleet"
+	"poppypass/internal/jobs"
+	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
+)
+
+// failed takes in a task's failure. Mostly the machine is to blame, and the
+// job avoids it. But as long as no task of the job works, the job itself may
+// be: it is on trial, and its failures count against no machine. Two jobs
+// submitted with a mistake used to have healthy machines emptied.
+func (l *leader) failed(p *jobs.Place, now time.Time) {
+	j := p.Job
+	j.Avoid[p.Machine] = now.Add(tuning.AvoidFor)
+	l.book.Failed(j, now)
+	if ran := !p.Running.IsZero() && now.Sub(p.Running) >= tuning.WorksAfter; ran {
+		l.acquit(j)
+	} else if l.onTrial(j, now) {
+		return
+	}
+	l.blame(j)
+	if n := len(j.Avoid); n >= tuning.BadJobMachines {
+		j.PauseUntil = now.Add(min(tuning.ErrorPause<<min(j.Errors-tuning.BadJobMachines, 10), tuning.ErrorPauseMax))
+	}
+}
+
+// onTrial tells whether a job has only ever failed. It is tried with one task
+// at a time, after growing pauses. Nothing makes room for it: no machine is
+// rented, no task stopped, no room kept, and it holds no machine as the head.
+func (l *leader) onTrial(j *jobs.Job, now time.Time) bool {
+	if j.Tries == 0 {
+		return false
+	}
+	if j.SeenWorking(now) {
+		l.acquit(j)
+		return false
+	}
+	return true
+}
+
+// acquit ends a job's trial: the machines on which it failed are to blame.
+func (l *leader) acquit(j *jobs.Job) {
+	l.book.Works(j)
+	l.blame(j)
+}
+
+func (l *leader) blame(j *jobs.Job) {
+	for name := range j.Avoid {
+		if m := l.roster.Machines[name]; m != nil {
+			m.NoteError(j.ID)
+		}
+	}
+}
+
+// completed takes in that a task completed: its job works, and so does its machine.
+func (l *leader) completed(p *jobs.Place, m *roster.Machine) {
+	if p.Job.Tries > 0 {
+		l.acquit(p.Job)
+	}
+	if m != nil {
+		m.NoteDone()
+	}
+}
+
+// arrivals are the jobs that came of late, as a guide to those to come; one on
+// trial is none.
+func (l *leader) arrivals(now time.Time) []fleet.Arrival {
+	out := make([]fleet.Arrival, 0, len(l.fleet.recent))
+	for _, a := range l.fleet.recent {
+		if j := l.book.Jobs[a.Job.ID]; j == nil || !l.onTrial(j, now) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -106,7 +106,7 @@
 
 // expected is the work to keep room for, by what came of late.
 func (l *leader) expected(now time.Time) []*placement.Item {
-	return fleet.Expected(now, l.fleet.recent, l.horizon(), func(class string) float64 {
+	return fleet.Expected(now, l.arrivals(now), l.horizon(), func(class string) float64 {
 		share, _ := l.promptness(class)
 		return share
 	})
@@ -116,7 +116,7 @@
 // promptly: work of lower priority does not get the last room before it, only
 // to be stopped for it.
 func (l *leader) reserved(now time.Time) []*placement.Item {
-	items := fleet.Expected(now, l.fleet.recent, min(tuning.ReserveFor, l.horizon()), func(class string) float64 {
+	items := fleet.Expected(now, l.arrivals(now), min(tuning.ReserveFor, l.horizon()), func(class string) float64 {
 		share, _ := l.promptness(class)
 		return share
 	})
@@ -143,8 +143,7 @@
 	}
 	items, _ := l.items(now)
 	for _, it := range items {
-		// No machine is rented for a job that fails wherever it runs.
-		if j := l.book.Jobs[it.Job.ID]; len(j.Avoid) < tuning.BadJobMachines {
+		if !it.Trial {
 			it.Thrifty = !it.Prompt && now.Sub(it.Since) < tuning.ThriftyFor
 			in.Items = append(in.Items, it)
 		}
--- a/internal/controller/leader_place.go
+++ b/internal/controller/leader_place.go
@@ -53,7 +53,7 @@
 	for _, it := range items {
 		j := byID[it.Job.ID]
 		patience, ok := l.c.patience(it.Job.Class)
-		if ok && it.Waiting > 0 && !now.Before(j.MakingRoom) && now.Sub(it.Since) >= seconds(patience*tuning.PreemptShare) {
+		if ok && it.Waiting > 0 && !it.Trial && !now.Before(j.MakingRoom) && now.Sub(it.Since) >= seconds(patience*tuning.PreemptShare) {
 			due = append(due, it)
 		}
 	}
@@ -115,19 +115,27 @@
 	var items []*placement.Item
 	byID := map[string]*jobs.Job{}
 	for _, j := range l.book.Jobs {
+		trial := l.onTrial(j, now) // also for what it ends
 		if !j.Open() || j.Waiting() == 0 || now.Before(j.PauseUntil) {
 			continue
 		}
-		byID[j.ID] = j
 		_, prompt := l.promptness(j.Class)
-		items = append(items, &placement.Item{
+		it := &placement.Item{
 			Job: &j.Job, Since: j.WaitSince, Waiting: j.Waiting(), Started: j.Placed + j.Done, Zones: zonesOf(j),
 			Prompt: prompt,
 			Avoid: func(machine string) bool {
 				// A job that fails everywhere may go anywhere.
 				return len(j.Avoid) < tuning.BadJobMachines && now.Before(j.Avoid[machine])
 			},
-		})
+		}
+		if trial {
+			if j.Placed > 0 {
+				continue
+			}
+			it.Trial, it.Waiting, it.Since = true, 1, now
+		}
+		byID[j.ID] = j
+		items = append(items, it)
 	}
 	return items, byID
 }
--- a/internal/controller/leader_tasks.go
+++ b/internal/controller/leader_tasks.go
@@ -132,15 +132,16 @@
 		}
 		l.roster.Remove(p, now)
 		l.changed = true
+		m := l.roster.Machines[p.Machine]
 		if o.Why == wire.WhyDone {
 			l.book.Finished(p, now)
+			l.completed(p, m)
 			continue
 		}
 		l.book.Gone(p, now)
-		m := l.roster.Machines[p.Machine]
 		switch o.Why {
 		case wire.WhyError:
-			l.failed(p, m, now)
+			l.failed(p, now)
 		case wire.WhyNoRoom:
 			// Something that we do not see takes room there; ask again later.
 			if m != nil {
@@ -156,28 +157,6 @@
 	}
 }
 
-// failed takes in a task's failure. Mostly the machine is to blame: the job
-// avoids it. A job that fails on several machines is to blame itself: it
-// waits longer and longer, and no machine is held to be bad because of it.
-func (l *leader) failed(p *jobs.Place, m *roster.Machine, now time.Time) {
-	j := p.Job
-	j.Errors++
-	j.Avoid[p.Machine] = now.Add(tuning.AvoidFor)
-	if len(j.Avoid) < tuning.BadJobMachines {
-		if m != nil {
-			m.NoteError(j.ID)
-		}
-		return
-	}
-	for name := range j.Avoid {
-		if m := l.roster.Machines[name]; m != nil {
-			m.ClearError(j.ID)
-		}
-	}
-	shift := min(j.Errors-tuning.BadJobMachines, 10)
-	j.PauseUntil = now.Add(min(tuning.ErrorPause<<shift, tuning.ErrorPauseMax))
-}
-
 // drainSpot empties a machine that the cloud will soon take: tasks that can
 // save do, and those that will not end in time move at once.
 func (l *leader) drainSpot(m *roster.Machine, now time.Time) {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -73,6 +73,7 @@
 	PauseUntil time.Time // no task is placed before, after failures
 	MakingRoom time.Time // until then, what was stopped for it is on its way out
 	Errors     int
+	Tries      int                  // in vain, since a task of it last worked
 	Avoid      map[string]time.Time // machines on which a task of it failed, until when
 
 	version      uint64 // of the stored job
@@ -200,6 +201,10 @@
 		return nil, fmt.Errorf("progress record %s is malformed", item.Key)
 	}
 	j.chunks[n].version = item.Version
+	if r.Tries > 0 {
+		j.Tries = r.Tries
+		j.PauseUntil = now.Add(tryPause(j.Tries))
+	}
 	for _, i := range done {
 		if i < len(j.Tasks) && j.Tasks[i].State != Done {
 			j.Tasks[i].State = Done
@@ -488,6 +493,9 @@
 		}
 	}
 	r.Done = encodeRanges(done)
+	if n == 0 {
+		r.Tries = j.Tries
+	}
 	return mustJSON(r), places
 }
 
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -116,6 +116,33 @@
 	}
 }
 
+// Guards against a new leader that begins with all tasks of a job that has
+// only ever failed, on as many machines.
+func TestTriesInVainAreStored(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 2*tuning.ChunkTasks)
+	b, _ := s.load(12)
+	j := b.Jobs["job-1"]
+	for i := range 3 { // each a try, since the pause of the one before is over
+		now := t0.Add(time.Duration(i) * time.Hour)
+		p := b.Place(j, tuning.ChunkTasks+1, "n-1", "a", 1, now)
+		b.Gone(p, now)
+		b.Failed(j, now)
+		b.Failed(j, now) // another of the same wave
+	}
+	s.flush(b)
+	b, _ = s.load(12)
+	if j := b.Jobs["job-1"]; j.Tries != 3 || j.PauseUntil.Sub(t0) != 4*tuning.ErrorPause {
+		t.Errorf("%d tries and a pause of %v are known", j.Tries, j.PauseUntil.Sub(t0))
+	}
+	b.Works(b.Jobs["job-1"])
+	b.lazy(t0)
+	s.flush(b)
+	if b, _ = s.load(12); b.Jobs["job-1"].Tries != 0 {
+		t.Error("a job that worked is on trial again")
+	}
+}
+
 // Guards against an attempt that is used twice: a worker that knows an attempt
 // ignores its start, and one that forgot it would run the task again.
 func TestAttemptsNeverRepeat(t *testing.T) {
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -59,6 +59,7 @@
 type chunkRecord struct {
 	Done  string      `json:"d,omitempty"`
 	Tasks []taskEntry `json:"t,omitempty"`
+	Tries int         `json:"f,omitempty"` // of the whole job, in vain; in its first chunk
 }
 
 type taskEntry struct {
--- /dev/null
+++ b/internal/jobs/tries.go
@@ -0,0 +1,51 @@
+package jobs
+
+import (
+	"time"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Failed records that a task of a job failed. What fails of one wave counts
+// as one try: a job that is submitted with a mistake has all its tasks fail at
+// once. The count is stored, so that a new leader does not begin with a wave
+// again.
+func (b *Book) Failed(j *Job, now time.Time) {
+	j.Errors++
+	if now.Before(j.PauseUntil) {
+		return
+	}
+	j.Tries++
+	j.PauseUntil = now.Add(tryPause(j.Tries))
+	b.touch(j, 0)
+	b.lazy(now)
+}
+
+// Works records that a task of the job works: it is not to blame.
+func (b *Book) Works(j *Job) {
+	if j.Tries > 0 {
+		j.Tries = 0
+		j.PauseUntil = time.Time{}
+		b.touch(j, 0)
+	}
+}
+
+// SeenWorking tells whether a task of the job has completed or has run for a
+// while: tasks of a job with a mistake fail as soon as they start.
+func (j *Job) SeenWorking(now time.Time) bool {
+	if j.Done > 0 {
+		return true
+	}
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil && p.State == wire.TaskRunning && now.Sub(p.Running) >= tuning.WorksAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// tryPause is how long a job waits after some tries in vain.
+func tryPause(tries int) time.Duration {
+	return min(tuning.ErrorPause<<min(max(tries-1, 0), 10), tuning.ErrorPauseMax)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -62,6 +62,7 @@
 	Avoid   func(machine string) bool
 	Prompt  bool // it is to start sooner than a machine boots
 	Thrifty bool // no dearer kind of machine is to be rented for it yet
+	Trial   bool // its job has only ever failed: nothing makes room for it
 	Ghost   bool // work that is expected: it takes room from lower priorities, and is not placed
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -125,20 +125,19 @@
 	return sum <= cacheGB
 }
 
-// NoteError counts a failed task; many jobs failing on a machine make it bad.
+// NoteError counts a failed task of a job that works elsewhere; several such
+// jobs failing on a machine make it bad.
 func (m *Machine) NoteError(job string) {
 	if m.errorsOf == nil {
 		m.errorsOf = map[string]bool{}
 	}
 	m.errorsOf[job] = true
-	m.Bad = len(m.errorsOf) >= tuning.BadMachineJobs
+	m.Bad = m.Bad || len(m.errorsOf) >= tuning.BadMachineJobs
 }
 
-// ClearError takes back a failure whose job turned out to be to blame.
-func (m *Machine) ClearError(job string) {
-	delete(m.errorsOf, job)
-	m.Bad = len(m.errorsOf) >= tuning.BadMachineJobs
-}
+// NoteDone takes in that a task completed on the machine: what failed there
+// before does not count against it.
+func (m *Machine) NoteDone() { clear(m.errorsOf) }
 
 // Roster holds the machines.
 type Roster struct {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,8 +157,11 @@
 	ErrorPause = 2 * time.Second
 	// ErrorPauseMax bounds it.
 	ErrorPauseMax = 60 * time.Second
-	// BadJobMachines is on how many machines a job must fail to be blamed itself.
+	// BadJobMachines is on how many machines a job must fail so that it avoids none.
 	BadJobMachines = 3
+	// WorksAfter is how long a task must have run so that its job is not to blame
+	// for failures: tasks of a job with a mistake fail when they start.
+	WorksAfter = 5 * time.Second
 	// NoRoomPause is how long a machine that refused a task for room gets none.
 	NoRoomPause = 2 * time.Second
 	// ImagesKnown bounds what is remembered of a machine's images, in names: more
