Calls to a silent member fail at once; no rental or deletion without the right to act

Walk through freezes: all rights that are checked and then used are counted from before the request, but deletions were sent after a thaw without a look at the right, and could take machines the next leader uses.

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -40,7 +40,11 @@
 	nextPass time.Time
 }
 
-var errTenureOver = errors.New("the tenure is over")
+var (
+	errTenureOver = errors.New("the tenure is over")
+	// errDeposed tells that the leader key is another's, as after standing still.
+	errDeposed = errors.New("the leader key is another's")
+)
 
 // lead runs the leader's loop until the tenure is lost.
 func (c *Controller) lead(ctx context.Context, t leadership.Tenure) {
@@ -59,7 +63,10 @@
 		go c.storeTypes(ctx, types)
 	}
 	l.run(ctx)
-	if cause := context.Cause(ctx); cause != nil && !errors.Is(cause, context.Canceled) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errDeposed):
+		l.log.Info("another leads", "err", cause)
+	case cause != nil && !errors.Is(cause, context.Canceled):
 		l.log.Error("leadership given up", "err", cause)
 	}
 }
--- a/internal/controller/leader_fleet.go
+++ b/internal/controller/leader_fleet.go
@@ -246,7 +246,7 @@
 // one may have been executed, and the same name gives the same machines.
 func (l *leader) rental(name string, w fleet.Want) {
 	req := wire.Rent{Request: name, Type: w.Type, Zone: w.Zone, Spot: w.Spot, Count: w.Count}
-	for l.ended.Err() == nil {
+	for l.mayCall() {
 		names, err := l.c.cloud.Rent(l.ended, req)
 		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
 			l.log.Debug("rental repeated", "request", name, "err", err)
@@ -271,6 +271,16 @@
 	}
 }
 
+// mayCall waits until the right to act is there, and tells whether it ever is.
+// A leader that stood still must not delete machines on which the next one has
+// placed tasks meanwhile.
+func (l *leader) mayCall() bool {
+	for l.ended.Err() == nil && !l.c.elector.Valid(l.tenure.Term) {
+		l.c.sleep(l.ended, tuning.Tick)
+	}
+	return l.ended.Err() == nil
+}
+
 // returnMachines gives back what is idle, never came up, or fell silent.
 func (l *leader) returnMachines(now time.Time) {
 	if l.fleet.deleting {
@@ -347,7 +357,7 @@
 	l.fleet.doomed = slices.Clone(l.fleet.doomed[len(part):])
 	l.fleet.deleting = true
 	go func() {
-		for l.ended.Err() == nil {
+		for l.mayCall() {
 			if err := l.c.cloud.Delete(l.ended, part); err != nil {
 				l.log.Debug("deletion repeated", "err", err)
 				l.c.sleep(l.ended, tuning.CloudRetry)
--- a/internal/controller/leader_records.go
+++ b/internal/controller/leader_records.go
@@ -152,7 +152,7 @@
 		switch {
 		case errors.As(err, &conflict):
 			if slices.Contains(conflict.Failed, l.tenure.Guard.Key) {
-				return 0, fmt.Errorf("the leader key is another's: %w", err)
+				return 0, fmt.Errorf("%w: %w", errDeposed, err)
 			}
 			if !unsure {
 				return 0, fmt.Errorf("records were changed by another: %w", err)
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -100,7 +100,7 @@
 // unanswered tells whether a call ended because nothing at all came back.
 func unanswered(err error) bool {
 	var ne net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+	return errors.Is(err, mesh.ErrSilent) || errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
 }
 
 // wayBack is how long a worker takes at most that is sent to the leader, does
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -193,14 +193,23 @@
 	}
 }
 
+// ErrSilent tells that a peer did not answer in time, now or the last time it
+// was asked.
+var ErrSilent = errors.New("the peer is silent")
+
 // Client sends requests to peers, over one connection to each.
 type Client struct {
-	mu    sync.Mutex
-	conns map[string]*clientConn
+	timeout time.Duration
+
+	mu     sync.Mutex
+	conns  map[string]*clientConn
+	silent map[string]bool // peers that let a whole call's time pass without an answer
 }
 
 // NewClient makes a client.
-func NewClient() *Client { return &Client{conns: map[string]*clientConn{}} }
+func NewClient() *Client {
+	return &Client{timeout: tuning.RelayTimeout, conns: map[string]*clientConn{}, silent: map[string]bool{}}
+}
 
 type clientConn struct {
 	ready   chan struct{} // closed when dialled
@@ -212,10 +221,44 @@
 	dead    bool
 }
 
-// Call sends a request to the peer at addr and waits for its answer.
+// Call sends a request to the peer at addr and waits for its answer. A peer that
+// stands still or is cut off is found silent once; until it answers a ping
+// again, other calls to it fail at once, rather than have every poll and every
+// report wait out the time limit.
 func (c *Client) Call(ctx context.Context, addr string, r Request) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, tuning.RelayTimeout)
+	if r.Verb != Ping && c.isSilent(addr) {
+		return Response{}, ErrSilent
+	}
+	own, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	resp, err := c.call(own, addr, r)
+	switch {
+	case err == nil:
+		c.setSilent(addr, false)
+	case own.Err() != nil && ctx.Err() == nil && r.Verb.prompt():
+		c.setSilent(addr, true)
+		err = fmt.Errorf("%w: %w", ErrSilent, err)
+	}
+	return resp, err
+}
+
+// prompt tells whether the verb is answered from memory. Others may wait for
+// the state service, which says nothing of the peer.
+func (v Verb) prompt() bool { return v == Ping || v == Report }
+
+func (c *Client) isSilent(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent[addr]
+}
+
+func (c *Client) setSilent(addr string, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[addr] = silent
+}
+
+func (c *Client) call(ctx context.Context, addr string, r Request) (Response, error) {
 	cc := c.connection(addr)
 	select {
 	case <-cc.ready:
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -71,3 +74,49 @@
 		t.Errorf("afterwards: %+v, %v", r, err)
 	}
 }
+
+// Guards against polls and reports that each wait out the time limit for a
+// member that stands still: after the first, calls to it fail at once, until
+// it answers a ping again.
+func TestASilentPeerIsNotWaitedForTwice(t *testing.T) {
+	answering := make(chan struct{})
+	var reports atomic.Int32
+	addr := listen(t, func(ctx context.Context, r Request) Response {
+		if r.Verb == Report {
+			reports.Add(1)
+		}
+		select {
+		case <-answering:
+		case <-ctx.Done():
+		}
+		return Response{Status: 200}
+	})
+	c := NewClient()
+	c.timeout = 10 * time.Millisecond
+	call := func(v Verb) error {
+		_, err := c.Call(t.Context(), addr, Request{Verb: v})
+		return err
+	}
+	if err := call(Submit); err == nil || errors.Is(err, ErrSilent) {
+		t.Errorf("a verb that may wait for others: %v", err)
+	}
+	if err := call(Ping); !errors.Is(err, ErrSilent) {
+		t.Errorf("a ping without an answer: %v", err)
+	}
+	for range 10 {
+		if err := call(Report); !errors.Is(err, ErrSilent) {
+			t.Errorf("a call to a silent peer: %v", err)
+		}
+	}
+	close(answering)
+	c.timeout = time.Minute
+	if err := call(Ping); err != nil {
+		t.Errorf("it answers again: %v", err)
+	}
+	if err := call(Report); err != nil {
+		t.Errorf("after it answered: %v", err)
+	}
+	if n := reports.Load(); n != 1 {
+		t.Errorf("%d reports were sent, all but one to a silent peer", n)
+	}
+}
