A member that was present for long campaigns without a voucher

A leader counts only on the silence of a member whose key it saw missing: that one is back too late.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -20,32 +20,50 @@
 	return mesh.Response{Status: http.StatusConflict}
 }
 
-// ask asks every other member at once and hands on each answer: its status, 0
-// for a member that gave none.
-func (c *Controller) ask(ctx context.Context, req mesh.Request) <-chan int {
-	answers := make(chan int, len(c.endpoint))
-	for _, addr := range c.endpoint {
+// peerAnswer is a member's answer: its status, 0 if it gave none.
+type peerAnswer struct {
+	name   string
+	status int
+}
+
+// ask asks every other member at once and hands on each answer.
+func (c *Controller) ask(ctx context.Context, req mesh.Request) <-chan peerAnswer {
+	answers := make(chan peerAnswer, len(c.endpoint))
+	for name, addr := range c.endpoint {
 		go func() {
 			r, err := c.peers.Call(ctx, addr, req)
 			if err != nil {
 				r.Status = 0
 			}
-			answers <- r.Status
+			answers <- peerAnswer{name, r.Status}
 		}()
 	}
 	return answers
 }
 
+// anyOf tells whether a member answers 200.
+func (c *Controller) anyOf(ctx context.Context, req mesh.Request) bool {
+	answers := c.ask(ctx, req)
+	for range c.endpoint {
+		if (<-answers).status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
 // Promise asks all other members neither to campaign nor to vouch for a while.
 func (c *Controller) Promise(ctx context.Context, term uint64) (p leadership.Promises) {
 	answers := c.ask(ctx, mesh.Request{Verb: mesh.Promise, Number: term})
 	for range c.endpoint {
-		switch <-answers {
+		switch a := <-answers; a.status {
 		case http.StatusOK:
-		case http.StatusConflict:
-			p.Refused++
+		case http.StatusAccepted:
+			p.Forgetful++
+		case 0:
+			p.Silent = append(p.Silent, a.name)
 		default:
-			p.Silent++
+			p.Refused++
 		}
 	}
 	return p
@@ -55,7 +73,7 @@
 func (c *Controller) NobodyLeads(ctx context.Context) bool {
 	answers := c.ask(ctx, mesh.Request{Verb: mesh.NotLeading})
 	for range c.endpoint {
-		if <-answers != http.StatusOK {
+		if (<-answers).status != http.StatusOK {
 			return false
 		}
 	}
@@ -64,23 +82,23 @@
 
 // Vouch asks all other members whether one vouches that a term is over.
 func (c *Controller) Vouch(ctx context.Context, term uint64) bool {
-	answers := c.ask(ctx, mesh.Request{Verb: mesh.Vouch, Number: term})
-	for range c.endpoint {
-		if <-answers == http.StatusOK {
-			return true
-		}
-	}
-	return len(c.endpoint) == 0
+	return len(c.endpoint) == 0 || c.anyOf(ctx, mesh.Request{Verb: mesh.Vouch, Number: term})
 }
 
 // Yield has the other members end the lease of this one, which gave up its right.
 func (c *Controller) Yield(ctx context.Context, lease uint64) {
-	answers := c.ask(ctx, mesh.Request{Verb: mesh.Yield, Number: lease})
-	for range c.endpoint {
-		if <-answers == http.StatusOK {
-			return
+	c.anyOf(ctx, mesh.Request{Verb: mesh.Yield, Number: lease})
+}
+
+// Silent names the members that do not answer of late.
+func (c *Controller) Silent() []string {
+	var names []string
+	for name, addr := range c.endpoint {
+		if c.peers.Silent(addr) {
+			names = append(names, name)
 		}
 	}
+	return names
 }
 
 // servePromise answers a leader that asks for our promise.
@@ -88,8 +106,8 @@
 	switch c.elector.Promise(ctx, term) {
 	case leadership.Promised:
 		return mesh.Response{Status: http.StatusOK}
-	case leadership.Unable:
-		return mesh.Response{Status: http.StatusServiceUnavailable}
+	case leadership.Forgetful:
+		return mesh.Response{Status: http.StatusAccepted}
 	}
 	return mesh.Response{Status: http.StatusConflict}
 }
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -63,25 +63,23 @@
 	mu         sync.Mutex
 	term       uint64    // of our own tenure; 0: we do not lead
 	validUntil time.Time // our right to act ends here, by the local steady clock
-	renewed    time.Time // when the request was sent that gave the lease its time
 	lease      uint64
 	yielded    chan struct{} // closed when our own tenure was given up
 	leader     string        // the member that leads, as far as we know
 	leaderTerm uint64        // its term
 	overTerm   uint64        // this term and the earlier ones are over, as far as we know
 
-	campaigning bool      // a campaign is on its way on whose success we would act
-	quietUntil  time.Time // we promised neither to campaign nor to vouch before
-	born        time.Time // until then, an earlier process of this member may have promised
-	sure        time.Time // until then, one may have vouched
-	sureTerm    uint64    // the last term that was read as leading since then
-	vouched     uint64    // we vouched that this term is over; no promise for it or an earlier one
-	round       uint64    // of asking the peers for promises; a newer one voids it
-	failures    int       // renewals in a row without success
-
-	// These belong to Run's goroutine.
-	vacantTerm  uint64 // the term after which the leader key is seen vacant
-	vacantSince time.Time
+	campaigning bool                 // a campaign is on its way on whose success we would act
+	quietUntil  time.Time            // we promised neither to campaign nor to vouch before
+	born        time.Time            // until then, an earlier process of this member may have promised
+	sure        time.Time            // until then, one may have vouched
+	sureTerm    uint64               // the last term that was read as leading since then
+	vouched     uint64               // we vouched that this term is over; no promise for it or an earlier one
+	round       uint64               // of asking the peers for promises; a newer one voids it
+	failures    int                  // renewals in a row without success
+	absent      map[string]time.Time // when members were seen absent, while we lead
+
+	presence presence
 }
 
 // New makes an elector for a member.
@@ -148,7 +146,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.term, e.lease, e.yielded = term, lease, make(chan struct{})
-	e.campaigning = false
+	e.campaigning, e.absent = false, map[string]time.Time{}
 	e.renew(sent)
 }
 
@@ -166,7 +164,7 @@
 
 // renew counts the lease's time; the caller holds the lock.
 func (e *Elector) renew(sent time.Time) {
-	e.failures, e.renewed = 0, sent
+	e.failures = 0
 	e.validUntil = sent.Add(stretch(tuning.LeaseTTL, -tuning.ClockDrift))
 }
 
@@ -220,6 +218,12 @@
 // Run campaigns until ctx ends. It calls lead in a goroutine of its own for
 // each tenure; lead's context ends when the tenure is lost, and Run waits for it.
 func (e *Elector) Run(ctx context.Context, lead func(context.Context, Tenure)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.stayPresent(ctx)
+	}()
+	defer func() { <-done }()
 	for ctx.Err() == nil {
 		// The term is read first: if the key is vacant after that, all terms up
 		// to this one are over.
@@ -247,13 +251,13 @@
 			e.pause(ctx, tuning.RetryCampaign)
 			continue
 		}
-		until, free := e.leave(ctx, last)
-		if !free {
+		leave, ok := e.mayLead(ctx, last)
+		if !ok {
 			e.endCampaign()
 			e.pause(ctx, tuning.RetryCampaign)
 			continue
 		}
-		tenure, ok := e.campaign(ctx, last, version, until)
+		tenure, ok := e.campaign(ctx, last, version, leave)
 		if !ok {
 			e.endCampaign()
 			e.pause(ctx, time.Duration(rand.Int64N(int64(tuning.RetryLeader))))
@@ -312,8 +316,8 @@
 // campaign tries once to become the leader. When the outcome of its
 // transaction is unknown it gives the lease back and reports failure: a late
 // success then holds a dead lease, and nobody acts on it. Nor does anybody
-// once until is past: whoever vouched for us may not remember it after that.
-func (e *Elector) campaign(ctx context.Context, last, version uint64, until time.Time) (t Tenure, ok bool) {
+// once the leave is over: whoever vouched for us may not remember it after that.
+func (e *Elector) campaign(ctx context.Context, last, version uint64, leave leave) (t Tenure, ok bool) {
 	sent := e.clock.Now()
 	lease, err := e.store.Grant(ctx, tuning.LeaseTTL)
 	if err != nil {
@@ -330,17 +334,18 @@
 		return t, false
 	}
 	revision, err := e.store.Commit(ctx, wire.Txn{
-		If: []wire.Condition{{Key: keyHolder}, {Key: keyTerm, Version: version}},
+		If: append([]wire.Condition{{Key: keyHolder}, {Key: keyTerm, Version: version}}, leave.guards...),
 		Then: []wire.Change{
 			{Put: keyHolder, Value: holderValue, Lease: lease},
 			{Put: keyTerm, Value: termValue},
 		},
 	})
-	if err == nil && !e.clock.Now().Before(until) {
+	if err == nil && !leave.until.IsZero() && !e.clock.Now().Before(leave.until) {
 		err = errors.New("the voucher is too old")
 	}
 	if err != nil {
 		e.log.Debug("campaign failed", "err", err)
+		e.presence.check(err)
 		e.giveBack(ctx, lease)
 		return t, false
 	}
@@ -402,6 +407,7 @@
 				if !e.renewal(t.Term, sent) {
 					return
 				}
+				e.noteAbsent(ctx)
 				break
 			}
 			if errors.Is(err, statestore.ErrNoLease) {
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -23,19 +24,23 @@
 	nobody  func() bool
 	vouch   func() bool // nil: they do
 	yield   func(lease uint64)
+	silent  []string
 }
 
 func (p *peers) Promise(context.Context, uint64) Promises { return p.promise() }
 func (p *peers) NobodyLeads(context.Context) bool         { return p.nobody() }
 func (p *peers) Vouch(context.Context, uint64) bool       { return p.vouch == nil || p.vouch() }
 func (p *peers) Yield(_ context.Context, lease uint64)    { p.yield(lease) }
+func (p *peers) Silent() []string                         { return p.silent }
 
 func always(b bool) func() bool { return func() bool { return b } }
 
-func silent(n int) func() Promises { return func() Promises { return Promises{Silent: n} } }
+func silent(names ...string) func() Promises {
+	return func() Promises { return Promises{Silent: names} }
+}
 
 // alone is how it is when no peer answers a leader, though none leads.
-var alone = &peers{promise: silent(2), nobody: always(true)}
+var alone = &peers{promise: silent("b", "c"), nobody: always(true)}
 
 type member struct {
 	*Elector
@@ -65,10 +70,11 @@
 }
 
 // How many goroutines of an elector wait for the clock: a follower's one, or
-// of a leader the one that renews the lease and the one that asks for promises.
+// of a leader the one that renews the lease and the one that asks for promises;
+// and the one that stays present.
 const (
-	following = 1
-	leading   = 2
+	following = 2
+	leading   = 3
 )
 
 // until lets time pass in small steps until a condition holds. It moves the
@@ -142,8 +148,10 @@
 	t.Cleanup(s.Close)
 	muted := 0
 	s.Mute(func(txn wire.Txn) bool {
-		muted++
-		return muted == 1 && strings.HasPrefix(txn.Then[0].Put, "lead/")
+		if strings.HasPrefix(txn.Then[0].Put, "lead/") {
+			muted++
+		}
+		return muted == 1
 	})
 	a := start(t, "a", s, alone, clock)
 	var tenure Tenure
@@ -173,13 +181,13 @@
 		if given.Load() {
 			return Promises{}
 		}
-		return Promises{Silent: 2}
+		return Promises{Silent: []string{"b", "c"}}
 	}}, clock)
 	tenure := <-a.tenures
 	s.Refuse(true)
 	begun := clock.Now()
 	until(t, s, clock, leading, "a long outage to pass", func() bool {
-		return clock.Since(begun) > 2*aloneUntil || !a.Valid(tenure.Term)
+		return clock.Since(begun) > 2*tuning.SettledAfter || !a.Valid(tenure.Term)
 	})
 	if !a.Valid(tenure.Term) {
 		t.Fatalf("the right ended after %v", clock.Since(begun))
@@ -289,34 +297,88 @@
 }
 
 // Guards against workers that kill their tasks in an outage because one member
-// is silent: the leader goes on with the promises of the others, until the
-// silent one could campaign without any of them.
-func TestOneSilentMemberDoesNotEndTheRight(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	s := standin.NewState(clock)
-	t.Cleanup(s.Close)
-	a := start(t, "a", s, &peers{nobody: always(true), promise: silent(1)}, clock)
-	tenure := <-a.tenures
-	s.Refuse(true)
-	begun := clock.Now()
-	until(t, s, clock, leading, "the end of the right", func() bool { return !a.Valid(tenure.Term) })
-	if d := clock.Since(begun); d < tuning.IsolatedWait || d > aloneUntil+10*time.Millisecond {
-		t.Errorf("the right ended after %v", d)
+// is silent: if it was absent before, the leader goes on with the promises of the
+// others, until that one could campaign without any of them.
+func TestAnAbsentMemberDoesNotEndTheRight(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		present  bool
+		promises Promises
+		goesOn   bool
+	}{
+		{"absent", false, Promises{Silent: []string{"b"}}, true},
+		{"served when last seen", true, Promises{Silent: []string{"b"}}, false},
+		{"another is silent", false, Promises{Silent: []string{"c"}}, false},
+		{"two are silent", false, Promises{Silent: []string{"b", "c"}}, false},
+		{"another may have vouched for it", false, Promises{Silent: []string{"b"}, Forgetful: 1}, false},
+	} {
+		clock := clockwork.NewFakeClock()
+		s := standin.NewState(clock)
+		t.Cleanup(s.Close)
+		if c.present {
+			if _, err := statestore.New(s.Addr(), 1e6, 1e6).Commit(t.Context(), wire.Txn{
+				Then: []wire.Change{{Put: prefixMember + "b", Value: json.RawMessage("true")}},
+			}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		a := start(t, "a", s, &peers{nobody: always(true), silent: []string{"b"}, promise: func() Promises { return c.promises }}, clock)
+		tenure := <-a.tenures
+		begun := clock.Now()
+		until(t, s, clock, leading, "a look at who is present", func() bool { return clock.Since(begun) > 2*tuning.RenewEvery })
+		s.Refuse(true)
+		begun = clock.Now()
+		until(t, s, clock, leading, "the end of the right", func() bool { return !a.Valid(tenure.Term) })
+		d := clock.Since(begun)
+		if c.goesOn && (d < tuning.SettledAfter/2 || d > tuning.SettledAfter) || !c.goesOn && d > tuning.LeaseTTL {
+			t.Errorf("%s: the right ended after %v", c.name, d)
+		}
 	}
 }
 
 // Guards against a second leader beside one that counts on that: a member that
-// nobody vouches for waits longer than any leader does so.
-func TestAMemberThatNobodyVouchesForWaits(t *testing.T) {
+// is back does not campaign without a voucher, one that was present for long does.
+func TestAMemberThatIsBackWaitsForAVoucher(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
 	t.Cleanup(s.Close)
 	begun := clock.Now()
 	a := start(t, "a", s, &peers{nobody: always(true), vouch: always(false)}, clock)
 	until(t, s, clock, following, "a tenure", func() bool { return len(a.tenures) > 0 })
-	if d := clock.Since(begun); d < tuning.IsolatedWait || d > tuning.IsolatedWait+time.Second {
+	if d := clock.Since(begun); d < tuning.SettledAfter || d > tuning.SettledAfter+time.Second {
 		t.Errorf("campaigned alone after %v", d)
 	}
+	// If its key were gone by then, what it was present for would not count.
+	applied := s.Applied()
+	if guards := applied[len(applied)-1].If; !slices.ContainsFunc(guards, func(c wire.Condition) bool { return c.Key == prefixMember+"a" && c.Version > 0 }) {
+		t.Errorf("the campaign has the conditions %v", guards)
+	}
+}
+
+// Guards against a member that can never lead again: its key is not what it
+// knows, as after a late registration or while it could not renew.
+func TestALostPresenceIsStoredAnew(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := standin.NewState(clock)
+	t.Cleanup(s.Close)
+	e := New(statestore.New(s.Addr(), 1e6, 1e6), &peers{vouch: always(false)}, "a", clock, slog.New(slog.DiscardHandler))
+	e.presence.set(wire.Condition{Key: prefixMember + "a", Version: 7}, clock.Now().Add(-tuning.SettledAfter))
+	leave, ok := e.mayLead(t.Context(), 0)
+	if !ok {
+		t.Fatal("a member that was present for long needs a voucher")
+	}
+	if _, ok := e.campaign(t.Context(), 0, 0, leave); ok {
+		t.Fatal("leads by a presence that is not stored")
+	}
+	if _, ok := e.mayLead(t.Context(), 0); ok || e.presence.known() {
+		t.Error("still counts on a presence that is not stored")
+	}
+	if e.register(t.Context()) == 0 || !e.presence.known() {
+		t.Error("it is not stored anew")
+	}
+	if _, ok := e.mayLead(t.Context(), 0); ok {
+		t.Error("counts on a presence that was stored just now")
+	}
 }
 
 // Guards against a member that stands still between its voucher and its
@@ -352,7 +414,7 @@
 	}
 	e.readAsLeading(5, clock.Now()) // its former life may have vouched a moment ago
 	clock.Advance(promiseKept)
-	if got := e.Promise(t.Context(), 5); got != Unable {
+	if got := e.Promise(t.Context(), 5); got != Forgetful {
 		t.Errorf("restarted, it answers %v", got)
 	}
 	clock.Advance(tuning.VoucherFor)
--- a/internal/leadership/promises.go
+++ b/internal/leadership/promises.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
 )
 
 // Peers asks the other members. One that cannot be reached may do anything.
@@ -19,12 +20,15 @@
 	Vouch(ctx context.Context, term uint64) bool
 	// Yield has one of them end a lease.
 	Yield(ctx context.Context, lease uint64)
+	// Silent names those that do not answer of late.
+	Silent() []string
 }
 
 // Promises is how a round of asking for promises went.
 type Promises struct {
-	Refused int // members that answered otherwise
-	Silent  int // members that gave no answer, or cannot tell what they did before a restart
+	Refused   int      // members that answered otherwise
+	Forgetful int      // members that promised, but cannot tell whom they vouched for before a restart
+	Silent    []string // members that gave no answer
 }
 
 // Answer is a member's answer to the question for a promise.
@@ -34,16 +38,15 @@
 const (
 	Refused Answer = iota
 	Promised
-	Unable // it cannot tell what it did before its restart
+	Forgetful // promised, but it cannot tell whom it vouched for before its restart
 )
 
 var (
 	promiseKept   = stretch(tuning.PromiseFor, tuning.ClockDrift)  // by those who gave it
 	promiseRelied = stretch(tuning.PromiseFor, -tuning.ClockDrift) // by the one who asked
-	// aloneUntil is how long after its last renewal a leader may count on nobody
-	// else acting, though one member is silent: that one may campaign alone, but
-	// only IsolatedWait after it saw the lease's end.
-	aloneUntil = stretch(tuning.LeaseTTL+tuning.IsolatedWait, -tuning.ClockDrift)
+	// absentRelied is how long after a member was seen absent the leader may
+	// count on it: once back, it does not campaign by itself before SettledAfter.
+	absentRelied = stretch(tuning.SettledAfter, -tuning.ClockDrift)
 )
 
 // Promise answers a leader that cannot reach the state service and asks us
@@ -60,15 +63,15 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch {
-	case e.term != 0 || e.campaigning || e.vouched >= term:
+	if e.term != 0 || e.campaigning || e.vouched >= term {
 		return Refused
-	case e.sureTerm < term:
-		return Unable
 	}
 	if until := e.clock.Now().Add(promiseKept); until.After(e.quietUntil) {
 		e.quietUntil = until
 	}
+	if e.sureTerm < term {
+		return Forgetful
+	}
 	return Promised
 }
 
@@ -104,23 +107,21 @@
 	return true
 }
 
-// leave tells whether we may campaign, the leader key being vacant after a
-// term, and until when we may act on it. Another member must vouch for that, so
-// that a leader with the promises of all others but one knows that this one does
-// not lead. A member that is alone waits until no leader counts on that any more.
-func (e *Elector) leave(ctx context.Context, term uint64) (until time.Time, ok bool) {
+// leave is what a member needs to campaign: its own presence for long, or
+// another's voucher. So a leader with the promises of all others but one that
+// was absent knows that this one does not lead.
+type leave struct {
+	guards []wire.Condition // of the campaign's transaction
+	until  time.Time        // zero, or when it is too late to act on it
+}
+
+// mayLead gives leave to campaign, the leader key being vacant after a term.
+func (e *Elector) mayLead(ctx context.Context, term uint64) (leave, bool) {
 	now := e.clock.Now()
-	if e.vacantTerm != term || e.vacantSince.IsZero() {
-		e.vacantTerm, e.vacantSince = term, now
-	}
-	if e.peers.Vouch(ctx, term) {
-		return now.Add(tuning.VoucherFor), true
+	if guard, ok := e.presence.settled(now); ok {
+		return leave{guards: []wire.Condition{guard}}, true
 	}
-	if now.Sub(e.vacantSince) >= tuning.IsolatedWait {
-		e.log.Info("campaigning alone", "term", term+1)
-		return now.Add(tuning.VoucherFor), true
-	}
-	return time.Time{}, false
+	return leave{until: now.Add(tuning.VoucherFor)}, e.peers.Vouch(ctx, term)
 }
 
 // NotLeading answers a member that was just started and asks whether anybody
@@ -135,16 +136,16 @@
 
 // extend keeps the right to act while renewals have no success, as long as
 // the other members promise neither to campaign nor to vouch: then nobody can
-// have taken over, whatever became of the lease. One of them may be silent, for
-// a while: it finds nobody to vouch for it. Workers can be answered; what needs
-// the state service waits. If a member is served by the state service, which
-// refuses us alone, the right is given up and the lease ended through that one.
+// have taken over, whatever became of the lease. One of them may be silent if it
+// was absent from the state service before: it finds nobody to vouch for it.
+// Workers can be answered; what needs the state service waits. If a member is
+// served by the state service, which refuses us alone, the right is given up and
+// the lease ended through that one.
 func (e *Elector) extend(ctx context.Context, term uint64) {
 	for ctx.Err() == nil {
 		e.pause(ctx, tuning.PromiseEvery)
 		e.mu.Lock()
-		failures := e.failures
-		needed := failures > 0 && e.term == term
+		needed := e.failures > 0 && e.term == term
 		e.round++
 		round, sent := e.round, e.clock.Now()
 		e.mu.Unlock()
@@ -152,20 +153,27 @@
 			continue
 		}
 		p := e.peers.Promise(ctx, term)
-		switch {
-		case p.Refused > 0:
+		if p.Refused > 0 {
 			e.yield(ctx, term)
-		case p.Silent <= 1:
-			e.prolong(term, round, sent.Add(promiseRelied), p.Silent)
+			continue
 		}
+		e.prolong(term, round, sent, p)
 	}
 }
 
-func (e *Elector) prolong(term, round uint64, until time.Time, silent int) {
+// prolong takes in a round of promises that was begun at a time.
+func (e *Elector) prolong(term, round uint64, sent time.Time, p Promises) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if last := e.renewed.Add(aloneUntil); silent > 0 && until.After(last) {
-		until = last
+	until := sent.Add(promiseRelied)
+	if len(p.Silent) > 0 {
+		absent, known := e.absent[p.Silent[0]]
+		if len(p.Silent) > 1 || p.Forgetful > 0 || !known {
+			return
+		}
+		if last := absent.Add(absentRelied); until.After(last) {
+			until = last
+		}
 	}
 	if e.round == round && e.term == term && until.After(e.validUntil) {
 		e.validUntil = until
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -230,7 +230,7 @@
 // again, other calls to it fail at once, rather than have every poll and every
 // report wait out the time limit.
 func (c *Client) Call(ctx context.Context, addr string, r Request) (Response, error) {
-	if r.Verb != Ping && c.isSilent(addr) {
+	if r.Verb != Ping && c.Silent(addr) {
 		return Response{}, ErrSilent
 	}
 	own, cancel := context.WithTimeout(ctx, c.timeout)
@@ -250,7 +250,8 @@
 // the state service, which says nothing of the peer.
 func (v Verb) prompt() bool { return v == Ping || v == Report }
 
-func (c *Client) isSilent(addr string) bool {
+// Silent tells whether a peer did not answer of late.
+func (c *Client) Silent(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.silent[addr]
