A huge array without a cap lets others begin; writes go by priority

A quarter of the fleet now stands for the missing cap, and a job that had its fill does not age. Starts and ends are written by priority, cancellations first.

--- a/internal/controller/leader_place.go
+++ b/internal/controller/leader_place.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -208,8 +209,16 @@
 // teams counts what each team's tasks use, wherever they may be.
 func (l *leader) teams() map[string]*placement.Team {
 	teams := make(map[string]*placement.Team, len(l.c.teams))
+	fill := 0.0
 	for name, t := range l.c.teams {
 		teams[name] = &placement.Team{CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax, CPUsMin: t.CPUs, GPUsMin: t.GPUs}
+		if !math.IsInf(t.CPUsMax, 1) {
+			continue
+		}
+		if fill == 0 {
+			fill = tuning.FillShare * l.fleetCPUs()
+		}
+		teams[name].Fill = fill
 	}
 	for _, j := range l.book.Jobs {
 		if t := teams[j.Team]; t != nil {
@@ -219,3 +228,16 @@
 	}
 	return teams
 }
+
+// fleetCPUs is what all machines have together.
+func (l *leader) fleetCPUs() float64 {
+	cpus := map[string]float64{}
+	for _, t := range l.c.machineTypes() {
+		cpus[t.Name] = t.CPUs
+	}
+	sum := 0.0
+	for _, m := range l.roster.Machines {
+		sum += cpus[m.Type]
+	}
+	return sum
+}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -5,8 +5,11 @@
 package jobs
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"poppypass/internal/tuning"
@@ -398,7 +401,7 @@
 		w.Txn.Then = append(w.Txn.Then, wire.Change{Delete: key})
 		size += 2*len(key) + 64
 	}
-	for len(b.ends) > 0 && room(3) {
+	end := func() {
 		j := b.ends[0]
 		b.ends = b.ends[1:]
 		ref := endRef{job: j}
@@ -408,7 +411,7 @@
 			put(KeyJob(j.ID), j.version, mustJSON(Record{Job: j.Job, AtMS: j.atMS, Cancelled: true}))
 			w.ends = append(w.ends, ref)
 			guarded[j.ID] = true
-			continue
+			return
 		}
 		if !j.cancelled {
 			ref.state = wire.StateDone
@@ -448,7 +451,18 @@
 		w.chunks = append(w.chunks, ref)
 		w.places = append(w.places, places...)
 	}
-	for len(b.dirty) > 0 && room(1) {
+	b.sort()
+	for len(b.ends)+len(b.dirty) > 0 {
+		if b.endFirst() {
+			if !room(3) {
+				break
+			}
+			end()
+			continue
+		}
+		if !room(1) {
+			break
+		}
 		ref := b.dirty[0]
 		b.dirty = b.dirty[1:]
 		write(ref)
@@ -474,6 +488,29 @@
 	return w
 }
 
+// sort puts what waits to be written in the order of the jobs' priorities, so
+// that starts of urgent work do not wait behind hundreds of tiny jobs: first
+// cancellations, which users wait for, then starts before ends.
+func (b *Book) sort() {
+	slices.SortStableFunc(b.ends, func(x, y *Job) int { return cmp.Compare(y.endLevel(), x.endLevel()) })
+	// What is about to be dropped with its job needs no writing.
+	b.dirty = slices.DeleteFunc(b.dirty, func(r chunkRef) bool { return r.job.ending && !r.job.cancelWanted })
+	slices.SortStableFunc(b.dirty, func(x, y chunkRef) int { return cmp.Compare(y.job.Priority.Level(), x.job.Priority.Level()) })
+}
+
+// endLevel is the priority of a job's end.
+func (j *Job) endLevel() int {
+	if j.cancelWanted {
+		return math.MaxInt
+	}
+	return j.Priority.Level()
+}
+
+// endFirst tells whether the first end goes before the first start.
+func (b *Book) endFirst() bool {
+	return len(b.dirty) == 0 || len(b.ends) > 0 && b.ends[0].endLevel() > b.dirty[0].job.Priority.Level()
+}
+
 func (j *Job) encodeChunk(n int) (json.RawMessage, []*Place) {
 	var r chunkRecord
 	var done []int
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -143,6 +143,68 @@
 	}
 }
 
+// Guards against starts of urgent work that wait behind tiny jobs of low
+// priority, and a cancellation that waits behind either.
+func TestWritesGoByPriority(t *testing.T) {
+	s := newStore(t)
+	for i := range 8 {
+		s.accept(fmt.Sprintf("job-%d", i), 1)
+	}
+	b, _ := s.load(4) // three ops for an end, and one more
+	for i := range 8 {
+		b.Jobs[fmt.Sprintf("job-%d", i)].Priority = wire.PriorityLow
+	}
+	place := func(i int) *Place {
+		return b.Place(b.Jobs[fmt.Sprintf("job-%d", i)], 0, "n-1", "a", 1, t0)
+	}
+	done := place(0)
+	s.flush(b)
+	b.Finished(done, t0)
+	for i := 1; i < 6; i++ {
+		place(i)
+	}
+	b.Jobs["job-6"].Priority = wire.PriorityProduction
+	urgent := place(6)
+	b.Cancel(b.Jobs["job-7"], func(wire.JobState) {})
+	w := b.Take(t0, 0)
+	if w.Txn.Then[0].Put != KeyEnd("job-7") || w.Txn.Then[2].Put != keyRun("job-6", 0) || len(w.Txn.Then) != 4 {
+		t.Errorf("the first transaction writes %+v", w.Txn.Then)
+	}
+	if b.Written(w, s.apply(w.Txn)); !urgent.Committed {
+		t.Error("the urgent start waits")
+	}
+	for w = b.Take(t0, 0); w != nil && w.Txn.Then[0].Put != KeyEnd("job-0"); w = b.Take(t0, 0) {
+		b.Written(w, s.apply(w.Txn))
+	}
+	if w == nil || b.Jobs["job-5"].Tasks[0].Place.Committed != true {
+		t.Error("an end goes before the starts of its priority")
+	}
+}
+
+// Guards against a start that was undone before it was written, of a job that
+// is dropped in the same transaction.
+func TestADroppedJobIsNotWritten(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 1)
+	b, _ := s.load(12)
+	j := b.Jobs["job-1"]
+	first := b.Place(j, 0, "n-1", "a", 1, t0)
+	s.flush(b)
+	b.Gone(first, t0)
+	p := b.Place(j, 0, "n-2", "a", 1, t0)
+	b.Cancel(j, func(wire.JobState) {})
+	w := b.Take(t0, 0)
+	b.Gone(p, t0) // the machine is lost while that is on its way
+	b.hurry(j, 0)
+	b.Written(w, s.apply(w.Txn))
+	s.flush(b)
+	for key := range s.items {
+		if key != KeyEnd("job-1") {
+			t.Errorf("%s is left", key)
+		}
+	}
+}
+
 // Guards against an attempt that is used twice: a worker that knows an attempt
 // ignores its start, and one that forgot it would run the task again.
 func TestAttemptsNeverRepeat(t *testing.T) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -74,6 +74,7 @@
 	CPUs, GPUs       float64 // used by all tasks that may be somewhere
 	CPUsMax, GPUsMax float64
 	CPUsMin, GPUsMin float64 // its guarantee
+	Fill             float64 // CPUs that one job of a team without a cap may have had before it lets others begin; 0: any
 }
 
 func (t *Team) fits(n Room) bool {
@@ -88,25 +89,34 @@
 	Machine *Machine
 }
 
-// Level is an item's priority after aging: one step up past the wait bound.
-func Level(it *Item, now time.Time) int {
+// Level is an item's priority after aging: one step up past the wait bound. A
+// job that had its fill does not age: its tasks are served, others wait.
+func Level(it *Item, teams map[string]*Team, now time.Time) int {
 	l := it.Job.Priority.Level()
-	if now.Sub(it.Since) >= tuning.AgeStep {
+	if now.Sub(it.Since) >= tuning.AgeStep && !filled(it, teams) {
 		l++
 	}
 	return l
 }
 
+// filled tells whether an item of a team without a limit has had its fill.
+func filled(it *Item, teams map[string]*Team) bool {
+	t := teams[it.Job.Team]
+	return t != nil && t.Fill > 0 && float64(it.Started+1)*it.Job.CPUs > t.Fill
+}
+
 // sated tells whether the item has had as many tasks as its team's limit
 // allows at a time: the rest of a large array waits for its own tasks to end,
-// and lets the team's other jobs begin meanwhile.
+// and lets the team's other jobs begin meanwhile. Where there is no limit a share
+// of the fleet stands for it: hundreds of tiny jobs of a guest waited three minutes
+// behind its array of 25,000 tasks.
 func sated(it *Item, teams map[string]*Team) bool {
 	t := teams[it.Job.Team]
 	if t == nil {
 		return false
 	}
 	n, need := float64(it.Started+1), it.Need()
-	return n*need.CPUs > t.CPUsMax+slack || n*need.GPUs > t.GPUsMax+slack
+	return n*need.CPUs > t.CPUsMax+slack || n*need.GPUs > t.GPUsMax+slack || filled(it, teams)
 }
 
 // Sort puts items in the order in which they are placed: by priority, then
@@ -119,7 +129,7 @@
 	}
 	keys := make([]key, len(items))
 	for i, it := range items {
-		keys[i] = key{it, Level(it, now), 0}
+		keys[i] = key{it, Level(it, teams, now), 0}
 		if sated(it, teams) {
 			keys[i].full = 1
 		}
@@ -233,7 +243,7 @@
 	Sort(items, teams, now)
 	p := pass{now: now, machines: machines, roomy: roomy(machines, items), teams: teams, stuck: make([]bool, len(items))}
 	for lo, hi := 0, 0; lo < len(items); lo = hi {
-		for hi = lo; hi < len(items) && Level(items[hi], now) == Level(items[lo], now); hi++ {
+		for hi = lo; hi < len(items) && Level(items[hi], teams, now) == Level(items[lo], teams, now); hi++ {
 		}
 		for _, t := range []turn{guaranteed, borrowing, expected} {
 			for i := lo; i < hi; i++ {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -168,7 +169,7 @@
 	for level := 4; level >= 0; level-- {
 		for _, t := range []turn{guaranteed, borrowing, expected} {
 			for _, it := range items {
-				for Level(it, now) == level && it.Ghost == (t == expected) && it.Waiting > 0 && !stuck[it] {
+				for Level(it, teams, now) == level && it.Ghost == (t == expected) && it.Waiting > 0 && !stuck[it] {
 					team, need := teams[it.Job.Team], it.Need()
 					if it.Ghost {
 						team = &Team{CPUsMax: 1e9}
@@ -195,6 +196,22 @@
 	return placed
 }
 
+// Guards against hundreds of tiny jobs that wait for minutes behind a huge
+// array of the same guest: without a cap it never had its fill, and aged past them.
+func TestAHugeArrayWithoutACapLetsOthersBegin(t *testing.T) {
+	for _, c := range []struct {
+		started int
+		want    string
+	}{{1, "a:m"}, {2, "b:m"}} {
+		huge, tiny := item("a", wire.PriorityLow, tuning.AgeStep, 25000, 4), item("b", wire.PriorityLow, 0, 1, 4)
+		huge.Started = c.started
+		placed := Pass(now, []*Item{huge, tiny}, []*Machine{machine("m", "a", false, 4)}, map[string]*Team{"t": {CPUsMax: math.Inf(1), Fill: 8}})
+		if got := placed[0].Item.Job.ID + ":" + placed[0].Machine.Name; len(placed) != 1 || got != c.want {
+			t.Errorf("after %d tasks: placed %s", c.started, got)
+		}
+	}
+}
+
 // Guards against a pass that is fast and decides otherwise.
 func TestThePassDecidesLikeThePlainOne(t *testing.T) {
 	priorities := []wire.Priority{wire.PriorityProduction, wire.PriorityHigh, wire.PriorityNormal, wire.PriorityLow}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -223,6 +223,9 @@
 const (
 	// AgeStep is the wait after which a job rises one step of priority.
 	AgeStep = 120 * time.Second
+	// FillShare is the share of the fleet's CPUs that one job of a team without a
+	// cap has had before its later tasks go behind the first of others.
+	FillShare = 0.25
 	// HeadHold is the wait after which the queue's head holds a machine against those behind.
 	HeadHold = 30 * time.Second
 	// PassWaitMin and PassWaitMax bound the pause between passes that place
