--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,6 +49,7 @@
 	reach     reach
 	redirects redirects
 	keeper    *keeper
+	polls     *poller
 }
 
 // New makes a controller from its settings.
@@ -64,6 +65,7 @@
 	}
 	c.redirects = redirects{sent: map[string]time.Time{}, kept: map[string]time.Time{}}
 	c.keeper = newKeeper(c)
+	c.polls = newPoller(c)
 	c.elector = leadership.New(c.store.Urgent(), c, s.Member, clock, log)
 	for _, m := range s.Members {
 		c.endpoint[m.Name] = m.Endpoint
--- /dev/null
+++ b/internal/controller/polls.go
@@ -0,0 +1,123 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// poller reads the states of jobs that the leader cannot tell: while nobody
+// leads, or the leader stands still, all polls end here. One batch is read at a
+// time; what comes meanwhile shares the next, and many share one listing of the
+// live jobs. Two reads for each used up the limit when users asked eight times
+// as often. Each answer was read after its poll came.
+type poller struct {
+	c *Controller
+
+	mu      sync.Mutex
+	waiting map[string][]chan pollAnswer
+	running bool
+}
+
+type pollAnswer struct {
+	code   int
+	status wire.JobStatus
+}
+
+func newPoller(c *Controller) *poller {
+	return &poller{c: c, waiting: map[string][]chan pollAnswer{}}
+}
+
+// status reads a job's state with the next batch.
+func (p *poller) status(ctx context.Context, id string) (int, wire.JobStatus) {
+	ch := make(chan pollAnswer, 1)
+	p.mu.Lock()
+	p.waiting[id] = append(p.waiting[id], ch)
+	if !p.running {
+		p.running = true
+		go p.run()
+	}
+	p.mu.Unlock()
+	select {
+	case a := <-ch:
+		return a.code, a.status
+	case <-ctx.Done():
+		return http.StatusServiceUnavailable, wire.JobStatus{ID: id}
+	}
+}
+
+func (p *poller) run() {
+	for {
+		p.mu.Lock()
+		batch := p.waiting
+		p.waiting = map[string][]chan pollAnswer{}
+		p.running = len(batch) > 0
+		p.mu.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		p.serve(batch)
+	}
+}
+
+// serve answers a batch.
+func (p *poller) serve(batch map[string][]chan pollAnswer) {
+	ctx, cancel := context.WithTimeout(context.Background(), tuning.PollWait)
+	defer cancel()
+	store := p.c.store.Spare()
+	live := map[string]wire.JobStatus{}
+	listed := len(batch) >= tuning.PollBatch
+	if listed {
+		if _, err := store.ListAll(ctx, jobs.PrefixJob, func(items []wire.Item) error {
+			for _, item := range items {
+				s := liveStatus(item)
+				live[s.ID] = s
+			}
+			return nil
+		}); err != nil {
+			p.c.log.Debug("live jobs unreadable", "polls", len(batch), "err", err)
+			for id, chs := range batch {
+				answerAll(chs, pollAnswer{http.StatusServiceUnavailable, wire.JobStatus{ID: id}})
+			}
+			return
+		}
+	}
+	var wg sync.WaitGroup
+	for id, chs := range batch {
+		if s, ok := live[id]; ok {
+			answerAll(chs, pollAnswer{http.StatusOK, s})
+			continue
+		}
+		wg.Go(func() {
+			var a pollAnswer
+			if listed {
+				a.code, a.status = p.c.endStatus(ctx, id, store)
+			} else {
+				a.code, a.status = p.c.storedStatus(ctx, id, store)
+			}
+			answerAll(chs, a)
+		})
+	}
+	wg.Wait()
+}
+
+func answerAll(chs []chan pollAnswer, a pollAnswer) {
+	for _, ch := range chs {
+		ch <- a
+	}
+}
+
+// liveStatus is what a stored job's record tells its user.
+func liveStatus(item wire.Item) wire.JobStatus {
+	s := wire.JobStatus{ID: item.Key[len(jobs.PrefixJob):], State: wire.StateQueued}
+	var rec jobs.Record
+	if err := json.Unmarshal(item.Value, &rec); err == nil && rec.Cancelled {
+		s.State = wire.StateCancelled
+	}
+	return s
+}
--- /dev/null
+++ b/internal/controller/polls_test.go
@@ -0,0 +1,85 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/statestore"
+	"poppypass/internal/wire"
+)
+
+// Guards against polls that use up the limit on reads while nobody leads: many
+// share one listing, and each answer was read after its poll came.
+func TestManyPollsShareAListing(t *testing.T) {
+	l, _ := leaderWith(t)
+	release := make(chan struct{})
+	var lists, gets atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		write := func(v any) { _ = json.NewEncoder(w).Encode(v) } // the caller notices
+		if r.URL.Path == wire.PathKV {
+			lists.Add(1)
+			var page wire.ItemPage
+			for i := range 20 {
+				id := fmt.Sprintf("job-%d", i)
+				value, _ := json.Marshal(jobs.Record{Job: wire.Job{ID: id, Tasks: 1}, Cancelled: i == 3}) // always encodable
+				page.Items = append(page.Items, wire.Item{Key: jobs.KeyJob(id), Value: value, Version: 1})
+			}
+			write(page)
+			return
+		}
+		gets.Add(1)
+		<-release
+		if strings.HasSuffix(r.URL.Path, jobs.KeyEnd("job-over")) {
+			write(wire.Item{Key: jobs.KeyEnd("job-over"), Value: json.RawMessage(`{"state":"done"}`), Version: 1})
+			return
+		}
+		w.WriteHeader(http.StatusNotFound)
+		write(struct{}{})
+	}))
+	t.Cleanup(srv.Close)
+	l.c.store = statestoreAt(srv.URL)
+	p := l.c.polls
+	var wg sync.WaitGroup
+	poll := func(id string, want int, state wire.JobState) {
+		wg.Go(func() {
+			if code, s := p.status(t.Context(), id); code != want || s.State != state || s.ID != id {
+				t.Errorf("%s: %d %+v", id, code, s)
+			}
+		})
+	}
+	queued := func(n int) {
+		for done := false; !done; {
+			p.mu.Lock()
+			done = len(p.waiting) == n
+			p.mu.Unlock()
+		}
+	}
+	poll("job-never", http.StatusNotFound, "")
+	for gets.Load() == 0 { // its reads are on their way: what comes now waits
+	}
+	for i := range 20 {
+		state := wire.StateQueued
+		if i == 3 {
+			state = wire.StateCancelled
+		}
+		poll(fmt.Sprintf("job-%d", i), http.StatusOK, state)
+	}
+	poll("job-over", http.StatusOK, wire.StateDone)
+	queued(21)
+	close(release)
+	wg.Wait()
+	if lists.Load() != 1 || gets.Load() != 3 {
+		t.Errorf("%d listings and %d single reads for 22 polls", lists.Load(), gets.Load())
+	}
+}
+
+func statestoreAt(url string) *statestore.Client {
+	return statestore.New(strings.TrimPrefix(url, "http://"), 1e6, 1e6)
+}
--- a/internal/controller/users.go
+++ b/internal/controller/users.go
@@ -154,7 +154,9 @@
 	}
 	// The job is known, or can never run. A job that was accepted before must
 	// never be refused, whatever the machine types are by now.
-	status, s := c.status(ctx, job.ID, c.store)
+	status, s := c.status(ctx, job.ID, func(ctx context.Context, id string) (int, wire.JobStatus) {
+		return c.storedStatus(ctx, id, c.store)
+	})
 	switch {
 	case status == http.StatusOK:
 		return status, wire.Accepted{ID: s.ID, State: s.State}, ""
@@ -231,7 +233,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollWait)
 	defer cancel()
-	status, s := c.status(ctx, id, c.store.Spare())
+	status, s := c.status(ctx, id, c.polls.status)
 	switch status {
 	case http.StatusOK:
 		httpjson.Write(w, status, s)
@@ -244,9 +246,8 @@
 
 // status finds a job's state: 200, 404, or 503 when it cannot be told now. It
 // comes from a final state, from the leader's memory within its right, or
-// from a fresh read of the state service by the given client: polls, of which
-// there are most, leave room in our limit for what cannot wait.
-func (c *Controller) status(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
+// from a fresh read of the state service.
+func (c *Controller) status(ctx context.Context, id string, read func(context.Context, string) (int, wire.JobStatus)) (int, wire.JobStatus) {
 	if s, ok := c.finals.get(id); ok {
 		return http.StatusOK, s
 	}
@@ -261,7 +262,7 @@
 		}
 		return resp.Status, resp.Job
 	}
-	return c.storedStatus(ctx, id, store)
+	return read(ctx, id)
 }
 
 func (c *Controller) learn(s wire.JobStatus) {
@@ -274,19 +275,21 @@
 // a job's record is dropped in the transaction that stores its end, so a job
 // that has no record when it is read either ended before or was never accepted.
 func (c *Controller) storedStatus(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
-	s := wire.JobStatus{ID: id, State: wire.StateQueued}
 	item, live, err := store.Get(ctx, jobs.KeyJob(id))
-	if err == nil && live {
-		var rec jobs.Record
-		if err := json.Unmarshal(item.Value, &rec); err == nil && rec.Cancelled {
-			s.State = wire.StateCancelled
-		}
-		return http.StatusOK, s
+	if err != nil {
+		c.log.Debug("state unreadable", "job", id, "err", err)
+		return http.StatusServiceUnavailable, wire.JobStatus{ID: id}
 	}
-	var end wire.Item
-	if err == nil {
-		end, live, err = c.store.Get(ctx, jobs.KeyEnd(id))
+	if live {
+		return http.StatusOK, liveStatus(item)
 	}
+	return c.endStatus(ctx, id, c.store)
+}
+
+// endStatus reads the final state of a job that had no record a moment before.
+func (c *Controller) endStatus(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
+	s := wire.JobStatus{ID: id}
+	end, live, err := store.Get(ctx, jobs.KeyEnd(id))
 	if err != nil {
 		c.log.Debug("state unreadable", "job", id, "err", err)
 		return http.StatusServiceUnavailable, s
@@ -405,7 +408,7 @@
 		if f, ok := c.finals.get(req.Job); ok {
 			return mesh.Response{Status: http.StatusOK, Job: f}
 		}
-		status, s = c.storedStatus(ctx, req.Job, c.store.Spare())
+		status, s = c.polls.status(ctx, req.Job)
 	case mesh.Cancel:
 		status, s = c.cancel(ctx, req.Job)
 	default:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -127,6 +127,9 @@
 	SubmitTotal = 4 * time.Second
 	// PollWait bounds the search for an answer to a poll: a user waits 2 s.
 	PollWait = 1800 * time.Millisecond
+	// PollBatch is how many polls at a time share one listing of the live jobs: it
+	// costs as much as a few single reads.
+	PollBatch = 8
 	// IdleTimeout closes a connection on which nothing is asked. Users poll
 	// every 5 s and workers report every few seconds.
 	IdleTimeout = 60 * time.Second
