--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -11,6 +11,7 @@
 	"poppypass/internal/leadership"
 	"poppypass/internal/mesh"
 	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
 )
 
 func yesOrNo(yes bool) mesh.Response {
@@ -184,3 +185,52 @@
 func (c *Controller) mayProbe() bool {
 	return c.wayBack() < time.Duration(float64(c.keeper.workerLease())*tuning.ProbeLeaseShare)
 }
+
+// servePeer answers another member.
+func (c *Controller) servePeer(ctx context.Context, req mesh.Request) mesh.Response {
+	ctx, cancel := context.WithTimeout(ctx, tuning.RelayTimeout)
+	defer cancel()
+	switch req.Verb {
+	case mesh.Promise:
+		return c.servePromise(ctx, req.Number)
+	case mesh.Vouch:
+		return yesOrNo(c.elector.Vouch(req.Number))
+	case mesh.Yield:
+		return yesOrNo(c.store.Urgent().Revoke(ctx, req.Number) == nil)
+	case mesh.Ping:
+		return c.servePing()
+	case mesh.NotLeading:
+		return yesOrNo(c.elector.NotLeading())
+	case mesh.Report:
+		return c.serveRelayedReport(ctx, req.Payload)
+	case mesh.Submit:
+		a := c.submit(ctx, req.Payload)
+		return mesh.Response{Status: a.status, Job: wire.JobStatus{State: a.job.State}, Payload: []byte(a.text)}
+	}
+	if !wire.ValidJobID(req.Job) || c.leader() == nil {
+		return mesh.Response{Status: http.StatusServiceUnavailable}
+	}
+	var status int
+	var s wire.JobStatus
+	switch req.Verb {
+	case mesh.Query:
+		if l := c.leader(); l != nil {
+			var ok bool
+			if s, ok = l.status(ctx, req.Job); ok {
+				return mesh.Response{Status: http.StatusOK, Job: s}
+			}
+		}
+		if f, ok := c.finals.get(req.Job); ok {
+			return mesh.Response{Status: http.StatusOK, Job: f}
+		}
+		status, s = c.polls.status(ctx, req.Job)
+	case mesh.Cancel:
+		status, s = c.cancel(ctx, req.Job)
+	default:
+		status = http.StatusBadRequest
+	}
+	if status < 0 {
+		status = http.StatusServiceUnavailable
+	}
+	return mesh.Response{Status: status, Job: s}
+}
--- /dev/null
+++ b/internal/controller/returns.go
@@ -0,0 +1,202 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"poppypass/internal/fleet"
+	"poppypass/internal/placement"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// needed are the idle machines that what is expected would use, when it takes
+// the machines in use and the cheap ones first.
+func (l *leader) needed(now time.Time) map[string]bool {
+	items := l.expected(now)
+	open := l.openMachines(now)
+	needed := map[string]bool{}
+	idle := func(m *placement.Machine) bool { return len(l.roster.Machines[m.Name].Places) == 0 }
+	slices.SortFunc(open, func(a, b *placement.Machine) int {
+		if ia, ib := idle(a), idle(b); ia != ib {
+			return cmp.Compare(btoi(ia), btoi(ib))
+		}
+		return cmp.Or(cmp.Compare(btoi(!a.Spot), btoi(!b.Spot)), cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
+	})
+	teams := fleet.Unlimited(items)
+	for _, m := range open {
+		if len(placement.Pass(now, items, []*placement.Machine{m}, teams)) > 0 {
+			needed[m.Name] = true
+		}
+	}
+	return needed
+}
+
+// mayCall waits until the right to act is there, and tells whether it ever is.
+// A leader that stood still must not delete machines on which the next one has
+// placed tasks meanwhile.
+func (l *leader) mayCall() bool {
+	for l.ended.Err() == nil && !l.c.elector.Valid(l.tenure.Term) {
+		l.c.sleep(l.ended, tuning.Tick)
+	}
+	return l.ended.Err() == nil
+}
+
+// returnMachines gives back what is idle, never came up, or fell silent.
+func (l *leader) returnMachines(now time.Time) {
+	if l.fleet.deleting {
+		return
+	}
+	var names []string
+	needed := l.needed(now)
+	release := l.silentRelease()
+	for _, m := range l.roster.Machines {
+		if m.Returning || len(m.Places) > 0 {
+			continue
+		}
+		var why string
+		switch {
+		case m.Heard.IsZero() && m.Up:
+			if now.Sub(m.Added) > stretched(l.workerLease())+release {
+				why = "silent"
+			}
+		case m.Heard.IsZero() && m.Session == 0:
+			if now.Sub(m.Rented) > l.bootTime(m.Type, tuning.BootGiveUp) && now.Sub(m.Added) > tuning.AdoptWait {
+				why = "never came up"
+			}
+		case !m.Alive():
+			if now.Sub(m.LeaseEnd) > release {
+				why = "silent"
+			}
+		case m.HasStrays():
+		case m.Bad:
+			why = "faulty"
+		case m.Draining:
+			why = "surplus"
+		case needed[m.Name]:
+		case now.Sub(m.IdleSince) > l.c.knobs.IdleKeep:
+			why = "idle"
+		}
+		if why == "" || len(names) >= wire.MaxDelete {
+			continue
+		}
+		m.Returning = true
+		names = append(names, m.Name)
+		l.log.Info("returning machine", "machine", m.Name, "why", why)
+	}
+	l.deleteMachines(names)
+}
+
+// silentRelease is how long machines may be silent after their leases before
+// they are returned. Many silent together are cut off, not dead, and are of
+// use again once the cut ends; the dead among them the cloud lists as failed.
+// After a takeover in a cut 74 machines of the other zone, listed as running,
+// were returned as never having come up.
+func (l *leader) silentRelease() time.Duration {
+	silent := 0
+	for _, m := range l.roster.Machines {
+		if !m.Alive() && (m.Up || m.Session > 0) {
+			silent++
+		}
+	}
+	if silent >= tuning.SilentMany && float64(silent) >= tuning.SilentManyShare*float64(len(l.roster.Machines)) {
+		return tuning.SilentReleaseMany
+	}
+	return tuning.SilentRelease
+}
+
+// deleteMachines deletes one batch at a time: what comes meanwhile waits for
+// the next, so that deletions take little of the cloud's rate.
+func (l *leader) deleteMachines(names []string) {
+	l.fleet.doomed = append(l.fleet.doomed, names...)
+	if l.fleet.deleting || len(l.fleet.doomed) == 0 {
+		return
+	}
+	part := l.fleet.doomed[:min(len(l.fleet.doomed), wire.MaxDelete)]
+	l.fleet.doomed = slices.Clone(l.fleet.doomed[len(part):])
+	l.fleet.deleting = true
+	go func() {
+		for l.mayCall() {
+			if err := l.c.cloud.Delete(l.ended, part); err != nil {
+				l.log.Debug("deletion repeated", "err", err)
+				l.c.sleep(l.ended, tuning.CloudRetry)
+				continue
+			}
+			l.post(func() {
+				l.fleet.deleting = false
+				l.lost(part)
+				l.deleteMachines(nil)
+			})
+			return
+		}
+	}()
+}
+
+// lost takes in that machines are gone with all that was on them.
+func (l *leader) lost(names []string) {
+	now := l.c.clock.Now()
+	for _, name := range names {
+		l.settle(l.roster.Lost(name, now), now)
+	}
+}
+
+// list compares the cloud's list with the machines known.
+func (l *leader) list() {
+	listed, err := l.c.cloud.List(l.ended)
+	l.post(func() {
+		now := l.c.clock.Now()
+		l.fleet.listing = false
+		l.fleet.nextList = now.Add(tuning.ListEvery)
+		if err != nil {
+			l.log.Debug("machine list unreadable", "err", err)
+			return
+		}
+		l.compare(listed, now)
+	})
+}
+
+func (l *leader) compare(listed []wire.ListedMachine, now time.Time) {
+	there := make(map[string]bool, len(listed))
+	var failed []string
+	for _, lm := range listed {
+		there[lm.Name] = true
+		if l.roster.Was(lm.Name) {
+			continue
+		}
+		m := l.roster.Machines[lm.Name]
+		switch {
+		case lm.State == wire.MachineFailed:
+			if m == nil || !m.Returning {
+				failed = append(failed, lm.Name)
+			}
+		case m == nil || m.Type == "":
+			// Not expected, or inherited from records: it is used or returned like any other.
+			l.roster.Know(lm.Name, lm.Type, lm.Zone, lm.Spot, now.Add(-seconds(lm.AgeS)), now)
+			if m == nil {
+				l.log.Info("machine found", "machine", lm.Name, "state", lm.State)
+			}
+		}
+		if m := l.roster.Machines[lm.Name]; m != nil {
+			m.Up = lm.State == wire.MachineRunning
+		}
+	}
+	if len(failed) > 0 {
+		l.log.Info("machines failed", "machines", failed)
+		// A failed machine has stopped by itself, with all that was on it.
+		l.lost(failed)
+		l.deleteMachines(failed)
+	}
+	lag := seconds(2*l.c.settings.Cluster.Cloud.ListLagS) + tuning.ListEvery
+	for _, m := range l.roster.Machines {
+		if there[m.Name] || m.Alive() || now.Sub(m.Added) < lag {
+			m.Unlisted = 0
+			continue
+		}
+		// Its lease ran out, or it never came up, and list after list lacks
+		// it: it was taken.
+		if m.Unlisted++; m.Unlisted >= tuning.UnlistedLists && len(m.Places) == 0 && !m.Returning {
+			l.roster.Drop(m.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/submissions.go
@@ -0,0 +1,190 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+
+	"poppypass/internal/fleet"
+	"poppypass/internal/httpjson"
+	"poppypass/internal/jobs"
+	"poppypass/internal/mesh"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// serveSubmit accepts a job: it is accepted once it is stored. Any member may
+// store it, so that accepting goes on while nobody leads.
+func (c *Controller) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	body, err := httpjson.ReadBody(r, wire.MaxBody)
+	if err != nil {
+		fail(w, http.StatusBadRequest, httpjson.OneLine(err))
+		return
+	}
+	begun := c.clock.Now()
+	// One deadline covers all that is tried, however many members there are.
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.SubmitTotal)
+	defer cancel()
+	a := c.accept(ctx, body)
+	c.log.Debug("submission answered", "status", a.status, "job", a.job.ID, "took_ms", c.clock.Since(begun).Milliseconds())
+	if a.status >= http.StatusBadRequest {
+		fail(w, a.status, a.text)
+		return
+	}
+	httpjson.Write(w, a.status, a.job)
+}
+
+// submission is the answer to one.
+type submission struct {
+	status int
+	job    wire.Accepted
+	text   string // what is wrong, above 400
+}
+
+func (s submission) decided() bool { return s.status != http.StatusServiceUnavailable }
+
+// accept has this member store a submission and, when that fails or takes
+// long, another one: the state service may refuse this member alone or not
+// answer it. Whoever is second finds the job stored. The first answer that
+// decides counts; without any it is our own.
+func (c *Controller) accept(ctx context.Context, body []byte) submission {
+	ownAnswer := make(chan submission, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, tuning.SubmitWait)
+		defer cancel()
+		ownAnswer <- c.submit(ctx, body)
+	}()
+	if len(c.endpoint) == 0 {
+		return <-ownAnswer
+	}
+	hedge := c.clock.NewTimer(tuning.SubmitHedge)
+	defer hedge.Stop()
+	var own submission
+	select {
+	case own = <-ownAnswer:
+		ownAnswer = nil
+	case <-hedge.Chan():
+	}
+	if own.status != 0 && own.decided() {
+		return own
+	}
+	peerAnswer := make(chan submission, 1)
+	go func() { peerAnswer <- c.relaySubmission(ctx, body) }()
+	for ownAnswer != nil || peerAnswer != nil {
+		var got submission
+		select {
+		case got = <-ownAnswer:
+			own, ownAnswer = got, nil
+		case got = <-peerAnswer:
+			peerAnswer = nil
+		}
+		if got.decided() {
+			return got
+		}
+	}
+	return own
+}
+
+func accepted(status int, id string, state wire.JobState) submission {
+	return submission{status: status, job: wire.Accepted{ID: id, State: state}}
+}
+
+func refused(status int, text string) submission { return submission{status: status, text: text} }
+
+// submit accepts a job here, or says why it is not accepted.
+func (c *Controller) submit(ctx context.Context, body []byte) submission {
+	job, err := wire.ParseJob(body)
+	if err != nil {
+		return refused(http.StatusBadRequest, httpjson.OneLine(err))
+	}
+	if s, ok := c.finals.get(job.ID); ok {
+		return accepted(http.StatusOK, s.ID, s.State)
+	}
+	types := c.machineTypes()
+	if types == nil {
+		return refused(http.StatusServiceUnavailable, "the machine types are not known yet")
+	}
+	reason := c.impossible(job, types)
+	if reason == "" {
+		value, err := json.Marshal(jobs.Record{Job: *job, AtMS: c.clock.Now().UnixMilli()})
+		if err != nil || float64(len(value)) > c.settings.Cluster.State.ValueKB*1024 {
+			return refused(http.StatusBadRequest, "the job's description is too long")
+		}
+		_, err = c.store.Commit(ctx, wire.Txn{
+			If:   []wire.Condition{{Key: jobs.KeyJob(job.ID)}, {Key: jobs.KeyEnd(job.ID)}},
+			Then: []wire.Change{{Put: jobs.KeyJob(job.ID), Value: value}},
+		})
+		if err == nil {
+			c.log.Debug("accepted", "job", job.ID, "class", job.Class, "team", job.Team, "tasks", job.Tasks)
+			return accepted(http.StatusCreated, job.ID, wire.StateQueued)
+		}
+		var conflict *statestore.Conflict
+		if !errors.As(err, &conflict) {
+			c.log.Debug("submission not stored", "job", job.ID, "err", err)
+			return refused(http.StatusServiceUnavailable, "the job could not be stored; submit it again")
+		}
+	}
+	// The job is known, or can never run. A job that was accepted before must
+	// never be refused, whatever the machine types are by now.
+	status, s := c.status(ctx, job.ID, func(ctx context.Context, id string) (int, wire.JobStatus) {
+		return c.storedStatus(ctx, id, c.store)
+	})
+	switch {
+	case status == http.StatusOK:
+		return accepted(status, s.ID, s.State)
+	case status == http.StatusNotFound && reason != "":
+		return refused(http.StatusUnprocessableEntity, reason)
+	}
+	return refused(http.StatusServiceUnavailable, "the job's state cannot be read now")
+}
+
+// relaySubmission has another member accept a submission, the leader first.
+func (c *Controller) relaySubmission(ctx context.Context, body []byte) submission {
+	none := refused(http.StatusServiceUnavailable, "no other controller can store the job now; submit it again")
+	job, err := wire.ParseJob(body)
+	if err != nil {
+		return none
+	}
+	leader := c.elector.Leader()
+	for _, name := range slices.SortedFunc(maps.Keys(c.endpoint), func(x, y string) int {
+		return cmp.Or(cmp.Compare(btoi(y == leader), btoi(x == leader)), cmp.Compare(x, y))
+	}) {
+		if ctx.Err() != nil {
+			break
+		}
+		r, err := c.peers.Call(ctx, c.endpoint[name], mesh.Request{Verb: mesh.Submit, Payload: body})
+		if err != nil {
+			continue
+		}
+		a := accepted(r.Status, job.ID, r.Job.State)
+		if a.text = string(r.Payload); a.decided() {
+			return a
+		}
+	}
+	return none
+}
+
+// impossible says why a job can never run, or nothing.
+func (c *Controller) impossible(j *wire.Job, types []wire.MachineType) string {
+	team, ok := c.teams[j.Team]
+	if !ok {
+		return "the team is unknown"
+	}
+	n := 1.0
+	if j.Kind == wire.KindService {
+		n = float64(j.Tasks)
+	}
+	const slack = 1e-9
+	switch {
+	case n*j.CPUs > team.CPUsMax+slack || n*j.GPUs > team.GPUsMax+slack:
+		return "the job needs more than its team's limit"
+	case !fleet.Fits(j, types):
+		return "a task fits no allowed machine type"
+	}
+	return ""
+}
--- a/internal/controller/users_test.go
+++ b/internal/controller/users_test.go
@@ -43,7 +43,11 @@
 			}
 		}()
 	}
-	if _, _, _, ok := l.c.relaySubmission(ctx, []byte("{}")); ok {
+	body, err := json.Marshal(job("job-7", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.c.relaySubmission(ctx, body).decided() {
 		t.Error("an answer, though no member gave one")
 	}
 	if n := asked.Load(); n != 1 {
@@ -77,10 +81,7 @@
 		t.Fatal(err)
 	}
 	done := make(chan int, 1)
-	go func() {
-		status, _, _ := l.c.accept(ctx, body)
-		done <- status
-	}()
+	go func() { done <- l.c.accept(ctx, body).status }()
 	if err := clock.BlockUntilContext(ctx, 1); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -165,3 +165,20 @@
 	}
 	return again
 }
+
+// serveRelayedReport answers a report that a follower hands on.
+func (c *Controller) serveRelayedReport(ctx context.Context, body []byte) mesh.Response {
+	var rep wire.Report
+	if json.Unmarshal(body, &rep) != nil || rep.Check() != nil {
+		return mesh.Response{Status: http.StatusBadRequest}
+	}
+	a, ok := c.answerReport(ctx, &rep)
+	if !ok {
+		return mesh.Response{Status: http.StatusServiceUnavailable}
+	}
+	out, err := json.Marshal(a)
+	if err != nil {
+		return mesh.Response{Status: http.StatusInternalServerError}
+	}
+	return mesh.Response{Status: http.StatusOK, Payload: out}
+}
--- /dev/null
+++ b/internal/jobs/writes.go
@@ -0,0 +1,241 @@
+package jobs
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"slices"
+	"time"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Batch is one transaction of the book's changes.
+type Batch struct {
+	Txn    wire.Txn
+	chunks []chunkRef
+	places []*Place
+	ends   []endRef
+}
+
+type endRef struct {
+	job   *Job
+	state wire.JobState // the state that it stores; empty: a cancelled job's records are dropped
+}
+
+// Over is a job that came to a final state.
+type Over struct {
+	Job   *Job
+	State wire.JobState
+}
+
+// Due tells whether changes should be written now.
+func (b *Book) Due(now time.Time) bool {
+	return b.urgent || !b.lazyAt.IsZero() && !now.Before(b.lazyAt)
+}
+
+// Take gathers the next transaction, or nil when there is nothing to write.
+// Only one may be on its way at a time. What somebody waits for goes first;
+// spare is how many changes that nobody waits for may go with it: finished tasks
+// of large arrays would otherwise use up the limit on writes, and starts wait
+// behind them.
+func (b *Book) Take(now time.Time, spare int) *Batch {
+	if !b.lazyAt.IsZero() && now.Sub(b.lazyAt) > tuning.LazyMax {
+		spare = max(spare, tuning.LazyLeast)
+	}
+	w := &Batch{}
+	size := 0
+	guarded := map[string]bool{} // jobs whose stored record is a condition already
+	room := func(ops int) bool { return len(w.Txn.Then)+ops <= b.txnOps && size < tuning.CommitBytes }
+	put := func(key string, version uint64, value json.RawMessage) {
+		w.Txn.If = append(w.Txn.If, wire.Condition{Key: key, Version: version})
+		w.Txn.Then = append(w.Txn.Then, wire.Change{Put: key, Value: value})
+		size += len(value) + 2*len(key) + 64
+	}
+	drop := func(key string, version uint64) {
+		w.Txn.If = append(w.Txn.If, wire.Condition{Key: key, Version: version})
+		w.Txn.Then = append(w.Txn.Then, wire.Change{Delete: key})
+		size += 2*len(key) + 64
+	}
+	end := func() {
+		j := b.ends[0]
+		b.ends = b.ends[1:]
+		ref := endRef{job: j}
+		if j.cancelWanted && j.Done < len(j.Tasks) {
+			ref.state = wire.StateCancelled
+			put(KeyEnd(j.ID), 0, mustJSON(End{State: wire.StateCancelled, Done: j.Done}))
+			put(KeyJob(j.ID), j.version, mustJSON(Record{Job: j.Job, AtMS: j.atMS, Cancelled: true}))
+			w.ends = append(w.ends, ref)
+			guarded[j.ID] = true
+			return
+		}
+		if !j.cancelled {
+			ref.state = wire.StateDone
+			put(KeyEnd(j.ID), 0, mustJSON(End{State: wire.StateDone, Done: j.Done}))
+		}
+		drop(KeyJob(j.ID), j.version)
+		for n := range j.chunks {
+			c := &j.chunks[n]
+			c.dirty, c.urgent = false, false
+			switch {
+			case c.version == 0:
+			case room(1):
+				drop(keyRun(j.ID, n), c.version)
+			default:
+				b.garbage = append(b.garbage, wire.Condition{Key: keyRun(j.ID, n), Version: c.version})
+				if b.lazyAt.IsZero() {
+					b.lazyAt = now
+				}
+			}
+		}
+		w.ends = append(w.ends, ref)
+	}
+	write := func(ref chunkRef) {
+		c := &ref.job.chunks[ref.n]
+		if !c.dirty || ref.job.ended {
+			return
+		}
+		value, places := ref.job.encodeChunk(ref.n)
+		c.dirty, c.urgent, c.writing = false, false, true
+		// Progress is only written for a job that is still stored as it was
+		// loaded: one that is over can never come back to life.
+		if !guarded[ref.job.ID] {
+			guarded[ref.job.ID] = true
+			w.Txn.If = append(w.Txn.If, wire.Condition{Key: KeyJob(ref.job.ID), Version: ref.job.version})
+		}
+		put(keyRun(ref.job.ID, ref.n), c.version, value)
+		w.chunks = append(w.chunks, ref)
+		w.places = append(w.places, places...)
+	}
+	b.sort()
+	for len(b.ends)+len(b.dirty) > 0 {
+		if b.endFirst() {
+			if !room(3) {
+				break
+			}
+			end()
+			continue
+		}
+		if !room(1) {
+			break
+		}
+		ref := b.dirty[0]
+		b.dirty = b.dirty[1:]
+		write(ref)
+	}
+	lazy := !b.lazyAt.IsZero() && !now.Before(b.lazyAt)
+	for limit := len(w.Txn.Then) + spare; lazy && len(b.slow) > 0 && room(1) && len(w.Txn.Then) < limit; {
+		ref := b.slow[0]
+		b.slow = b.slow[1:]
+		write(ref)
+	}
+	for limit := len(w.Txn.Then) + spare; lazy && len(b.garbage) > 0 && room(1) && len(w.Txn.Then) < limit; {
+		g := b.garbage[0]
+		b.garbage = b.garbage[1:]
+		drop(g.Key, g.Version)
+	}
+	b.urgent = len(b.ends)+len(b.dirty) > 0
+	if len(b.slow)+len(b.garbage) == 0 {
+		b.lazyAt = time.Time{}
+	}
+	if len(w.Txn.Then) == 0 {
+		return nil
+	}
+	return w
+}
+
+// sort puts what waits to be written in the order of the jobs' priorities, so
+// that starts of urgent work do not wait behind hundreds of tiny jobs: first
+// cancellations, which users wait for, then starts before ends.
+func (b *Book) sort() {
+	slices.SortStableFunc(b.ends, func(x, y *Job) int { return cmp.Compare(y.endLevel(), x.endLevel()) })
+	// What is about to be dropped with its job needs no writing.
+	b.dirty = slices.DeleteFunc(b.dirty, func(r chunkRef) bool { return r.job.ending && !r.job.cancelWanted })
+	slices.SortStableFunc(b.dirty, func(x, y chunkRef) int { return cmp.Compare(y.job.Priority.Level(), x.job.Priority.Level()) })
+}
+
+// endLevel is the priority of a job's end.
+func (j *Job) endLevel() int {
+	if j.cancelWanted {
+		return math.MaxInt
+	}
+	return j.Priority.Level()
+}
+
+// endFirst tells whether the first end goes before the first start.
+func (b *Book) endFirst() bool {
+	return len(b.dirty) == 0 || len(b.ends) > 0 && b.ends[0].endLevel() > b.dirty[0].job.Priority.Level()
+}
+
+func (j *Job) encodeChunk(n int) (json.RawMessage, []*Place) {
+	var r chunkRecord
+	var done []int
+	var places []*Place
+	for i := n * tuning.ChunkTasks; i < min(len(j.Tasks), (n+1)*tuning.ChunkTasks); i++ {
+		t := &j.Tasks[i]
+		switch {
+		case t.State == Done:
+			done = append(done, i)
+		case t.Place != nil:
+			r.Tasks = append(r.Tasks, taskEntry{Index: i, Attempt: t.Attempt, Machine: t.Place.Machine, Session: t.Place.Session, Zone: t.Place.Zone})
+			if !t.Place.Committed {
+				places = append(places, t.Place)
+			}
+		case t.Attempt > 0:
+			r.Tasks = append(r.Tasks, taskEntry{Index: i, Attempt: t.Attempt})
+		}
+	}
+	r.Done = encodeRanges(done)
+	if n == 0 {
+		r.Tries = j.Tries
+	}
+	return mustJSON(r), places
+}
+
+// Written takes in that a batch is stored at a revision. It returns the places
+// that may now be started, and the jobs that came to a final state.
+func (b *Book) Written(w *Batch, revision uint64) (start []*Place, over []Over) {
+	for _, ref := range w.chunks {
+		c := &ref.job.chunks[ref.n]
+		c.version, c.writing = revision, false
+		switch {
+		case c.urgent:
+			b.dirty = append(b.dirty, ref)
+			b.urgent = true
+		case c.dirty:
+			b.slow = append(b.slow, ref)
+		}
+	}
+	for _, p := range w.places {
+		p.Committed = true
+		if !p.Removed {
+			start = append(start, p)
+		}
+	}
+	for _, e := range w.ends {
+		j := e.job
+		j.ending = false
+		if e.state == wire.StateCancelled {
+			j.cancelled, j.cancelWanted, j.version = true, false, revision
+			over = append(over, Over{j, e.state})
+			b.notify(j, e.state)
+			b.checkEnd(j)
+			continue
+		}
+		j.ended = true
+		delete(b.Jobs, j.ID)
+		if e.state == wire.StateDone {
+			over = append(over, Over{j, e.state})
+			b.notify(j, e.state)
+		}
+	}
+	return start, over
+}
+
+func (b *Book) notify(j *Job, s wire.JobState) {
+	for _, fn := range j.waiters {
+		fn(s)
+	}
+	j.waiters = nil
+}
