--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -105,22 +105,32 @@
 	return t != nil && t.Fill > 0 && float64(it.Started+1)*it.Job.CPUs > t.Fill
 }
 
-// sated tells whether the item has had as many tasks as its team's limit
-// allows at a time: the rest of a large array waits for its own tasks to end,
-// and lets the team's other jobs begin meanwhile. Where there is no limit a share
-// of the fleet stands for it: hundreds of tiny jobs of a guest waited three minutes
+// had is how many quarters of what its team's limit allows at a time the item
+// has had: a large array lets the team's other jobs begin meanwhile, rather than
+// take every slot again as its own tasks end. Where there is no limit a share of the
+// fleet stands for it: hundreds of tiny jobs of a guest waited three minutes
 // behind its array of 25,000 tasks.
-func sated(it *Item, teams map[string]*Team) bool {
+func had(it *Item, teams map[string]*Team) int {
 	t := teams[it.Job.Team]
 	if t == nil {
-		return false
+		return 0
 	}
 	n, need := float64(it.Started+1), it.Need()
-	return n*need.CPUs > t.CPUsMax+slack || n*need.GPUs > t.GPUsMax+slack || filled(it, teams)
+	cpus := t.CPUsMax
+	if t.Fill > 0 {
+		cpus = t.Fill
+	}
+	share := 0.0
+	for _, r := range [][2]float64{{need.CPUs, cpus}, {need.GPUs, t.GPUsMax}} {
+		if r[0] > 0 {
+			share = max(share, (n*r[0]-slack)/r[1])
+		}
+	}
+	return int(min(share, 1) * tuning.FillSteps)
 }
 
 // Sort puts items in the order in which they are placed: by priority, then
-// those that have not had their fill, then by the time waited, then by name so
+// those that had least of their fill, then by the time waited, then by name so
 // that the order is always the same.
 func Sort(items []*Item, teams map[string]*Team, now time.Time) {
 	type key struct {
@@ -129,10 +139,7 @@
 	}
 	keys := make([]key, len(items))
 	for i, it := range items {
-		keys[i] = key{it, Level(it, teams, now), 0}
-		if sated(it, teams) {
-			keys[i].full = 1
-		}
+		keys[i] = key{it, Level(it, teams, now), had(it, teams)}
 	}
 	slices.SortStableFunc(keys, func(a, b key) int {
 		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.full, b.full), a.Since.Compare(b.Since), cmp.Compare(a.Job.ID, b.Job.ID))
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -229,6 +229,9 @@
 	// FillShare is the share of the fleet's CPUs that one job of a team without a
 	// cap has had before its later tasks go behind the first of others.
 	FillShare = 0.25
+	// FillSteps is in how many steps a job's fill, what its team's limit allows at
+	// a time, is counted: those that had fewer go first.
+	FillSteps = 4
 	// HeadHold is the wait after which the queue's head holds a machine against those behind.
 	HeadHold = 30 * time.Second
 	// PassWaitMin and PassWaitMax bound the pause between passes that place
