--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -100,9 +100,8 @@
 	if got := run([]*Item{large, small}, []*Machine{machine("m", "a", false, 8)}, 8); got != "b:m a:m" {
 		t.Errorf("placed %q", got)
 	}
-	large, small = item("a", wire.PriorityHigh, 9*time.Second, 20, 4), item("b", wire.PriorityHigh, 0, 1, 4)
 	for started, want := range []string{"a:m", "a:m", "b:m"} { // a quarter of the limit goes by the time waited
-		large, small = item("a", wire.PriorityHigh, 9*time.Second, 20, 4), item("b", wire.PriorityHigh, 0, 1, 4)
+		large, small := item("a", wire.PriorityHigh, 9*time.Second, 20, 4), item("b", wire.PriorityHigh, 0, 1, 4)
 		large.Started = started
 		if got := run([]*Item{large, small}, []*Machine{machine("m", "a", false, 4)}, 32); got != want {
 			t.Errorf("after %d tasks: placed %q", started, got)
