A silent member is fenced off by a key, instead of members keeping present

Now the leader sets a key for the one member that does not answer, while it is served; only that member needs a voucher, as long as the key stands. Fewer parts, and no calls while nobody is silent.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -86,9 +86,9 @@
 }
 
 // pass lets time pass once a call that is to be repeated waits for that,
-// beside the five that always wait: the leader's tick, the renewal of its lease
-// and of its presence, its next asking for promises and the next reading of the
-// machine types.
+// beside the five that always wait: the leader's tick, the renewal of its lease,
+// its next asking for promises, its next look at the fence and the next reading
+// of the machine types.
 func (w *world) pass(d time.Duration) {
 	w.t.Helper()
 	ctx, cancel := context.WithTimeout(w.t.Context(), patience)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -69,17 +69,15 @@
 	leaderTerm uint64        // its term
 	overTerm   uint64        // this term and the earlier ones are over, as far as we know
 
-	campaigning bool                 // a campaign is on its way on whose success we would act
-	quietUntil  time.Time            // we promised neither to campaign nor to vouch before
-	born        time.Time            // until then, an earlier process of this member may have promised
-	sure        time.Time            // until then, one may have vouched
-	sureTerm    uint64               // the last term that was read as leading since then
-	vouched     uint64               // we vouched that this term is over; no promise for it or an earlier one
-	round       uint64               // of asking the peers for promises; a newer one voids it
-	failures    int                  // renewals in a row without success
-	absent      map[string]time.Time // when members were seen absent, while we lead
-
-	presence presence
+	campaigning bool      // a campaign is on its way on whose success we would act
+	quietUntil  time.Time // we promised neither to campaign nor to vouch before
+	born        time.Time // until then, an earlier process of this member may have promised
+	sure        time.Time // until then, one may have vouched
+	sureTerm    uint64    // the last term that was read as leading since then
+	vouched     uint64    // we vouched that this term is over; no promise for it or an earlier one
+	round       uint64    // of asking the peers for promises; a newer one voids it
+	failures    int       // renewals in a row without success
+	fence       fence     // that our own tenure has set
 }
 
 // New makes an elector for a member.
@@ -146,7 +144,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.term, e.lease, e.yielded = term, lease, make(chan struct{})
-	e.campaigning, e.absent = false, map[string]time.Time{}
+	e.campaigning, e.fence = false, fence{}
 	e.renew(sent)
 }
 
@@ -218,12 +216,6 @@
 // Run campaigns until ctx ends. It calls lead in a goroutine of its own for
 // each tenure; lead's context ends when the tenure is lost, and Run waits for it.
 func (e *Elector) Run(ctx context.Context, lead func(context.Context, Tenure)) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		e.stayPresent(ctx)
-	}()
-	defer func() { <-done }()
 	for ctx.Err() == nil {
 		// The term is read first: if the key is vacant after that, all terms up
 		// to this one are over.
@@ -345,7 +337,6 @@
 	}
 	if err != nil {
 		e.log.Debug("campaign failed", "err", err)
-		e.presence.check(err)
 		e.giveBack(ctx, lease)
 		return t, false
 	}
@@ -376,16 +367,14 @@
 		defer close(done)
 		lead(leadCtx, t)
 	}()
-	extended := make(chan struct{})
-	go func() {
-		defer close(extended)
-		e.extend(leadCtx, t.Term)
-	}()
+	var helpers sync.WaitGroup
+	helpers.Go(func() { e.extend(leadCtx, t.Term) })
+	helpers.Go(func() { e.keepFences(leadCtx, t) })
 	defer func() {
 		e.clear()
 		stop()
 		<-done
-		<-extended
+		helpers.Wait()
 		e.log.Info("no longer leading", "term", t.Term)
 	}()
 	for {
@@ -407,7 +396,6 @@
 				if !e.renewal(t.Term, sent) {
 					return
 				}
-				e.noteAbsent(ctx)
 				break
 			}
 			if errors.Is(err, statestore.ErrNoLease) {
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -70,10 +69,9 @@
 }
 
 // How many goroutines of an elector wait for the clock: a follower's one, or
-// of a leader the one that renews the lease and the one that asks for promises;
-// and the one that stays present.
+// of a leader those that renew the lease, ask for promises and look after the fence.
 const (
-	following = 2
+	following = 1
 	leading   = 3
 )
 
@@ -187,7 +185,7 @@
 	s.Refuse(true)
 	begun := clock.Now()
 	until(t, s, clock, leading, "a long outage to pass", func() bool {
-		return clock.Since(begun) > 2*tuning.SettledAfter || !a.Valid(tenure.Term)
+		return clock.Since(begun) > 2*tuning.FenceFor || !a.Valid(tenure.Term)
 	})
 	if !a.Valid(tenure.Term) {
 		t.Fatalf("the right ended after %v", clock.Since(begun))
@@ -297,87 +295,104 @@
 }
 
 // Guards against workers that kill their tasks in an outage because one member
-// is silent: if it was absent before, the leader goes on with the promises of the
-// others, until that one could campaign without any of them.
-func TestAnAbsentMemberDoesNotEndTheRight(t *testing.T) {
+// is silent: if it was fenced off before, the leader goes on with the promises of
+// the others, for as long as the fence surely stands.
+func TestAFencedMemberDoesNotEndTheRight(t *testing.T) {
 	for _, c := range []struct {
 		name     string
-		present  bool
+		silent   []string // before the outage
 		promises Promises
 		goesOn   bool
 	}{
-		{"absent", false, Promises{Silent: []string{"b"}}, true},
-		{"served when last seen", true, Promises{Silent: []string{"b"}}, false},
-		{"another is silent", false, Promises{Silent: []string{"c"}}, false},
-		{"two are silent", false, Promises{Silent: []string{"b", "c"}}, false},
-		{"another may have vouched for it", false, Promises{Silent: []string{"b"}, Forgetful: 1}, false},
+		{"fenced off", []string{"b"}, Promises{Silent: []string{"b"}}, true},
+		{"silent only now", nil, Promises{Silent: []string{"b"}}, false},
+		{"another is silent", []string{"b"}, Promises{Silent: []string{"c"}}, false},
+		{"two are silent", []string{"b", "c"}, Promises{Silent: []string{"b", "c"}}, false},
+		{"another may have vouched for it", []string{"b"}, Promises{Silent: []string{"b"}, Forgetful: 1}, false},
 	} {
 		clock := clockwork.NewFakeClock()
 		s := standin.NewState(clock)
 		t.Cleanup(s.Close)
-		if c.present {
-			if _, err := statestore.New(s.Addr(), 1e6, 1e6).Commit(t.Context(), wire.Txn{
-				Then: []wire.Change{{Put: prefixMember + "b", Value: json.RawMessage("true")}},
-			}); err != nil {
-				t.Fatal(err)
-			}
-		}
-		a := start(t, "a", s, &peers{nobody: always(true), silent: []string{"b"}, promise: func() Promises { return c.promises }}, clock)
+		a := start(t, "a", s, &peers{nobody: always(true), silent: c.silent, promise: func() Promises { return c.promises }}, clock)
 		tenure := <-a.tenures
 		begun := clock.Now()
-		until(t, s, clock, leading, "a look at who is present", func() bool { return clock.Since(begun) > 2*tuning.RenewEvery })
+		until(t, s, clock, leading, "a look at who is silent", func() bool { return clock.Since(begun) > 2*tuning.FenceRenew })
 		s.Refuse(true)
 		begun = clock.Now()
 		until(t, s, clock, leading, "the end of the right", func() bool { return !a.Valid(tenure.Term) })
 		d := clock.Since(begun)
-		if c.goesOn && (d < tuning.SettledAfter/2 || d > tuning.SettledAfter) || !c.goesOn && d > tuning.LeaseTTL {
+		if c.goesOn && (d < tuning.FenceFor/2 || d > tuning.FenceFor) || !c.goesOn && d > tuning.LeaseTTL {
 			t.Errorf("%s: the right ended after %v", c.name, d)
 		}
 	}
 }
 
-// Guards against a second leader beside one that counts on that: a member that
-// is back does not campaign without a voucher, one that was present for long does.
-func TestAMemberThatIsBackWaitsForAVoucher(t *testing.T) {
+// Guards against a second leader beside one that counts on a fence: a member
+// that is fenced off does not campaign without a voucher while the fence stands,
+// not even if it was set a moment before its transaction.
+func TestAFencedMemberWaitsForAVoucher(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
 	t.Cleanup(s.Close)
-	begun := clock.Now()
-	a := start(t, "a", s, &peers{nobody: always(true), vouch: always(false)}, clock)
-	until(t, s, clock, following, "a tenure", func() bool { return len(a.tenures) > 0 })
-	if d := clock.Since(begun); d < tuning.SettledAfter || d > tuning.SettledAfter+time.Second {
-		t.Errorf("campaigned alone after %v", d)
+	e := New(statestore.New(s.Addr(), 1e6, 1e6), &peers{vouch: always(false)}, "b", clock, slog.New(slog.DiscardHandler))
+	early, ok := e.mayLead(t.Context(), 0)
+	if !ok {
+		t.Fatal("a member that is not fenced off needs a voucher")
+	}
+	a := start(t, "a", s, &peers{nobody: always(true), promise: silent("b"), silent: []string{"b"}}, clock)
+	tenure := <-a.tenures
+	until(t, s, clock, leading, "the fence", func() bool { _, ok := s.Value(prefixFence + "b"); return ok })
+	a.stop()
+	<-a.over
+	clock.Advance(tuning.LeaseTTL + time.Second) // the leader's lease is over, the fence stands
+	s.Expire()
+	_, version, err := e.readTerm(t.Context())
+	if err != nil {
+		t.Fatal(err)
 	}
-	// If its key were gone by then, what it was present for would not count.
-	applied := s.Applied()
-	if guards := applied[len(applied)-1].If; !slices.ContainsFunc(guards, func(c wire.Condition) bool { return c.Key == prefixMember+"a" && c.Version > 0 }) {
-		t.Errorf("the campaign has the conditions %v", guards)
+	if _, ok := e.campaign(t.Context(), tenure.Term, version, early); ok {
+		t.Error("leads on a leave that is older than the fence")
+	}
+	if _, ok := e.mayLead(t.Context(), tenure.Term); ok {
+		t.Error("campaigns though it is fenced off")
+	}
+	e.peers = &peers{vouch: always(true)}
+	if l, ok := e.mayLead(t.Context(), tenure.Term); !ok || l.until.IsZero() {
+		t.Error("a voucher gives no leave for a time")
+	}
+	e.peers = &peers{vouch: always(false)}
+	clock.Advance(tuning.FenceFor)
+	s.Expire()
+	if _, ok := e.mayLead(t.Context(), tenure.Term); !ok {
+		t.Error("waits though the fence is gone")
 	}
 }
 
-// Guards against a member that can never lead again: its key is not what it
-// knows, as after a late registration or while it could not renew.
-func TestALostPresenceIsStoredAnew(t *testing.T) {
+// A member that answers again is let free.
+func TestAFenceEndsWithTheSilence(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
 	t.Cleanup(s.Close)
-	e := New(statestore.New(s.Addr(), 1e6, 1e6), &peers{vouch: always(false)}, "a", clock, slog.New(slog.DiscardHandler))
-	e.presence.set(wire.Condition{Key: prefixMember + "a", Version: 7}, clock.Now().Add(-tuning.SettledAfter))
-	leave, ok := e.mayLead(t.Context(), 0)
+	e := New(statestore.New(s.Addr(), 1e6, 1e6), alone, "a", clock, slog.New(slog.DiscardHandler))
+	leave, _ := e.mayLead(t.Context(), 0)
+	tenure, ok := e.campaign(t.Context(), 0, 0, leave)
 	if !ok {
-		t.Fatal("a member that was present for long needs a voucher")
-	}
-	if _, ok := e.campaign(t.Context(), 0, 0, leave); ok {
-		t.Fatal("leads by a presence that is not stored")
+		t.Fatal("does not lead")
 	}
-	if _, ok := e.mayLead(t.Context(), 0); ok || e.presence.known() {
-		t.Error("still counts on a presence that is not stored")
+	e.peers = &peers{silent: []string{"b"}}
+	e.keepFence(t.Context(), tenure)
+	if _, ok := s.Value(prefixFence + "b"); !ok || e.fence.member != "b" {
+		t.Fatal("a silent member is not fenced off")
 	}
-	if e.register(t.Context()) == 0 || !e.presence.known() {
-		t.Error("it is not stored anew")
+	e.peers = &peers{}
+	e.failedRenewal() // the right may rest on the fence
+	if e.keepFence(t.Context(), tenure); e.fence.member != "b" {
+		t.Error("a fence that may be counted on is taken down")
 	}
-	if _, ok := e.mayLead(t.Context(), 0); ok {
-		t.Error("counts on a presence that was stored just now")
+	e.renewal(tenure.Term, clock.Now())
+	e.keepFence(t.Context(), tenure)
+	if _, ok := s.Value(prefixFence + "b"); ok || e.fence.member != "" {
+		t.Error("it stays fenced off")
 	}
 }
 
@@ -387,6 +402,11 @@
 	clock := clockwork.NewFakeClock()
 	s := standin.NewState(clock)
 	t.Cleanup(s.Close)
+	if _, err := statestore.New(s.Addr(), 1e6, 1e6).Commit(t.Context(), wire.Txn{
+		Then: []wire.Change{{Put: prefixFence + "a", Value: json.RawMessage("true")}},
+	}); err != nil {
+		t.Fatal(err)
+	}
 	asked := 0
 	p := &peers{nobody: always(true), vouch: func() bool {
 		if asked++; asked == 1 {
--- a/internal/leadership/promises.go
+++ b/internal/leadership/promises.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"poppypass/internal/tuning"
-	"poppypass/internal/wire"
 )
 
 // Peers asks the other members. One that cannot be reached may do anything.
@@ -44,9 +43,6 @@
 var (
 	promiseKept   = stretch(tuning.PromiseFor, tuning.ClockDrift)  // by those who gave it
 	promiseRelied = stretch(tuning.PromiseFor, -tuning.ClockDrift) // by the one who asked
-	// absentRelied is how long after a member was seen absent the leader may
-	// count on it: once back, it does not campaign by itself before SettledAfter.
-	absentRelied = stretch(tuning.SettledAfter, -tuning.ClockDrift)
 )
 
 // Promise answers a leader that cannot reach the state service and asks us
@@ -107,23 +103,6 @@
 	return true
 }
 
-// leave is what a member needs to campaign: its own presence for long, or
-// another's voucher. So a leader with the promises of all others but one that
-// was absent knows that this one does not lead.
-type leave struct {
-	guards []wire.Condition // of the campaign's transaction
-	until  time.Time        // zero, or when it is too late to act on it
-}
-
-// mayLead gives leave to campaign, the leader key being vacant after a term.
-func (e *Elector) mayLead(ctx context.Context, term uint64) (leave, bool) {
-	now := e.clock.Now()
-	if guard, ok := e.presence.settled(now); ok {
-		return leave{guards: []wire.Condition{guard}}, true
-	}
-	return leave{until: now.Add(tuning.VoucherFor)}, e.peers.Vouch(ctx, term)
-}
-
 // NotLeading answers a member that was just started and asks whether anybody
 // leads. An earlier process of it may have given a promise to us that the new
 // one knows nothing of: a round that counts on it is void.
@@ -137,7 +116,7 @@
 // extend keeps the right to act while renewals have no success, as long as
 // the other members promise neither to campaign nor to vouch: then nobody can
 // have taken over, whatever became of the lease. One of them may be silent if it
-// was absent from the state service before: it finds nobody to vouch for it.
+// was fenced off before: it finds nobody to vouch for it.
 // Workers can be answered; what needs the state service waits. If a member is
 // served by the state service, which refuses us alone, the right is given up and
 // the lease ended through that one.
@@ -167,11 +146,10 @@
 	defer e.mu.Unlock()
 	until := sent.Add(promiseRelied)
 	if len(p.Silent) > 0 {
-		absent, known := e.absent[p.Silent[0]]
-		if len(p.Silent) > 1 || p.Forgetful > 0 || !known {
+		if len(p.Silent) > 1 || p.Forgetful > 0 || p.Silent[0] != e.fence.member {
 			return
 		}
-		if last := absent.Add(absentRelied); until.After(last) {
+		if last := e.fence.sent.Add(fenceRelied); until.After(last) {
 			until = last
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -26,14 +26,11 @@
 	// VoucherFor is how long a member may take from asking another to vouch for it
 	// until it leads: three calls to the state service, some hundred ms each at the worst.
 	VoucherFor = 3 * time.Second
-	// SettledAfter is how long a member's presence must be stored before it campaigns
-	// without another's voucher. A leader with the promises of all others keeps the
-	// workers for as long in an outage beside an absent one: those seen last half a minute.
-	SettledAfter = 30 * time.Second
-	// PresenceTTL is how soon a member that is gone is seen to be absent, and
-	// PresenceRenew how often each renews: two may fail.
-	PresenceTTL   = 4 * time.Second
-	PresenceRenew = 1300 * time.Millisecond
+	// FenceFor is how long a silent member stays fenced off without a renewal: for
+	// as long a leader with the promises of all others keeps the workers in an
+	// outage. Those seen last half a minute. FenceRenew is how often it is renewed.
+	FenceFor   = 40 * time.Second
+	FenceRenew = 3 * time.Second
 	// YieldAfter is how many renewals in a row must fail before the leader hands
 	// over to a member that the state service serves.
 	YieldAfter = 2
