No handing over at the end of an outage; arrivals counted over 30 s at the least

Cause: two storms of our own showed 'handing over' 0.1 s after each outage: a follower's probe succeeds before the leader's next renewal. Renewals must go on failing after that now.

--- a/internal/fleet/headroom.go
+++ b/internal/fleet/headroom.go
@@ -35,7 +35,7 @@
 	}
 	// A service that has just begun has seen less than a window; the jobs that
 	// waited for its begin say little of those to come.
-	seen := min(max(now.Sub(first), tuning.ArrivalWindow/2), tuning.ArrivalWindow)
+	seen := min(max(now.Sub(first), tuning.ArrivalLeast), tuning.ArrivalWindow)
 	var items []*placement.Item
 	for _, class := range slices.Sorted(maps.Keys(byClass)) {
 		of := byClass[class]
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -77,6 +77,7 @@
 	vouched     uint64    // we vouched that this term is over; no promise for it or an earlier one
 	round       uint64    // of asking the peers for promises; a newer one voids it
 	failures    int       // renewals in a row without success
+	servedAt    int       // how many there were when another member was first seen to be served
 	fence       fence     // that our own tenure has set
 }
 
@@ -162,7 +163,7 @@
 
 // renew counts the lease's time; the caller holds the lock.
 func (e *Elector) renew(sent time.Time) {
-	e.failures = 0
+	e.failures, e.servedAt = 0, 0
 	e.validUntil = sent.Add(stretch(tuning.LeaseTTL, -tuning.ClockDrift))
 }
 
@@ -181,7 +182,7 @@
 	if e.leaderTerm <= e.term {
 		e.leader = "" // unless we heard of a later one
 	}
-	e.term, e.failures = 0, 0
+	e.term, e.failures, e.servedAt = 0, 0, 0
 	e.round++
 	close(e.yielded)
 }
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -497,3 +497,23 @@
 		t.Error("still names itself")
 	}
 }
+
+// Guards against a change of leaders at the end of an outage, which a follower
+// notices a moment before the leader's next renewal.
+func TestTheEndOfAnOutageIsNoReasonToHandOver(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := New(nil, &peers{yield: func(uint64) { t.Error("has its lease ended") }}, "a", clock, slog.New(slog.DiscardHandler))
+	e.gain(3, 1, clock.Now())
+	for range 100 {
+		e.failedRenewal() // the outage
+	}
+	e.yield(t.Context(), 3) // a follower says that it is served
+	e.failedRenewal()       // this one was on its way
+	e.yield(t.Context(), 3)
+	e.renewal(3, clock.Now())
+	e.failedRenewal()
+	e.yield(t.Context(), 3)
+	if !e.Valid(3) {
+		t.Error("gives up its right")
+	}
+}
--- a/internal/leadership/promises.go
+++ b/internal/leadership/promises.go
@@ -160,10 +160,14 @@
 
 // yield hands the leadership over when renewals fail though another member is
 // served: it gives up the right first, then has the lease ended, rather than
-// have all wait until it runs out.
+// have all wait until it runs out. Renewals must go on failing after the other was
+// seen to be served: at the end of an outage it hears a moment before us.
 func (e *Elector) yield(ctx context.Context, term uint64) {
 	e.mu.Lock()
-	if e.term != term || e.failures < tuning.YieldAfter {
+	if e.servedAt == 0 {
+		e.servedAt = e.failures
+	}
+	if e.term != term || e.failures < e.servedAt+tuning.YieldAfter {
 		e.mu.Unlock()
 		return
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -31,8 +31,8 @@
 	// outage. Those seen last half a minute. FenceRenew is how often it is renewed.
 	FenceFor   = 40 * time.Second
 	FenceRenew = 3 * time.Second
-	// YieldAfter is how many renewals in a row must fail before the leader hands
-	// over to a member that the state service serves.
+	// YieldAfter is how many more renewals must fail before the leader hands over to
+	// a member that was seen to be served: one may have been on its way.
 	YieldAfter = 2
 	// PromiseEvery is how often the leader asks for promises: several rounds may fail.
 	PromiseEvery = 250 * time.Millisecond
@@ -266,6 +266,8 @@
 	FleetEvery = 1 * time.Second
 	// ArrivalWindow is how far back arrivals tell what is to come.
 	ArrivalWindow = 120 * time.Second
+	// ArrivalLeast is the least time over which arrivals are counted as a rate.
+	ArrivalLeast = 30 * time.Second
 	// BeginRush is how long after the service's very first begin jobs come that
 	// waited for it: users ask again after a second or more.
 	BeginRush = 5 * time.Second
