--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -67,6 +67,9 @@
 func TestLoadNamesTheBadField(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`member = "m0"`, ``, "member is missing"},
+		{`cpus_max = 8.0`, `cpus_max = -1.0`, "negative or not finite"},
+		{`cpus_max = 8.0`, `cpus_max = inf`, "negative or not finite"},
+		{`cpus = 4.0`, `cpus = nan`, "negative or not finite"},
 		{`bind = "127.0.0.1:8080"`, ``, "field bind is missing"},
 		{`bind = "127.0.0.1:8080"`, `bind = "here"`, "field bind"},
 		{`mesh_addr = "127.0.0.1:8081"`, ``, "mesh_addr"},
--- a/internal/controller/rent_test.go
+++ b/internal/controller/rent_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -123,3 +124,28 @@
 		t.Errorf("%d arrivals after a takeover", n)
 	}
 }
+
+// Guards against a leader that stood still between a decision and its call: it
+// must not delete machines on which the next one has placed tasks meanwhile.
+func TestNoCloudCallWithoutTheRightToAct(t *testing.T) {
+	l, clock := leaderWith(t) // its elector has no right to act
+	ctx, end := context.WithCancel(t.Context())
+	l.ended = ctx
+	may := make(chan bool)
+	go func() { may <- l.mayCall() }()
+	for range 3 {
+		if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-may:
+			t.Fatal("calls the cloud without the right to act")
+		default:
+		}
+		clock.Advance(tuning.Tick)
+	}
+	end()
+	if <-may {
+		t.Error("calls the cloud though the tenure is over")
+	}
+}
