One in eight of the first begin's jobs counts as an arrival

Cause: with none of them counted, services submitted 10 to 50 s after the very first begin found no room and waited for a boot (51 s).

--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -29,6 +29,7 @@
 	roster  *roster.Roster
 	fleet   fleetState
 	begun   time.Time
+	arrived int  // jobs that came in this tenure
 	loaded  bool // all stored records are in: before, nothing is placed or concluded
 	writing bool // a transaction is on its way
 	asking  bool // the machines that followers answer are being read
--- a/internal/controller/leader_records.go
+++ b/internal/controller/leader_records.go
@@ -82,7 +82,7 @@
 		}
 		if !known {
 			l.fleet.next = now // rent at once if it finds no room
-			if !l.rush(now) {
+			if l.arrived++; !l.rush(now) || l.arrived%tuning.RushShare == 0 {
 				l.fleet.recent = append(l.fleet.recent, fleet.Arrival{At: j.WaitSince, Job: &j.Job})
 			}
 		}
--- a/internal/controller/rent_test.go
+++ b/internal/controller/rent_test.go
@@ -112,15 +112,17 @@
 		l.takeJobs([]wire.Item{{Key: jobs.KeyJob(id), Value: value, Version: 1}})
 		return len(l.fleet.recent)
 	}
-	if n := take("job-1"); n != 0 {
-		t.Errorf("%d arrivals in the rush", n)
+	for i := range tuning.RushShare {
+		if n := take(fmt.Sprintf("job-1%d", i)); n != (i+1)/tuning.RushShare {
+			t.Errorf("%d arrivals after %d in the rush", n, i+1)
+		}
 	}
 	clock.Advance(tuning.BeginRush)
-	if n := take("job-2"); n != 1 {
+	if n := take("job-2"); n != 2 {
 		t.Errorf("%d arrivals after it", n)
 	}
 	l.tenure.Term, l.begun = 2, clock.Now() // a takeover is no rush
-	if n := take("job-3"); n != 2 {
+	if n := take("job-3"); n != 3 {
 		t.Errorf("%d arrivals after a takeover", n)
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -271,6 +271,9 @@
 	// BeginRush is how long after the service's very first begin jobs come that
 	// waited for it: users ask again after a second or more.
 	BeginRush = 5 * time.Second
+	// RushShare is one in how many of them counts as a guide to those to come: with
+	// none, the services of the first minute found no room.
+	RushShare = 8
 	// PromptWait and PromptGuarantee say how much of the work expected within a boot has
 	// room kept for it: for classes that are to start sooner than a machine
 	// boots, and for all others where a guarantee is to be met sooner than that.
