--- a/cmd/poppypass/commands.go
+++ b/cmd/poppypass/commands.go
@@ -43,13 +43,16 @@
 	}
 }
 
-func (f *files) load() (*config.Settings, tuning.Knobs, error) {
+func (f *files) load() (*config.Settings, *config.Own, error) {
 	s, err := config.Load(f.config)
 	if err != nil {
-		return nil, tuning.Knobs{}, err
+		return nil, nil, err
 	}
-	k, err := config.LoadProperties(f.properties)
-	return s, k, err
+	own, err := config.LoadProperties(f.properties)
+	if err != nil {
+		return nil, nil, err
+	}
+	return s, own, own.Check(s)
 }
 
 func logger() (*slog.Logger, error) {
@@ -78,7 +81,7 @@
 			if err != nil {
 				return err
 			}
-			s, k, err := f.load()
+			s, own, err := f.load()
 			if err != nil {
 				return err
 			}
@@ -87,7 +90,11 @@
 			}
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			return controller.New(s, k, clockwork.NewRealClock(), log).Run(ctx)
+			c, err := controller.New(s, config.Watch(f.properties, s, own), clockwork.NewRealClock(), log)
+			if err != nil {
+				return err
+			}
+			return c.Run(ctx)
 		},
 	}
 	f.flags(c)
--- a/cmd/poppypass/commands_test.go
+++ b/cmd/poppypass/commands_test.go
@@ -14,7 +14,6 @@
 	"poppypass/internal/config"
 	"poppypass/internal/controller"
 	"poppypass/internal/standin"
-	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
 
@@ -95,10 +94,12 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(t.Context())
+	c, err := controller.New(s, config.Defaults(), clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
 	done := make(chan error, 1)
-	go func() {
-		done <- controller.New(s, tuning.Defaults(), clockwork.NewRealClock(), slog.New(slog.DiscardHandler)).Run(ctx)
-	}()
+	go func() { done <- c.Run(ctx) }()
 	t.Cleanup(func() {
 		stop()
 		if err := <-done; err != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -97,10 +97,10 @@
 
 func TestLoadProperties(t *testing.T) {
 	k, err := LoadProperties(standin.File(t, "p.properties", "# ours\nfleet.idle.keep = 45s\nfleet.machines.max: 7\n"))
-	if err != nil || k.IdleKeep != 45*time.Second || k.MaxMachines != 7 {
+	if err != nil || k.Knobs.IdleKeep != 45*time.Second || k.Knobs.MaxMachines != 7 {
 		t.Errorf("read as %+v, %v", k, err)
 	}
-	if k, err = LoadProperties(""); err != nil || k != tuning.Defaults() {
+	if k, err = LoadProperties(""); err != nil || k.Knobs != tuning.Defaults() {
 		t.Errorf("without a file: %+v, %v", k, err)
 	}
 	for _, text := range []string{"fleet.idle.keep = soon", "fleet.idle.keep = -1s", "fleet.machines.max = 0", "fleet.machine.max = 3"} {
--- a/internal/config/properties.go
+++ b/internal/config/properties.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/magiconair/properties"
 
+	"poppypass/internal/budget"
 	"poppypass/internal/tuning"
 )
 
@@ -13,42 +16,93 @@
 const (
 	keyIdleKeep    = "fleet.idle.keep"
 	keyMaxMachines = "fleet.machines.max"
+	keyLedger      = "ledger"
+	keyLedgerZone  = "ledger.zone"
+	keyMetrics     = "metrics.addr"
 )
 
+// Own are the operators' own settings.
+type Own struct {
+	Knobs tuning.Knobs
+	// Ledger tells that charges are kept.
+	Ledger bool
+	// Budgets is never nil. Without a ledger it holds none.
+	Budgets *budget.Settings
+	// MetricsAddr is where metrics are served; empty: nowhere.
+	MetricsAddr string
+}
+
 // LoadProperties reads the operators' settings; an empty path gives the defaults.
-func LoadProperties(path string) (tuning.Knobs, error) {
-	k := tuning.Defaults()
+func LoadProperties(path string) (*Own, error) {
+	own := &Own{Knobs: tuning.Defaults(), Budgets: &budget.Settings{}}
 	if path == "" {
-		return k, nil
+		return own, nil
 	}
-	p, err := properties.LoadFile(path, properties.UTF8)
+	l := properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}
+	p, err := l.LoadFile(path)
 	if err != nil {
-		return k, fmt.Errorf("properties: %w", err)
+		return nil, fmt.Errorf("properties: %w", err)
 	}
 	for _, key := range p.Keys() {
-		if err := setKnob(&k, key, p); err != nil {
-			return k, fmt.Errorf("properties %s: %w", path, err)
+		if err := own.set(key, p); err != nil {
+			return nil, fmt.Errorf("properties %s: %w", path, err)
 		}
 	}
-	return k, nil
+	if !own.Ledger && len(own.Budgets.Budgets) > 0 {
+		return nil, fmt.Errorf("properties %s: there are budgets, but %s is not on", path, keyLedger)
+	}
+	return own, nil
 }
 
-func setKnob(k *tuning.Knobs, key string, p *properties.Properties) error {
+func (o *Own) set(key string, p *properties.Properties) error {
+	value := p.GetString(key, "")
 	switch key {
 	case keyIdleKeep:
-		d, err := time.ParseDuration(p.MustGetString(key))
+		d, err := time.ParseDuration(value)
 		if err != nil || d < 0 {
-			return fmt.Errorf("%s: %q is not a duration such as 45s", key, p.MustGetString(key))
+			return fmt.Errorf("%s: %q is not a duration such as 45s", key, value)
 		}
-		k.IdleKeep = d
+		o.Knobs.IdleKeep = d
 	case keyMaxMachines:
 		n := p.GetInt(key, -1)
 		if n < 1 {
-			return fmt.Errorf("%s: %q is not a count above 0", key, p.MustGetString(key))
+			return fmt.Errorf("%s: %q is not a count above 0", key, value)
+		}
+		o.Knobs.MaxMachines = n
+	case keyLedger:
+		if value != "on" && value != "off" {
+			return fmt.Errorf("%s: %q is neither on nor off", key, value)
+		}
+		o.Ledger = value == "on"
+	case keyLedgerZone:
+		zone, err := time.LoadLocation(value)
+		if err != nil {
+			return fmt.Errorf("%s: %q is not a time zone known here", key, value)
+		}
+		o.Budgets.Zone = zone
+	case keyMetrics:
+		if err := checkAddr(key, value); err != nil {
+			return err
 		}
-		k.MaxMachines = n
+		o.MetricsAddr = value
 	default:
+		if strings.HasPrefix(key, budget.Prefix) {
+			return o.Budgets.Set(key, value)
+		}
 		return fmt.Errorf("%s: unknown key", key)
 	}
 	return nil
 }
+
+// Check says what does not fit the platform's settings, in one line.
+func (o *Own) Check(s *Settings) error {
+	if !o.Ledger {
+		return nil
+	}
+	if s.Cluster.State.ValueKB < tuning.LedgerValueKB {
+		return fmt.Errorf("%s: field cluster.state.value_kb is under %d, the least that progress records with charges take", keyLedger, tuning.LedgerValueKB)
+	}
+	return o.Budgets.Check(func(team string) bool {
+		return slices.ContainsFunc(s.Cluster.Teams, func(t Team) bool { return t.Name == team })
+	})
+}
--- /dev/null
+++ b/internal/config/watch.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/budget"
+	"poppypass/internal/tuning"
+)
+
+// Watched are the operators' settings, of which budgets take effect while the
+// program runs. It is safe for concurrent use.
+type Watched struct {
+	path     string
+	settings *Settings
+	own      *Own
+	budgets  atomic.Pointer[budget.Settings]
+	seen     os.FileInfo
+}
+
+// Watch begins to look after a properties file that was loaded and checked.
+func Watch(path string, s *Settings, own *Own) *Watched {
+	w := &Watched{path: path, settings: s, own: own}
+	if path != "" {
+		w.seen, _ = os.Stat(path) // a file that is gone meanwhile has changed
+	}
+	w.budgets.Store(own.Budgets)
+	return w
+}
+
+// Knobs gives the knobs as the program began with them.
+func (w *Watched) Knobs() tuning.Knobs { return w.own.Knobs }
+
+// Ledger tells whether charges are kept.
+func (w *Watched) Ledger() bool { return w.own.Ledger }
+
+// MetricsAddr is where metrics are served; empty: nowhere.
+func (w *Watched) MetricsAddr() string { return w.own.MetricsAddr }
+
+// Budgets gives the budgets that are in force.
+func (w *Watched) Budgets() *budget.Settings { return w.budgets.Load() }
+
+// Run looks at the file now and then until ctx ends, and takes in its budgets when
+// it has changed. A file with a mistake changes nothing.
+func (w *Watched) Run(ctx context.Context, clock clockwork.Clock, log *slog.Logger) {
+	if w.path == "" {
+		return
+	}
+	tick := clock.NewTicker(tuning.PropertiesEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.Chan():
+		}
+		w.look(log)
+	}
+}
+
+func (w *Watched) look(log *slog.Logger) {
+	now, err := os.Stat(w.path)
+	if err != nil || w.seen != nil && now.ModTime().Equal(w.seen.ModTime()) && now.Size() == w.seen.Size() {
+		return
+	}
+	w.seen = now
+	own, err := LoadProperties(w.path)
+	if err == nil {
+		err = own.Check(w.settings)
+	}
+	if err != nil {
+		log.Error("the changed properties are not used", "err", err)
+		return
+	}
+	if !w.own.Ledger {
+		return
+	}
+	// Days of charges are named as they were when the program began.
+	own.Budgets.Zone = w.own.Budgets.Zone
+	w.budgets.Store(own.Budgets)
+	log.Info("changed budgets taken in; other properties take effect at the next start")
+}
+
+// Defaults are the operators' settings of one who gave none.
+func Defaults() *Watched {
+	own, _ := LoadProperties("") // without a file there is nothing to go wrong
+	return Watch("", nil, own)
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -23,6 +24,7 @@
 	"poppypass/internal/keeper"
 	"poppypass/internal/leader"
 	"poppypass/internal/leadership"
+	"poppypass/internal/ledger"
 	"poppypass/internal/mesh"
 	"poppypass/internal/peers"
 	"poppypass/internal/statestore"
@@ -35,6 +37,7 @@
 // Controller is one member of the service.
 type Controller struct {
 	settings *config.Settings
+	own      *config.Watched
 	clock    clockwork.Clock
 	log      *slog.Logger
 
@@ -47,14 +50,15 @@
 	keeper  *keeper.Keeper
 	users   *users.Door
 	reports *workers.Door
+	ledger  *ledger.Door // nil: no charges are kept
 
 	leading atomic.Pointer[leader.Loop] // the leader's loop, while this member leads
 }
 
 // New makes a controller from its settings.
-func New(s *config.Settings, k tuning.Knobs, clock clockwork.Clock, log *slog.Logger) *Controller {
+func New(s *config.Settings, own *config.Watched, clock clockwork.Clock, log *slog.Logger) (*Controller, error) {
 	c := &Controller{
-		settings: s, clock: clock, log: log,
+		settings: s, own: own, clock: clock, log: log,
 		cloud: cloud.New(s.Outside.Cloud, s.Cluster.Cloud.RPS),
 		peers: peers.New(s, clock, log),
 	}
@@ -71,14 +75,34 @@
 		teams[t.Name] = t
 	}
 	c.env = &leader.Env{
-		Settings: s, Knobs: k, Clock: clock, Log: log, Store: c.store, Cloud: c.cloud,
+		Settings: s, Knobs: own.Knobs(), Clock: clock, Log: log, Store: c.store, Cloud: c.cloud,
 		Workers: httpjson.NewClient(2, 1, tuning.CommandTimeout), Teams: teams, Finals: jobs.NewFinals(tuning.FinalCache),
 		Valid: c.elector.Valid, Types: c.catalog.Types,
 	}
+	if err := c.join(); err != nil {
+		return nil, err
+	}
 	c.users = users.New(c.env, c.peers, c.leader)
 	c.reports = workers.New(s.Member, clock, c.elector, c.peers, c.keeper, c.leader)
 	c.setCloudShare(false)
-	return c
+	return c, nil
+}
+
+// join registers the subsystems that are on.
+func (c *Controller) join() error {
+	if !c.own.Ledger() {
+		return nil
+	}
+	state := c.settings.Cluster.State
+	cfg := ledger.Config{Clock: c.clock, TxnOps: state.TxnOps, ValueKB: state.ValueKB, Types: c.catalog.Types, Budgets: c.own.Budgets}
+	reader, err := ledger.NewReader(c.store.Spare())
+	if err != nil {
+		return err
+	}
+	c.ledger = &ledger.Door{Reader: reader, Ask: func(ctx context.Context, uri string) (int, json.RawMessage) { return c.users.Ask(ctx, uri) }}
+	c.env.Accounts = true
+	c.env.Joins = append(c.env.Joins, func(log *slog.Logger) (leader.Slice, error) { return ledger.New(cfg, log) })
+	return nil
 }
 
 // memberShare is what one member may use of a limit that all share, when the
@@ -121,6 +145,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { mesh.Serve(ctx, peers, c.servePeer, c.log) })
 	wg.Go(func() { c.catalog.Run(ctx) })
+	wg.Go(func() { c.own.Run(ctx, c.clock, c.log) })
 	wg.Go(func() { c.keeper.Run(ctx) })
 	wg.Go(func() { c.elector.Run(ctx, c.lead) })
 	if !c.peers.Alone() {
@@ -147,6 +172,10 @@
 	mux.HandleFunc("POST "+wire.PathJobs+"/{id}/"+wire.EndCancel, c.users.ServeCancel)
 	mux.HandleFunc("GET "+wire.PathHealth, c.users.ServeHealth)
 	mux.HandleFunc("POST "+wire.PathReport, c.reports.ServeReport)
+	mux.HandleFunc("GET "+wire.PathJobs+"/{id}/"+wire.EndWhy, c.users.ServeWhy)
+	if c.ledger != nil {
+		c.ledger.Routes(mux)
+	}
 	return mux
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -33,6 +33,7 @@
 	addr  string
 	c     *Controller
 	stop  func()
+	props string // path of the operators' properties
 }
 
 // patience turns a test that would hang into a failure; what a test waits for
@@ -64,7 +65,10 @@
 			State:   config.State{RPS: 1e6, WriteRPS: 1e6, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 1e6},
 		},
 	}
-	w.c = New(s, tuning.Defaults(), w.clock, slog.New(slog.DiscardHandler))
+	var err error
+	if w.c, err = New(s, w.own(), w.clock, slog.New(slog.DiscardHandler)); err != nil {
+		w.t.Fatal(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- w.c.Run(ctx) }()
@@ -77,6 +81,15 @@
 	w.until("healthy", func() bool { status, _ := w.call("GET", "/up", nil); return status == 200 })
 }
 
+// own are the operators' settings.
+func (w *world) own() *config.Watched {
+	own, err := config.LoadProperties(w.props)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return config.Watch(w.props, nil, own)
+}
+
 // until waits until a condition holds. On a starved machine a call may time out,
 // and is repeated after a pause of the clock that stands still: that goes on a
 // little then.
--- a/internal/controller/serve_peers.go
+++ b/internal/controller/serve_peers.go
@@ -26,6 +26,8 @@
 		return yesOrNo(c.elector.NotLeading())
 	case mesh.Report:
 		return c.reports.AnswerPeer(ctx, req.Payload)
+	case mesh.Show:
+		return c.users.AnswerShow(ctx, string(req.Payload))
 	case mesh.Submit:
 		return c.users.AnswerSubmission(ctx, req.Payload)
 	}
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -117,3 +117,14 @@
 
 // Unavailable answers 503.
 func Unavailable(w http.ResponseWriter, text string) { Fail(w, http.StatusServiceUnavailable, text) }
+
+// WriteRaw answers with JSON that is encoded already. With a 503 it says when to
+// come back.
+func WriteRaw(w http.ResponseWriter, status int, body json.RawMessage) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfterS))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a reader that has gone is its own affair
+}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"time"
 
+	"poppypass/internal/charge"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
@@ -32,7 +33,8 @@
 
 // Stop is the wish that a placed task ends.
 type Stop struct {
-	GraceS float64 // time to save
+	GraceS float64    // time to save
+	For    charge.How // why, for its charge
 }
 
 // Place is a machine on which a task may be. It lasts from the decision until
@@ -50,6 +52,14 @@
 	State     wire.TaskState // as reported; empty: not yet
 	At        time.Time      // when it was placed (or found, by a new leader)
 	Running   time.Time      // when it was first reported running
+
+	// What its charge counts from; kept only while charges are (Book.Meter).
+	Kind        charge.Kind
+	Placed      time.Time // when it was placed, by the time of day, whoever led then
+	Began       time.Time // when it was first seen to run, or its day began
+	Part        int       // how many parts of it are charged already
+	beganStored bool
+	inherited   bool // a former leader placed it
 }
 
 // Task names the task.
@@ -60,6 +70,8 @@
 	dirty   bool
 	urgent  bool // it holds a place that waits to be stored before its start
 	writing bool
+	pack    charge.Pack // charges of ended attempts, and the kinds of machines that entries name
+	base    int64       // times in the record count from here
 }
 
 // Job is a live job.
@@ -141,6 +153,13 @@
 	garbage []wire.Condition // records of jobs that are over
 	lazyAt  time.Time        // when the oldest lazy change wants to be written
 	urgent  bool
+
+	// Meter tells whether what tasks take is charged: times are stored then.
+	Meter bool
+	began []*Place // seen to run, in that order
+	lefts []Left
+
+	damaged []error
 }
 
 type chunkRef struct {
@@ -173,6 +192,9 @@
 		chunks: make([]chunk, (r.Job.Tasks+tuning.ChunkTasks-1)/tuning.ChunkTasks),
 		zones:  map[string]int{}, Avoid: map[string]time.Time{},
 	}
+	for n := range j.chunks {
+		j.chunks[n].pack.Job, j.chunks[n].pack.Brief = j.ID, BriefOf(&j.Job)
+	}
 	b.Jobs[j.ID] = j
 	return j, nil
 }
@@ -184,23 +206,31 @@
 	if !ok {
 		return nil, fmt.Errorf("progress record %s: malformed key", item.Key)
 	}
+	var r chunkRecord
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		return nil, fmt.Errorf("progress record %s: %w", item.Key, err)
+	}
 	j := b.Jobs[id]
 	if j == nil {
+		if len(r.Charges) > 0 {
+			b.LoadLeft(item)
+			return nil, nil
+		}
 		// Left behind by a job that is over: the leader that ended it could
 		// not drop all its records in one transaction.
 		b.garbage = append(b.garbage, wire.Condition{Key: item.Key, Version: item.Version})
 		b.lazy(now)
 		return nil, nil
 	}
-	var r chunkRecord
-	if err := json.Unmarshal(item.Value, &r); err != nil {
-		return nil, fmt.Errorf("progress record %s: %w", item.Key, err)
-	}
 	done, err := decodeRanges(r.Done)
 	if err != nil || n >= len(j.chunks) {
 		return nil, fmt.Errorf("progress record %s is malformed", item.Key)
 	}
-	j.chunks[n].version = item.Version
+	c := &j.chunks[n]
+	c.version, c.base = item.Version, r.Base
+	if err := c.loadPack(r.Charges); err != nil {
+		b.damaged = append(b.damaged, fmt.Errorf("progress record %s: %w", item.Key, err))
+	}
 	if r.Tries > 0 {
 		j.Tries = r.Tries
 		j.PauseUntil = now.Add(tryPause(j.Tries))
@@ -221,7 +251,8 @@
 		if e.Machine == "" {
 			continue
 		}
-		p := &Place{Job: j, Index: e.Index, Attempt: e.Attempt, Machine: e.Machine, Session: e.Session, Zone: e.Zone, Committed: true, At: now}
+		p := &Place{Job: j, Index: e.Index, Attempt: e.Attempt, Machine: e.Machine, Session: e.Session, Zone: e.Zone, Committed: true, At: now, Placed: now, inherited: true}
+		c.metered(&e, p)
 		t.State, t.Place = Placed, p
 		j.Placed++
 		j.zones[e.Zone]++
@@ -242,7 +273,7 @@
 func (b *Book) Place(j *Job, index int, machine, zone string, session uint64, now time.Time) *Place {
 	t := &j.Tasks[index]
 	t.Attempt++
-	p := &Place{Job: j, Index: index, Attempt: t.Attempt, Machine: machine, Zone: zone, Session: session, At: now}
+	p := &Place{Job: j, Index: index, Attempt: t.Attempt, Machine: machine, Zone: zone, Session: session, At: now, Placed: now}
 	t.State, t.Place = Placed, p
 	j.Placed++
 	j.zones[zone]++
--- /dev/null
+++ b/internal/jobs/charges.go
@@ -0,0 +1,198 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"poppypass/internal/charge"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Charges ride in the records that are written anyway. While a job is live, the
+// charges of its ended attempts lie in the progress record of their chunk: the
+// write that records an attempt's end records its charge. One that grows long is
+// moved, in such a write, to a record of its own, which bears the name of its first
+// attempt and must not exist yet. When the job is over, its progress records that hold
+// charges stay behind instead of being dropped. What stays is a Left: nothing of it
+// changes any more, until somebody takes it in and drops it in one transaction.
+//
+// So a charge lies in exactly one record at any time, and each step of it is
+// guarded on the version of the record that it comes from.
+
+// PrefixLeft holds charges that were moved out of progress records.
+const PrefixLeft = "left/"
+
+func keyLeft(job string, c *charge.Charge) string {
+	return fmt.Sprintf("%s%s/%d.%d.%d", PrefixLeft, job, c.Task, c.Attempt, c.Part)
+}
+
+// Left is a record of charges that the book no longer touches.
+type Left struct {
+	Key     string
+	Version uint64
+	Pack    *charge.Pack
+}
+
+// leftRecord is how a Left is stored; progress records have the same field.
+type leftRecord struct {
+	Charges []byte `json:"c"`
+}
+
+// BriefOf is what the charges of a job have in common.
+func BriefOf(j *wire.Job) charge.Brief {
+	return charge.Brief{
+		Team: j.Team, Account: j.Account, Class: j.Class,
+		Cores: charge.Milli(j.CPUs), GPUs: charge.Milli(j.GPUs), Memory: charge.Milli(j.MemoryGB),
+	}
+}
+
+// Charge notes what an attempt took, or parts of it. It must be called in the
+// step in which its end, or the turn of its day, is taken in.
+func (b *Book) Charge(p *Place, parts []charge.Charge, now time.Time) {
+	n := p.Index / tuning.ChunkTasks
+	c := &p.Job.chunks[n]
+	for _, part := range parts {
+		part.Kind = c.pack.KindIndex(p.Kind)
+		c.pack.Charges = append(c.pack.Charges, part)
+	}
+	b.touch(p.Job, n)
+	b.lazy(now)
+}
+
+// Began takes in that a task was seen to run. Its time is stored with the next
+// write of its record, or by itself if it runs on for BeganAfter: what ends sooner
+// costs no write.
+func (b *Book) Began(p *Place, now time.Time) {
+	if b.Meter && p.Began.IsZero() {
+		p.Began = now
+		if p.inherited {
+			// It may have run since before this leader: that it was placed is all that
+			// is known. A start that equals the placing says so.
+			p.Began = p.Placed
+		}
+		b.began = append(b.began, p)
+	}
+}
+
+// noteBegan has the times of tasks that run on written.
+func (b *Book) noteBegan(now time.Time) {
+	for len(b.began) > 0 && now.Sub(b.began[0].At) >= tuning.BeganAfter {
+		p := b.began[0]
+		b.began = b.began[1:]
+		if !p.Removed && !p.beganStored {
+			b.touch(p.Job, p.Index/tuning.ChunkTasks)
+			b.lazy(now)
+		}
+	}
+}
+
+// Charges calls fn with the charges that still lie with each live job.
+func (b *Book) Charges(fn func(*charge.Pack)) {
+	for _, j := range b.Jobs {
+		for n := range j.chunks {
+			if p := &j.chunks[n].pack; len(p.Charges) > 0 {
+				fn(p)
+			}
+		}
+	}
+}
+
+// TakeLefts gives the records of charges that came to lie apart since it was last asked.
+func (b *Book) TakeLefts() []Left {
+	out := b.lefts
+	b.lefts = nil
+	return out
+}
+
+// Damaged gives the records whose charges could not be read. What their jobs are owed
+// is not touched by that.
+func (b *Book) Damaged() []error {
+	out := b.damaged
+	b.damaged = nil
+	return out
+}
+
+// PackOf gives the charges in a record, of a live job or apart; nil if it holds none.
+func PackOf(item wire.Item) (*charge.Pack, error) {
+	var r leftRecord
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		return nil, fmt.Errorf("record %s: %w", item.Key, err)
+	}
+	if len(r.Charges) == 0 {
+		return nil, nil
+	}
+	p, err := charge.DecodePack(r.Charges)
+	if err != nil {
+		return nil, fmt.Errorf("record %s: %w", item.Key, err)
+	}
+	return p, nil
+}
+
+// LoadLeft takes in a stored Left.
+func (b *Book) LoadLeft(item wire.Item) {
+	switch p, err := PackOf(item); {
+	case err != nil:
+		b.damaged = append(b.damaged, err)
+	case p != nil:
+		b.lefts = append(b.lefts, Left{Key: item.Key, Version: item.Version, Pack: p})
+	}
+}
+
+// loadPack takes in the charges in a progress record of a live job.
+func (c *chunk) loadPack(raw []byte) error {
+	if len(raw) == 0 {
+		return nil
+	}
+	p, err := charge.DecodePack(raw)
+	if err != nil {
+		return err
+	}
+	c.pack.Kinds, c.pack.Charges = p.Kinds, p.Charges
+	return nil
+}
+
+// seal gives the record to which a chunk's charges are moved, if they have grown long.
+func (c *chunk) seal() (Left, json.RawMessage, bool) {
+	if len(c.pack.Charges) < tuning.SealCharges {
+		return Left{}, nil, false
+	}
+	pack := c.pack
+	left := Left{Key: keyLeft(pack.Job, &pack.Charges[0]), Pack: &pack}
+	value := mustJSON(leftRecord{Charges: charge.EncodePack(&pack)})
+	c.pack.Charges = nil
+	c.pack.Kinds = append([]charge.Kind(nil), pack.Kinds...)
+	return left, value, true
+}
+
+// meter adds what the charge of an attempt will count from to its stored entry.
+// Times are stored as milliseconds from the record's base, and at least 1.
+func (c *chunk) meter(e *taskEntry, p *Place) {
+	if c.base == 0 {
+		c.base = p.Placed.UnixMilli() - 1
+	}
+	e.Placed = max(1, p.Placed.UnixMilli()-c.base)
+	if !p.Began.IsZero() {
+		e.Began = max(1, p.Began.UnixMilli()-c.base)
+		p.beganStored = true
+	}
+	e.Part = p.Part
+	if p.Kind.Type != "" {
+		e.Kind = c.pack.KindIndex(p.Kind) + 1
+	}
+}
+
+// metered is the reverse of meter.
+func (c *chunk) metered(e *taskEntry, p *Place) {
+	if e.Placed > 0 {
+		p.Placed = time.UnixMilli(c.base + e.Placed)
+	}
+	if e.Began > 0 {
+		p.Began, p.beganStored = time.UnixMilli(c.base+e.Began), true
+	}
+	p.Part = e.Part
+	if e.Kind > 0 && e.Kind <= len(c.pack.Kinds) {
+		p.Kind = c.pack.Kinds[e.Kind-1]
+	}
+}
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -60,6 +60,9 @@
 	Done  string      `json:"d,omitempty"`
 	Tasks []taskEntry `json:"t,omitempty"`
 	Tries int         `json:"f,omitempty"` // of the whole job, in vain; in its first chunk
+
+	Base    int64  `json:"b,omitempty"` // time of day in ms from which the entries' times count
+	Charges []byte `json:"c,omitempty"` // an encoded charge.Pack
 }
 
 type taskEntry struct {
@@ -68,6 +71,11 @@
 	Machine string `json:"m,omitempty"` // where it may be; empty: nowhere
 	Session uint64 `json:"s,omitempty"`
 	Zone    string `json:"z,omitempty"`
+
+	Placed int64 `json:"p,omitempty"` // when it was placed, in ms from the record's base
+	Began  int64 `json:"r,omitempty"` // when it was seen to run
+	Part   int   `json:"q,omitempty"` // parts that are charged
+	Kind   int   `json:"k,omitempty"` // one more than the index of its kind in the pack
 }
 
 func encodeRanges(idx []int) string {
--- a/internal/jobs/writes.go
+++ b/internal/jobs/writes.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/charge"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
@@ -17,6 +18,7 @@
 	chunks []chunkRef
 	places []*Place
 	ends   []endRef
+	lefts  []Left // charges that come to lie apart; their version is that of the batch, if 0
 }
 
 type endRef struct {
@@ -32,6 +34,7 @@
 
 // Due tells whether changes should be written now.
 func (b *Book) Due(now time.Time) bool {
+	b.noteBegan(now)
 	return b.urgent || !b.lazyAt.IsZero() && !now.Before(b.lazyAt)
 }
 
@@ -77,8 +80,16 @@
 		drop(KeyJob(j.ID), j.version)
 		for n := range j.chunks {
 			c := &j.chunks[n]
+			dirty := c.dirty
 			c.dirty, c.urgent = false, false
 			switch {
+			case len(c.pack.Charges) > 0:
+				left := Left{Key: keyRun(j.ID, n), Pack: &c.pack, Version: c.version}
+				if dirty {
+					put(left.Key, c.version, mustJSON(leftRecord{Charges: charge.EncodePack(&c.pack)}))
+					left.Version = 0
+				}
+				w.lefts = append(w.lefts, left)
 			case c.version == 0:
 			case room(1):
 				drop(keyRun(j.ID, n), c.version)
@@ -96,7 +107,13 @@
 		if !c.dirty || ref.job.ended {
 			return
 		}
-		value, places := ref.job.encodeChunk(ref.n)
+		if room(2) {
+			if left, value, ok := c.seal(); ok {
+				put(left.Key, 0, value)
+				w.lefts = append(w.lefts, left)
+			}
+		}
+		value, places := ref.job.encodeChunk(ref.n, b.Meter)
 		c.dirty, c.urgent, c.writing = false, false, true
 		// Progress is only written for a job that is still stored as it was
 		// loaded: one that is over can never come back to life.
@@ -108,10 +125,33 @@
 		w.chunks = append(w.chunks, ref)
 		w.places = append(w.places, places...)
 	}
+	// settled writes the charges that a job's end would bring along, as far as there is
+	// room, if they are more than have room with it: it then goes with the next batch.
+	settled := func(j *Job) bool {
+		if j.cancelWanted && j.Done < len(j.Tasks) {
+			return true // its records stay for now
+		}
+		var with []int
+		for n := range j.chunks {
+			if c := &j.chunks[n]; c.dirty && len(c.pack.Charges) > 0 {
+				with = append(with, n)
+			}
+		}
+		if len(with) <= 1 || room(2+len(with)) && len(with) <= tuning.EndChunks {
+			return true
+		}
+		for _, n := range with {
+			if !room(2) {
+				break
+			}
+			write(chunkRef{j, n})
+		}
+		return false
+	}
 	b.sort()
 	for len(b.ends)+len(b.dirty) > 0 {
 		if b.endFirst() {
-			if !room(3) {
+			if !room(3) || !settled(b.ends[0]) {
 				break
 			}
 			end()
@@ -168,8 +208,9 @@
 	return len(b.dirty) == 0 || len(b.ends) > 0 && b.ends[0].endLevel() > b.dirty[0].job.Priority.Level()
 }
 
-func (j *Job) encodeChunk(n int) (json.RawMessage, []*Place) {
+func (j *Job) encodeChunk(n int, meter bool) (json.RawMessage, []*Place) {
 	var r chunkRecord
+	c := &j.chunks[n]
 	var done []int
 	var places []*Place
 	for i := n * tuning.ChunkTasks; i < min(len(j.Tasks), (n+1)*tuning.ChunkTasks); i++ {
@@ -178,7 +219,11 @@
 		case t.State == Done:
 			done = append(done, i)
 		case t.Place != nil:
-			r.Tasks = append(r.Tasks, taskEntry{Index: i, Attempt: t.Attempt, Machine: t.Place.Machine, Session: t.Place.Session, Zone: t.Place.Zone})
+			e := taskEntry{Index: i, Attempt: t.Attempt, Machine: t.Place.Machine, Session: t.Place.Session, Zone: t.Place.Zone}
+			if meter {
+				c.meter(&e, t.Place)
+			}
+			r.Tasks = append(r.Tasks, e)
 			if !t.Place.Committed {
 				places = append(places, t.Place)
 			}
@@ -190,6 +235,9 @@
 	if n == 0 {
 		r.Tries = j.Tries
 	}
+	if r.Base = c.base; len(c.pack.Charges)+len(c.pack.Kinds) > 0 {
+		r.Charges = charge.EncodePack(&c.pack)
+	}
 	return mustJSON(r), places
 }
 
@@ -207,6 +255,12 @@
 			b.slow = append(b.slow, ref)
 		}
 	}
+	for _, left := range w.lefts {
+		if left.Version == 0 {
+			left.Version = revision
+		}
+		b.lefts = append(b.lefts, left)
+	}
 	for _, p := range w.places {
 		p.Committed = true
 		if !p.Removed {
--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/charge"
 	"poppypass/internal/fleet"
 	"poppypass/internal/jobs"
 	"poppypass/internal/placement"
@@ -168,7 +169,7 @@
 				continue
 			}
 			l.fleet.moveBudget -= down
-			p.Stop = &jobs.Stop{}
+			p.Stop = &jobs.Stop{For: charge.Drained}
 			moved = append(moved, p)
 		}
 	}
--- a/internal/leader/env.go
+++ b/internal/leader/env.go
@@ -32,6 +32,10 @@
 	Teams   map[string]config.Team
 	Finals  *jobs.Finals
 
+	// Accounts tells that charges are kept, by accounts that jobs may name.
+	Accounts bool
+	// Joins makes the slices that join each tenure's loop.
+	Joins []func(log *slog.Logger) (Slice, error)
 	// Valid tells whether this member has the right to act in a term now.
 	Valid func(term uint64) bool
 	// Types gives the machine types; nil while none are known.
@@ -44,3 +48,14 @@
 	case <-e.Clock.After(d):
 	}
 }
+
+// typeOf gives a machine type; nil when it is not known.
+func (e *Env) typeOf(name string) *wire.MachineType {
+	types := e.Types()
+	for i := range types {
+		if types[i].Name == name {
+			return &types[i]
+		}
+	}
+	return nil
+}
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -36,6 +36,10 @@
 	asking  bool // the machines that followers answer are being read
 	nextAsk time.Time
 
+	slices     []Slice
+	aside      bool // a slice's transaction is on its way
+	nextSlices time.Time
+
 	changed  bool          // a pass could find something new
 	rested   time.Time     // no pass before, whatever changed
 	passWait time.Duration // the pause until the next pass that nothing woke
@@ -52,12 +56,21 @@
 func New(env *Env, t leadership.Tenure) *Loop {
 	now := env.Clock.Now()
 	state := env.Settings.Cluster.State
-	return &Loop{
+	l := &Loop{
 		env: env, tenure: t, log: env.Log.With("term", t.Term), inbox: make(chan func(), tuning.Inbox),
 		book: jobs.NewBook(state.TxnOps), roster: roster.New(t.Term, env.Settings.Cluster.Workers.LeaseS),
 		store: env.Store.Share(tuning.LeaderShare),
 		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(),
 	}
+	for _, join := range env.Joins {
+		s, err := join(l.log)
+		if err != nil {
+			l.log.Error("a subsystem cannot join", "err", err)
+			continue
+		}
+		l.slices = append(l.slices, s)
+	}
+	return l
 }
 
 // Tenure is the leadership that the loop serves.
@@ -155,6 +168,7 @@
 			l.fleet.rested = l.rest(begun)
 		}
 	}
+	l.stepSlices(now)
 	l.flush(now)
 }
 
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/charge"
 	"poppypass/internal/jobs"
 	"poppypass/internal/placement"
 	"poppypass/internal/roster"
@@ -29,10 +30,17 @@
 		if i < 0 {
 			continue
 		}
+		// Jobs share what a slice admits: each placement takes of it.
+		if n, _ := l.admitted(j, now); n <= 0 {
+			continue
+		}
 		next[j.ID] = i + 1
 		m := l.roster.Machines[d.Machine.Name]
 		p := l.book.Place(j, i, m.Name, m.Zone, m.Session, now)
 		l.roster.Add(p, now)
+		for _, s := range l.slices {
+			s.Placed(p, m.Spot, l.env.typeOf(m.Type), now)
+		}
 		l.log.Debug("placed", "task", p.Task().String(), "attempt", p.Attempt, "class", j.Class, "machine", m.Name,
 			"type", m.Type, "spot", m.Spot, "waited_s", now.Sub(j.WaitSince).Seconds())
 	}
@@ -72,7 +80,7 @@
 	var stopped []*jobs.Place
 	for _, v := range placement.Preempt(due, open, teams) {
 		p := v.Ref.(*jobs.Place)
-		p.Stop = &jobs.Stop{}
+		p.Stop = &jobs.Stop{For: charge.Preempted}
 		stopped = append(stopped, p)
 		l.log.Debug("making room", "task", p.Task().String(), "class", p.Job.Class, "machine", p.Machine,
 			"cost_s", v.Cost, "for", v.For.ID, "for_class", v.For.Class)
@@ -120,9 +128,13 @@
 		if !j.Open() || j.Waiting() == 0 || now.Before(j.PauseUntil) {
 			continue
 		}
+		waiting, _ := l.admitted(j, now)
+		if waiting <= 0 {
+			continue
+		}
 		_, prompt := l.promptness(j.Class)
 		it := &placement.Item{
-			Job: &j.Job, Since: j.WaitSince, Waiting: j.Waiting(), Started: j.Placed + j.Done, Zones: zonesOf(j),
+			Job: &j.Job, Since: j.WaitSince, Waiting: waiting, Started: j.Placed + j.Done, Zones: zonesOf(j),
 			Prompt: prompt,
 			Avoid: func(machine string) bool {
 				// A job that fails everywhere may go anywhere.
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/charge"
 	"poppypass/internal/fleet"
 	"poppypass/internal/jobs"
 	"poppypass/internal/tuning"
@@ -42,7 +43,12 @@
 	if !read(jobs.PrefixRun, func(items []wire.Item) { progress = append(progress, items...) }) {
 		return
 	}
-	l.post(func() { l.takeProgress(progress) })
+	// Charges that were moved apart matter only where they are kept.
+	var lefts []wire.Item
+	if len(l.slices) > 0 && !read(jobs.PrefixLeft, func(items []wire.Item) { lefts = append(lefts, items...) }) {
+		return
+	}
+	l.post(func() { l.takeProgress(progress, lefts) })
 	for ctx.Err() == nil {
 		r, err := l.store.Watch(ctx, jobs.PrefixJob, revision, tuning.JobWatch)
 		switch {
@@ -97,7 +103,7 @@
 	return l.tenure.Term == 1 && now.Sub(l.begun) < tuning.BeginRush
 }
 
-func (l *Loop) takeProgress(items []wire.Item) {
+func (l *Loop) takeProgress(items, lefts []wire.Item) {
 	now := l.env.Clock.Now()
 	seen := map[string]bool{}
 	for _, item := range items {
@@ -113,13 +119,27 @@
 		}
 		for _, p := range places {
 			if p.Job.Cancelled() {
-				p.Stop = &jobs.Stop{}
+				p.Stop = &jobs.Stop{For: charge.Cancelled}
 			}
 			l.roster.Inherit(p, l.begun)
 		}
 	}
+	for _, item := range lefts {
+		if seen[item.Key] {
+			continue
+		}
+		seen[item.Key] = true
+		l.book.LoadLeft(item)
+	}
 	l.book.Loaded()
+	for _, err := range l.book.Damaged() {
+		l.log.Error("charges are lost", "err", err)
+	}
 	l.loaded, l.changed = true, true
+	for _, s := range l.slices {
+		s.Loaded(l.book, now)
+	}
+	l.readSlices()
 	l.log.Info("records loaded", "jobs", len(l.book.Jobs), "machines", len(l.roster.Machines),
 		"took_ms", now.Sub(l.begun).Milliseconds())
 }
--- /dev/null
+++ b/internal/leader/slices.go
@@ -0,0 +1,139 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/roster"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Slice is a subsystem that joins the loop for one tenure. The loop's goroutine
+// makes all calls but Read, so a slice needs no lock, and must not wait for anything.
+type Slice interface {
+	// Read reads the slice's own records. It runs beside the loop, once the jobs'
+	// records are in, and is repeated until it succeeds; the loop then calls take.
+	Read(ctx context.Context, store *statestore.Client) (take func(), err error)
+	// Loaded tells that the book is in.
+	Loaded(book *jobs.Book, now time.Time)
+	// Admit says how many of a job's waiting tasks may start now, and why no more.
+	Admit(j *jobs.Job, now time.Time) (n int, why string)
+	// Placed hears of a decision, on a machine of a type.
+	Placed(p *jobs.Place, spot bool, typ *wire.MachineType, now time.Time)
+	// Ended hears of the proven end of an attempt, before the book does.
+	Ended(o roster.Outcome, now time.Time)
+	// Tick does what is due, about every SliceTick, and names places that are to be stopped.
+	Tick(now time.Time) []*jobs.Place
+	// Next gives a transaction of the slice's own, on keys that the book does not
+	// touch, of at most room changes; nil: none. One is on its way at a time.
+	Next(now time.Time, room int) *Write
+	// Show answers a question of an operator or user: a path below the slice's own, as
+	// in a URL. ok is false when the slice knows no such path.
+	Show(uri string, now time.Time) (status int, body any, ok bool)
+}
+
+// Write is a transaction of a slice. Done is called with its revision.
+type Write struct {
+	Txn  wire.Txn
+	Done func(revision uint64)
+}
+
+// readSlices has each slice read its records.
+func (l *Loop) readSlices() {
+	for _, s := range l.slices {
+		go func() {
+			for pause := tuning.StateRetry; l.ended.Err() == nil; pause = min(2*pause, tuning.StateRetryMax) {
+				take, err := s.Read(l.ended, l.store)
+				if err == nil {
+					l.post(func() { take(); l.changed = true })
+					return
+				}
+				l.log.Debug("a slice's records are unreadable", "err", err)
+				l.env.sleep(l.ended, pause)
+			}
+		}()
+	}
+}
+
+// admitted is how many of a job's waiting tasks may start now.
+func (l *Loop) admitted(j *jobs.Job, now time.Time) (n int, why string) {
+	n = j.Waiting()
+	for _, s := range l.slices {
+		if may, reason := s.Admit(j, now); may < n {
+			n, why = may, reason
+		}
+	}
+	return n, why
+}
+
+// stepSlices does what the slices have due.
+func (l *Loop) stepSlices(now time.Time) {
+	if len(l.slices) == 0 {
+		return
+	}
+	if !now.Before(l.nextSlices) {
+		l.nextSlices = now.Add(tuning.SliceTick)
+		for _, s := range l.slices {
+			l.direct(s.Tick(now))
+		}
+	}
+	if l.aside {
+		return
+	}
+	for _, s := range l.slices {
+		w := s.Next(now, l.store.Room())
+		if w == nil {
+			continue
+		}
+		// Its keys are none of the book's, so the two need not wait for each other.
+		l.aside = true
+		go func() {
+			revision, err := l.commit(w.Txn)
+			switch {
+			case errors.Is(err, errDeposed) || l.ended.Err() != nil:
+				l.end(err)
+				return
+			case err != nil:
+				// The scheduling goes on; the slice writes no more in this tenure, and the
+				// next leader begins from what is stored.
+				l.log.Error("a subsystem's records cannot be stored", "err", err)
+				return
+			}
+			l.post(func() { l.aside = false; w.Done(revision) })
+		}()
+		return
+	}
+}
+
+// Show answers a question, or 404. The answer is JSON.
+func (l *Loop) Show(ctx context.Context, uri string) (status int, body any, err error) {
+	type result struct {
+		status int
+		body   any
+	}
+	r, err := ask(ctx, l, func(answer func(result)) {
+		now := l.env.Clock.Now()
+		if !l.loaded {
+			answer(result{http.StatusServiceUnavailable, wire.Error{Error: "the records are being read"}})
+			return
+		}
+		if id, ok := jobOf(uri, wire.EndWhy); ok {
+			status, body := l.why(id, now)
+			answer(result{status, body})
+			return
+		}
+		for _, s := range l.slices {
+			if status, body, ok := s.Show(uri, now); ok {
+				answer(result{status, body})
+				return
+			}
+		}
+		answer(result{http.StatusNotFound, wire.Error{Error: "nothing is known by that path here"}})
+	})
+	return r.status, r.body, err
+}
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"poppypass/internal/charge"
 	"poppypass/internal/httpjson"
 	"poppypass/internal/jobs"
 	"poppypass/internal/roster"
@@ -19,7 +20,7 @@
 	var places []*jobs.Place
 	for i := range j.Tasks {
 		if p := j.Tasks[i].Place; p != nil {
-			p.Stop = &jobs.Stop{}
+			p.Stop = &jobs.Stop{For: charge.Cancelled}
 			places = append(places, p)
 		}
 	}
@@ -104,6 +105,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, p := range a.Began {
+		l.book.Began(p, now)
+	}
 	l.settle(a.Outcomes, now)
 	if a.Machine.Notice.After(now) {
 		l.drainSpot(a.Machine, now)
@@ -130,6 +134,9 @@
 		if p.Removed {
 			continue
 		}
+		for _, s := range l.slices {
+			s.Ended(o, now)
+		}
 		l.roster.Remove(p, now)
 		l.changed = true
 		m := l.roster.Machines[p.Machine]
@@ -169,11 +176,11 @@
 		save := seconds(j.SaveS) + tuning.GraceExtra
 		switch {
 		case p.State == wire.TaskRunning && j.CheckpointS > 0:
-			p.Stop = &jobs.Stop{GraceS: save.Seconds()}
+			p.Stop = &jobs.Stop{GraceS: save.Seconds(), For: charge.Drained}
 		case p.State == wire.TaskRunning && j.EstimateS > 0 && seconds(j.EstimateS)-now.Sub(p.Running) < left/2:
 			// It will probably end by itself.
 		default:
-			p.Stop = &jobs.Stop{}
+			p.Stop = &jobs.Stop{For: charge.Drained}
 		}
 	}
 	l.direct(valuesOf(m.Places))
--- /dev/null
+++ b/internal/leader/why.go
@@ -0,0 +1,66 @@
+package leader
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"poppypass/internal/placement"
+	"poppypass/internal/wire"
+)
+
+// jobOf reads the job's id from a path of the form /v2/runs/ID/end.
+func jobOf(uri, end string) (id string, ok bool) {
+	u, err := url.Parse(uri)
+	if err != nil {
+		return "", false
+	}
+	rest, ok := strings.CutPrefix(u.Path, wire.PathJobs+"/")
+	if !ok {
+		return "", false
+	}
+	id, ok = strings.CutSuffix(rest, "/"+end)
+	return id, ok && wire.ValidJobID(id)
+}
+
+// why says what the waiting tasks of a job wait for.
+func (l *Loop) why(id string, now time.Time) (status int, body any) {
+	if s, over := l.env.Finals.Get(id); over {
+		return http.StatusOK, wire.Reasons{JobStatus: s}
+	}
+	j := l.book.Jobs[id]
+	if j == nil {
+		return http.StatusNotFound, wire.Error{Error: "no such live job"}
+	}
+	r := wire.Reasons{JobStatus: j.Status(), Waiting: j.Waiting(), Reasons: []string{}}
+	add := func(format string, args ...any) { r.Reasons = append(r.Reasons, fmt.Sprintf(format, args...)) }
+	if !j.Open() || r.Waiting == 0 {
+		return http.StatusOK, r
+	}
+	n, held := l.admitted(j, now)
+	if n < r.Waiting {
+		r.Held = r.Waiting - n
+		add("%s", held)
+	}
+	if n == 0 {
+		return http.StatusOK, r
+	}
+	if l.onTrial(j, now) {
+		add("every task of the job failed so far: one is tried at a time, after pauses")
+	}
+	if now.Before(j.PauseUntil) {
+		add("after failures, no task starts for %d s", 1+int(j.PauseUntil.Sub(now).Seconds()))
+	}
+	it := &placement.Item{Job: &j.Job, Since: j.WaitSince, Waiting: n}
+	switch placed := j.Placed > 0; {
+	case placement.Left(it, l.teams()) == 0:
+		add("the team's tasks use as much as the team's limit allows")
+	case len(r.Reasons) == 0 && placed:
+		add("no machine has room for more of its tasks; work of higher priority, or that waited longer, goes first")
+	case len(r.Reasons) == 0:
+		add("no machine has room for it yet; work of higher priority, or that waited longer, goes first")
+	}
+	return http.StatusOK, r
+}
--- /dev/null
+++ b/internal/ledger/door.go
@@ -0,0 +1,123 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"poppypass/internal/httpjson"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Door answers users and operators about charges, totals and budgets, as JSON or,
+// with format=csv, as CSV. It is safe for concurrent use.
+type Door struct {
+	// Ask has the leader answer a path and query.
+	Ask func(ctx context.Context, uri string) (status int, body json.RawMessage)
+
+	mu     sync.Mutex // one question for a job's charges at a time: each reads some hundred KB
+	Reader *Reader
+}
+
+// Routes registers the door's paths.
+func (d *Door) Routes(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+PathTotals, d.serveTotals)
+	mux.HandleFunc("GET "+PathBudgets, d.serveLeader)
+	mux.HandleFunc("GET "+PathStats, d.serveLeader)
+	mux.HandleFunc("GET "+wire.PathJobs+"/{id}/"+wire.EndCharges, d.serveCharges)
+}
+
+func (d *Door) serveLeader(w http.ResponseWriter, r *http.Request) {
+	status, body := d.Ask(r.Context(), r.URL.RequestURI())
+	httpjson.WriteRaw(w, status, body)
+}
+
+// serveTotals answers for one team: a team sees its own charges only.
+func (d *Door) serveTotals(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("team") == "" {
+		httpjson.Fail(w, http.StatusBadRequest, "the parameter team is missing")
+		return
+	}
+	status, body := d.Ask(r.Context(), r.URL.RequestURI())
+	var t Totals
+	if r.URL.Query().Get("format") != "csv" || status != http.StatusOK || json.Unmarshal(body, &t) != nil {
+		httpjson.WriteRaw(w, status, body)
+		return
+	}
+	writeCSV(w, TotalsCSV(t))
+}
+
+func (d *Door) serveCharges(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	if !wire.ValidJobID(id) {
+		httpjson.Fail(w, http.StatusNotFound, "no such job")
+		return
+	}
+	if !d.mu.TryLock() {
+		httpjson.Unavailable(w, "another question for charges is being answered")
+		return
+	}
+	defer d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(r.Context(), tuning.ChargesWait)
+	defer cancel()
+	page, err := d.Reader.Job(ctx, id, r.URL.Query().Get("after"))
+	if err != nil {
+		httpjson.Unavailable(w, "the charges cannot be read now")
+		return
+	}
+	if r.URL.Query().Get("format") == "csv" {
+		writeCSV(w, ChargesCSV(page.Charges))
+		return
+	}
+	raw, err := json.MarshalIndent(page, "", " ")
+	if err != nil {
+		httpjson.Fail(w, http.StatusInternalServerError, "the answer cannot be written")
+		return
+	}
+	httpjson.WriteRaw(w, http.StatusOK, raw)
+}
+
+func writeCSV(w http.ResponseWriter, rows [][]string) {
+	var b bytes.Buffer
+	_ = csv.NewWriter(&b).WriteAll(rows) // a buffer takes everything
+	w.Header().Set("Content-Type", "text/csv; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(b.Len()))
+	_, _ = w.Write(b.Bytes()) // a reader that has gone is its own affair
+}
+
+func number6(v float64) string { return strconv.FormatFloat(v, 'f', 6, 64) }
+
+// TotalsCSV gives totals as the rows of a CSV file, the first with the names.
+func TotalsCSV(t Totals) [][]string {
+	rows := [][]string{{"day", "team", "account", "class", "type", "spot", "attempts", "core_hours", "gpu_hours", "memory_gb_hours", "money", "core_us", "money_u"}}
+	for _, r := range t.Rows {
+		spot := ""
+		if r.Spot != nil {
+			spot = strconv.FormatBool(*r.Spot)
+		}
+		rows = append(rows, []string{
+			r.Day, r.Team, r.Account, r.Class, r.Type, spot, strconv.FormatInt(r.Attempts, 10), number6(r.CoreHours), number6(r.GPUHours),
+			number6(r.MemoryGBH), number6(r.Money), strconv.FormatInt(r.CoreMicroS, 10), strconv.FormatInt(r.MoneyMicro, 10),
+		})
+	}
+	return rows
+}
+
+// ChargesCSV gives charges as the rows of a CSV file, the first with the names.
+func ChargesCSV(charges []ChargeView) [][]string {
+	rows := [][]string{{"task", "attempt", "part", "team", "account", "class", "type", "zone", "spot", "start", "end", "core_s", "gpu_s", "memory_gb_s", "money", "how", "upper_bound", "saved"}}
+	for _, c := range charges {
+		rows = append(rows, []string{
+			c.Task, strconv.FormatUint(c.Attempt, 10), strconv.Itoa(c.Part), c.Team, c.Account, c.Class, c.Type, c.Zone, strconv.FormatBool(c.Spot),
+			c.Start.Format(time.RFC3339Nano), c.End.Format(time.RFC3339Nano), number6(c.CoreS), number6(c.GPUS), number6(c.MemGBS),
+			number6(c.Money), c.How.String(), strconv.FormatBool(c.Bound), strconv.FormatBool(c.Saved),
+		})
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,402 @@
+// Package ledger keeps what every attempt of every task took: one charge for each,
+// borne by exactly one team. It joins the leader's loop as a slice; charges ride in the
+// book's own transactions (see jobs.Book.Charge) and are rolled up into totals and
+// compressed segments later. It also holds work back that its team's budget no longer
+// allows (package budget).
+package ledger
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/budget"
+	"poppypass/internal/charge"
+	"poppypass/internal/jobs"
+	"poppypass/internal/leader"
+	"poppypass/internal/roster"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Config is what a ledger finds in its process.
+type Config struct {
+	Clock   clockwork.Clock
+	TxnOps  int     // changes in one transaction
+	ValueKB float64 // the longest value of the state service, in KiB
+	// Types gives the machine types; nil while none are known.
+	Types func() []wire.MachineType
+	// Budgets gives the operators' budgets as they are now.
+	Budgets func() *budget.Settings
+}
+
+// Ledger is the ledger of one tenure. It implements leader.Slice.
+type Ledger struct {
+	cfg        Config
+	log        *slog.Logger
+	txnOps     int
+	valueBytes int
+	codec      *charge.Codec
+	where      *time.Location // in which days begin
+	book       *jobs.Book
+
+	read      bool // the segments and totals are in: roll-ups may begin
+	segment   segment
+	open      *page
+	closed    map[int]*page
+	lefts     []jobs.Left
+	nextCare  time.Time // the totals are not looked at for compaction before
+	leftSince time.Time // when the oldest of them came
+
+	live    map[*jobs.Place]bool
+	turn    time.Time // when the present day ends
+	budgets *budget.Keeper
+	seen    *budget.Settings // those that are in force
+	stats   Stats
+}
+
+// Stats counts what a ledger did in its tenure.
+type Stats struct {
+	Charges     int `json:"charges"`
+	RollUps     int `json:"roll_ups"`
+	Compactions int `json:"compactions"`
+	Changes     int `json:"changes"` // of its own in the state service
+}
+
+// New makes the ledger of a tenure.
+func New(cfg Config, log *slog.Logger) (*Ledger, error) {
+	codec, err := charge.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	return &Ledger{
+		cfg: cfg, log: log, txnOps: cfg.TxnOps, valueBytes: int(cfg.ValueKB * 1024), codec: codec,
+		where: cfg.Budgets().Where(), open: newPage(0), closed: map[int]*page{},
+		live: map[*jobs.Place]bool{}, budgets: budget.NewKeeper(),
+	}, nil
+}
+
+// Read reads the totals and the segment that may still grow.
+func (l *Ledger) Read(ctx context.Context, store *statestore.Client) (func(), error) {
+	var pages []wire.Item
+	if _, err := store.ListAll(ctx, PrefixPage, func(items []wire.Item) error {
+		pages = append(pages, items...)
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	last, err := lastSegment(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	return func() {
+		if err := l.take(pages, last); err != nil {
+			// Without them nothing can be added; the charges stay where they are.
+			l.log.Error("the ledger's records are unreadable; charges are kept but not rolled up", "err", err)
+		}
+	}, nil
+}
+
+// lastSegment finds the newest segment. Their numbers have no gaps, so the first that does not
+// exist is found by doubling and halving, in few reads whatever their number.
+func lastSegment(ctx context.Context, store *statestore.Client) (*wire.Item, error) {
+	var found *wire.Item
+	there := func(n int) (bool, error) {
+		item, ok, err := store.Get(ctx, keySegment(n))
+		if ok && err == nil {
+			found = &item
+		}
+		return ok, err
+	}
+	ok, err := there(0)
+	if err != nil || !ok {
+		return nil, err
+	}
+	low, high := 0, 1 // the one at low exists
+	for {
+		if ok, err = there(high); err != nil {
+			return nil, err
+		}
+		if !ok {
+			break
+		}
+		low, high = high, 2*high
+	}
+	for low+1 < high {
+		mid := (low + high) / 2
+		if ok, err = there(mid); err != nil {
+			return nil, err
+		}
+		if ok {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	if found.Key != keySegment(low) {
+		if _, err = there(low); err != nil {
+			return nil, err
+		}
+	}
+	return found, nil
+}
+
+// take takes in the records that were read.
+func (l *Ledger) take(pages []wire.Item, last *wire.Item) error {
+	closed, open := map[int]*page{}, newPage(0)
+	for _, item := range pages {
+		n, err := number(PrefixPage, item.Key)
+		if err != nil {
+			return err
+		}
+		rows, err := ReadPage(l.codec, item)
+		if err != nil {
+			return err
+		}
+		p := newPage(n)
+		p.version = item.Version
+		for _, r := range rows {
+			p.add(r.Name, r.Sum)
+		}
+		closed[n] = p
+		if n >= open.n {
+			open = p
+		}
+	}
+	if last != nil {
+		n, err := number(PrefixSegment, last.Key)
+		if err != nil {
+			return err
+		}
+		packs, err := ReadSegment(l.codec, *last)
+		if err != nil {
+			return err
+		}
+		l.segment = segment{n: n, version: last.Version, packs: packs, size: len(last.Value)}
+	}
+	delete(closed, open.n)
+	l.open, l.closed, l.read = open, closed, true
+	for _, p := range append(valuesOf(closed), open) {
+		for name, sum := range p.rows {
+			l.budgets.Charged(budget.Scope{Team: name.Team, Account: name.Account}, name.Day, budget.Use{Core: sum.Core, Money: sum.Money})
+		}
+	}
+	l.budgets.Sum(l.cfg.Clock.Now())
+	return nil
+}
+
+// Loaded takes in the book, with the charges and the live tasks of former leaders.
+func (l *Ledger) Loaded(book *jobs.Book, now time.Time) {
+	l.book = book
+	book.Meter = true
+	l.turn = time.UnixMilli(charge.NextDay(now.UnixMilli(), l.where))
+	book.Charges(l.charged)
+	for _, left := range l.collect(now) {
+		l.charged(left.Pack)
+	}
+	for _, j := range book.Jobs {
+		for i := range j.Tasks {
+			if p := j.Tasks[i].Place; p != nil {
+				l.live[p] = true
+				l.budgets.Start(p, l.task(p))
+			}
+		}
+	}
+	l.configure(now)
+}
+
+// configure takes in the operators' budgets if they have changed.
+func (l *Ledger) configure(now time.Time) {
+	if s := l.cfg.Budgets(); s != l.seen {
+		l.seen = s
+		l.budgets.Configure(s, now)
+		if s != nil && len(s.Budgets) > 0 {
+			l.log.Info("budgets in force", "budgets", len(s.Budgets))
+		}
+	}
+}
+
+// collect takes the records of charges that lie apart by now.
+func (l *Ledger) collect(now time.Time) []jobs.Left {
+	lefts := l.book.TakeLefts()
+	if len(l.lefts) == 0 {
+		l.leftSince = now
+	}
+	l.lefts = append(l.lefts, lefts...)
+	return lefts
+}
+
+// charged has the budgets count the charges of a pack.
+func (l *Ledger) charged(p *charge.Pack) {
+	for i := range p.Charges {
+		l.count(&p.Brief, &p.Charges[i])
+	}
+}
+
+func (l *Ledger) count(b *charge.Brief, c *charge.Charge) {
+	a := b.Of(c)
+	l.budgets.Charged(budget.Scope{Team: b.Team, Account: b.Account}, charge.DayOf(c.Start, l.where), budget.Use{Core: a.Core, Money: a.Money})
+}
+
+func (l *Ledger) brief(p *jobs.Place) charge.Brief { return jobs.BriefOf(&p.Job.Job) }
+
+// task is a place as budgets see it.
+func (l *Ledger) task(p *jobs.Place) *budget.Task {
+	t := budget.TaskOf(&p.Job.Job)
+	t.Rate, t.Began = p.Kind.Rate, p.Began
+	return t
+}
+
+// Admit says how many of a job's waiting tasks its team's budgets allow to start now.
+func (l *Ledger) Admit(j *jobs.Job, _ time.Time) (int, string) {
+	n := j.Waiting()
+	if !l.budgets.Any() {
+		return n, ""
+	}
+	t := budget.TaskOf(&j.Job)
+	if !l.read && !t.Production {
+		return 0, "what its team has used is being read"
+	}
+	types := l.cfg.Types()
+	for i := range types {
+		t.Dearest = max(t.Dearest, Rate(&j.Job, &types[i], false))
+	}
+	return l.budgets.Admit(t, n)
+}
+
+// Placed notes on what kind of machine an attempt will run, and reserves what it is
+// expected to take.
+func (l *Ledger) Placed(p *jobs.Place, spot bool, typ *wire.MachineType, _ time.Time) {
+	p.Kind = charge.Kind{Zone: p.Zone, Spot: spot, Rate: Rate(&p.Job.Job, typ, spot)}
+	if typ != nil {
+		p.Kind.Type = typ.Name
+	}
+	l.live[p] = true
+	l.budgets.Start(p, l.task(p))
+}
+
+// Ended charges an attempt that came to its end.
+func (l *Ledger) Ended(o roster.Outcome, now time.Time) {
+	p := o.Place
+	delete(l.live, p)
+	c, ok := chargeFor(&o, now, l.rateNow(p))
+	l.budgets.End(p, c.How == charge.Done && c.Flags&charge.Bound == 0, time.Duration(c.Run)*time.Millisecond)
+	if ok {
+		l.write(p, charge.Split(c, l.where), now)
+	}
+}
+
+// write has charges written, and counts them.
+func (l *Ledger) write(p *jobs.Place, parts []charge.Charge, now time.Time) {
+	brief := l.brief(p)
+	for i := range parts {
+		l.count(&brief, &parts[i])
+	}
+	l.stats.Charges += len(parts)
+	l.book.Charge(p, parts, now)
+	if l.log.Enabled(context.Background(), slog.LevelDebug) {
+		for i := range parts {
+			c, a := &parts[i], brief.Of(&parts[i])
+			l.log.Debug("charged", "task", p.Task().String(), "attempt", c.Attempt, "part", c.Part, "team", brief.Team, "class", brief.Class,
+				"type", p.Kind.Type, "spot", p.Kind.Spot, "how", c.How.String(), "bound", c.Flags&charge.Bound != 0,
+				"run_ms", c.Run, "core_us", a.Core, "money_u", a.Money)
+		}
+	}
+}
+
+// rateNow is what an attempt's task would take of its machine's price by now.
+func (l *Ledger) rateNow(p *jobs.Place) int64 {
+	types := l.cfg.Types()
+	for i := range types {
+		if types[i].Name == p.Kind.Type {
+			return Rate(&p.Job.Job, &types[i], p.Kind.Spot)
+		}
+	}
+	return 0
+}
+
+// Tick closes days, looks at the budgets and takes what lies apart.
+func (l *Ledger) Tick(now time.Time) []*jobs.Place {
+	l.collect(now)
+	l.configure(now)
+	if !now.Before(l.turn) {
+		l.turnDay(now)
+	}
+	if !l.budgets.Any() {
+		return nil
+	}
+	for p := range l.live {
+		if !p.Began.IsZero() {
+			l.budgets.Began(p, p.Began)
+		}
+	}
+	l.budgets.Sum(now)
+	for _, line := range l.budgets.Warnings() {
+		l.log.Warn("a budget is nearly spent", "budget", line.Scope.String(), "period", line.Period, "unit", line.Unit)
+	}
+	if !l.read {
+		return nil
+	}
+	var stop []*jobs.Place
+	for _, ref := range l.budgets.OverSpent() {
+		p := ref.(*jobs.Place)
+		if p.Stop == nil {
+			p.Stop = &jobs.Stop{For: charge.OverSpent}
+			if p.Job.CheckpointS > 0 {
+				p.Stop.GraceS = p.Job.SaveS + tuning.GraceExtra.Seconds()
+			}
+			l.log.Info("stopped for its budget", "task", p.Task().String(), "team", p.Job.Team)
+			stop = append(stop, p)
+		}
+	}
+	return stop
+}
+
+// turnDay charges what running tasks took up to the end of the day: a bill for a day
+// is whole soon after it, however long a task runs on.
+func (l *Ledger) turnDay(now time.Time) {
+	turn := l.turn
+	l.turn = time.UnixMilli(charge.NextDay(now.UnixMilli(), l.where))
+	for p := range l.live {
+		if p.Began.IsZero() || !p.Began.Before(turn) {
+			continue
+		}
+		c := charge.Charge{Task: p.Index, Attempt: p.Attempt, Part: p.Part, How: charge.Continues}
+		meter(&c, p, p.Began, turn, l.rateNow(p))
+		parts := charge.Split(c, l.where)
+		p.Began, p.Part = turn, p.Part+len(parts)
+		l.write(p, parts, now)
+	}
+}
+
+// Next gives the ledger's own next transaction.
+func (l *Ledger) Next(now time.Time, room int) *leader.Write {
+	if !l.read {
+		return nil
+	}
+	if w := l.rollUp(now, room); w != nil {
+		return w
+	}
+	if now.Before(l.nextCare) {
+		return nil
+	}
+	if w := l.fold(now, room); w != nil {
+		return w
+	}
+	w := l.compact(room)
+	if w == nil {
+		l.nextCare = now.Add(tuning.CareEvery)
+	}
+	return w
+}
+
+func valuesOf(m map[int]*page) []*page {
+	out := make([]*page, 0, len(m))
+	for _, p := range m {
+		out = append(out, p)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ledger/meter.go
@@ -0,0 +1,116 @@
+package ledger
+
+import (
+	"math"
+	"time"
+
+	"poppypass/internal/charge"
+	"poppypass/internal/jobs"
+	"poppypass/internal/roster"
+	"poppypass/internal/wire"
+)
+
+// What a task's charge counts:
+//
+//   - from the report in which it was first seen to run, to the report in which it
+//     was first seen to have ended. Fetching an image is not charged.
+//   - A worker reports a change within half a second, so both ends are late by the
+//     same on average, and the sum over many attempts is right.
+//   - What nobody saw is charged as an upper bound and marked so: a task whose
+//     machine was lost counts until its loss was proven, which is after the last moment
+//     in which its worker can have run it; one that was never seen running but ended
+//     counts from the last report that did not have it running; one that a former leader
+//     placed counts from when it was placed, if no record says when it began.
+
+// Rate is what a task takes of a machine's price, in millionths an hour: the mean of
+// its shares of the machine's processors, memory and, if it has some, GPUs. So the
+// tasks on a machine never pay more than the machine costs; what is left is the
+// price of idle room, which nobody is charged for.
+func Rate(j *wire.Job, typ *wire.MachineType, spot bool) int64 {
+	if typ == nil {
+		return 0
+	}
+	price := typ.Price
+	if spot {
+		price = typ.SpotPrice
+	}
+	sum, n := 0.0, 0.0
+	for _, r := range [][2]float64{{j.CPUs, typ.CPUs}, {j.MemoryGB, typ.MemoryGB}, {j.GPUs, typ.GPUs}} {
+		if r[1] > 0 {
+			sum += min(1, r[0]/r[1])
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return int64(math.Round(price * sum / n * 1e6))
+}
+
+// how tells how an attempt ended, for its charge.
+func how(o *roster.Outcome) charge.How {
+	p := o.Place
+	switch {
+	case o.Why == wire.WhyDone:
+		return charge.Done
+	case o.Why == wire.WhyError:
+		return charge.Failed
+	case o.Why == wire.WhyNoRoom || o.Why == wire.WhyBusy || o.Why == wire.WhyUnknown:
+		return charge.Refused
+	case o.Lost:
+		return charge.Lost
+	case p.Job.Cancelled():
+		return charge.Cancelled
+	case p.Stop != nil && p.Stop.For != charge.Continues:
+		return p.Stop.For
+	}
+	return charge.Stopped
+}
+
+// chargeFor gives the charge of an attempt from its outcome; ok is false for one that was
+// never started.
+func chargeFor(o *roster.Outcome, now time.Time, rateNow int64) (c charge.Charge, ok bool) {
+	p := o.Place
+	if !p.Committed {
+		return c, false // no record named it, so nothing was started
+	}
+	c = charge.Charge{Task: p.Index, Attempt: p.Attempt, Part: p.Part, How: how(o)}
+	if o.Saved {
+		c.Flags |= charge.Saved
+	}
+	begun := p.Began
+	switch {
+	case !begun.IsZero():
+		if !begun.After(p.Placed) && p.Part == 0 || c.How == charge.Lost {
+			c.Flags |= charge.Bound
+		}
+	case c.How == charge.Refused:
+		begun = now
+	default:
+		begun = p.Placed
+		if o.Idle.After(begun) {
+			begun = o.Idle
+		}
+		c.Flags |= charge.Bound
+	}
+	meter(&c, p, begun, now, rateNow)
+	return c, true
+}
+
+// meter sets a charge's time and money. The price is the mean of those at the
+// beginning and the end.
+func meter(c *charge.Charge, p *jobs.Place, begun, now time.Time, rateNow int64) {
+	run := max(0, now.Sub(begun))
+	c.Start, c.Run = begun.UnixMilli(), run.Milliseconds()
+	rate := p.Kind.Rate
+	if rate > 0 && rateNow > 0 {
+		rate = (rate + rateNow) / 2
+	}
+	if rate == 0 {
+		rate = rateNow
+	}
+	if rate == 0 && c.Run > 0 {
+		c.Flags |= charge.Blind
+	}
+	c.Money = charge.Cost(rate, time.Duration(c.Run)*time.Millisecond)
+}
--- /dev/null
+++ b/internal/ledger/rollup.go
@@ -0,0 +1,229 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"poppypass/internal/charge"
+	"poppypass/internal/jobs"
+	"poppypass/internal/leader"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// A roll-up takes some Lefts and, in one transaction, drops them, adds their charges
+// to the open segment and their amounts to the open page of totals. Each record is
+// guarded on its version, so whatever happens between, a charge is either still in
+// its Left and in no total, or in the segment and in the totals, once.
+//
+// Only the open segment and the open page are written, whatever the charges are: a
+// row whose name stands in a closed page gets a second one in the open page. Compaction
+// brings such rows together later, two pages at a time.
+
+func sortRows(rows []Row) {
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Name.Day, b.Name.Day), cmp.Compare(a.Name.Team, b.Name.Team), cmp.Compare(a.Name.Account, b.Name.Account),
+			cmp.Compare(a.Name.Class, b.Name.Class), cmp.Compare(a.Name.Type, b.Name.Type), compareBool(a.Name.Spot, b.Name.Spot))
+	})
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// Rows gives the totals of a pack's charges.
+func Rows(p *charge.Pack, where *time.Location) map[RowName]charge.Amounts {
+	rows := map[RowName]charge.Amounts{}
+	for i := range p.Charges {
+		c := &p.Charges[i]
+		kind := p.Kinds[c.Kind]
+		name := RowName{
+			Day: charge.DayOf(c.Start, where), Team: p.Brief.Team, Account: p.Brief.Account, Class: p.Brief.Class,
+			Type: kind.Type, Spot: kind.Spot,
+		}
+		sum := rows[name]
+		sum.Add(p.Brief.Of(c))
+		rows[name] = sum
+	}
+	return rows
+}
+
+// guard and put add a change of a record to a transaction, under the condition
+// that the record is as we know it.
+func put(t *wire.Txn, key string, version uint64, value []byte) {
+	t.If = append(t.If, wire.Condition{Key: key, Version: version})
+	t.Then = append(t.Then, wire.Change{Put: key, Value: value})
+}
+
+func drop(t *wire.Txn, key string, version uint64) {
+	t.If = append(t.If, wire.Condition{Key: key, Version: version})
+	t.Then = append(t.Then, wire.Change{Delete: key})
+}
+
+// rollUp makes the next roll-up, or nil if none is due.
+func (l *Ledger) rollUp(now time.Time, room int) *leader.Write {
+	most := min(l.txnOps, room) - 2 // beside the segment and the page
+	if most < 1 || len(l.lefts) == 0 {
+		return nil
+	}
+	if full := min(l.txnOps-2, len(l.lefts)) == l.txnOps-2; !full && now.Sub(l.leftSince) < tuning.RollAfter {
+		return nil
+	}
+	var take []jobs.Left
+	size := 0
+	for _, left := range l.lefts {
+		n := len(charge.EncodePack(left.Pack))
+		if len(take) == most || size+n > tuning.RollBytes && len(take) > 0 {
+			break
+		}
+		size += n
+		take = append(take, left)
+	}
+	seg := l.segment
+	if seg.size >= tuning.SegmentBytes {
+		seg = segment{n: seg.n + 1}
+	}
+	old := len(seg.packs)
+	seg.packs = slices.Clip(seg.packs)
+	pg := l.open.clone()
+	if pg.full() {
+		pg = newPage(l.open.n + 1)
+	}
+	for _, left := range take {
+		seg.packs = append(seg.packs, *left.Pack)
+		for name, sum := range Rows(left.Pack, l.where) {
+			pg.add(name, sum)
+		}
+	}
+	value := segmentValue(l.codec, seg.packs)
+	if len(value) > l.valueBytes && old > 0 {
+		// What was added does not compress well: it begins a segment of its own.
+		seg = segment{n: seg.n + 1, packs: seg.packs[old:]}
+		value = segmentValue(l.codec, seg.packs)
+	}
+	seg.size = len(value)
+	var txn wire.Txn
+	put(&txn, keySegment(seg.n), seg.version, value)
+	put(&txn, keyPage(pg.n), pg.version, pageValue(l.codec, pg.list()))
+	for _, left := range take {
+		drop(&txn, left.Key, left.Version)
+	}
+	return &leader.Write{Txn: txn, Done: func(revision uint64) {
+		seg.version, pg.version = revision, revision
+		l.segment = seg
+		if pg.n != l.open.n {
+			l.closed[l.open.n] = l.open
+		}
+		l.open = pg
+		l.lefts = slices.Clone(l.lefts[len(take):])
+		l.leftSince = now
+		l.stats.RollUps++
+		l.stats.Changes += len(txn.Then)
+	}}
+}
+
+// compact brings rows of the same name together: those of one closed page are moved
+// to another closed page that has rows of the same names. A page that is left
+// without rows is dropped, and two small ones become one.
+func (l *Ledger) compact(room int) *leader.Write {
+	if room < 2 || len(l.closed) < tuning.CompactPages {
+		return nil
+	}
+	into, from := l.pair()
+	if into == nil {
+		return nil
+	}
+	a, b := into.clone(), from.clone()
+	for name, sum := range from.rows {
+		if _, same := a.rows[name]; same {
+			a.add(name, sum)
+			b.remove(name)
+		}
+	}
+	if a.size+b.size <= tuning.PageBytes {
+		for name, sum := range b.rows {
+			a.add(name, sum)
+		}
+		b.rows = nil
+	}
+	var txn wire.Txn
+	put(&txn, keyPage(a.n), a.version, pageValue(l.codec, a.list()))
+	if len(b.rows) == 0 {
+		drop(&txn, keyPage(b.n), b.version)
+	} else {
+		put(&txn, keyPage(b.n), b.version, pageValue(l.codec, b.list()))
+	}
+	return &leader.Write{Txn: txn, Done: func(revision uint64) {
+		a.version, b.version = revision, revision
+		l.closed[a.n] = a
+		if len(b.rows) == 0 {
+			delete(l.closed, b.n)
+		} else {
+			l.closed[b.n] = b
+		}
+		l.stats.Compactions++
+		l.stats.Changes += len(txn.Then)
+	}}
+}
+
+// pair finds two closed pages that compaction makes smaller: with rows of the same
+// name, or that fit into one.
+func (l *Ledger) pair() (into, from *page) {
+	seen := map[RowName]*page{}
+	var small *page
+	for _, n := range slices.Sorted(maps.Keys(l.closed)) {
+		p := l.closed[n]
+		for name := range p.rows {
+			if q := seen[name]; q != nil {
+				return q, p
+			}
+			seen[name] = p
+		}
+		if small != nil && small.size+p.size <= tuning.PageBytes {
+			return small, p
+		}
+		if p.size < tuning.PageBytes/2 {
+			small = p
+		}
+	}
+	return nil, nil
+}
+
+// fold gives the rows of a closed page whose days are long ago the names of their
+// months; the page is rewritten, and compaction does the rest.
+func (l *Ledger) fold(now time.Time, room int) *leader.Write {
+	if room < 1 {
+		return nil
+	}
+	before := now.In(l.where).AddDate(0, 0, -tuning.FoldAfter).Format("2006-01") // whole months only
+	for _, n := range slices.Sorted(maps.Keys(l.closed)) {
+		p := newPage(n)
+		p.version = l.closed[n].version
+		folded := false
+		for name, sum := range l.closed[n].rows {
+			if len(name.Day) == len(time.DateOnly) && name.Day[:7] < before {
+				name.Day, folded = name.Day[:7], true
+			}
+			p.add(name, sum)
+		}
+		if !folded {
+			continue
+		}
+		var txn wire.Txn
+		put(&txn, keyPage(n), p.version, pageValue(l.codec, p.list()))
+		return &leader.Write{Txn: txn, Done: func(revision uint64) {
+			p.version = revision
+			l.closed[n] = p
+			l.stats.Changes += len(txn.Then)
+		}}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/show.go
@@ -0,0 +1,294 @@
+package ledger
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"poppypass/internal/charge"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Paths beside the protocol's.
+const (
+	PathTotals  = "/v2/ledger/totals"
+	PathStats   = "/v2/ledger/stats"
+	PathBudgets = "/v2/budgets"
+)
+
+// Total is one line of an answer: what some charges took together. The integers
+// are exact (see package charge), the hours are for people.
+type Total struct {
+	Day        string           `json:"day,omitempty"`
+	Team       string           `json:"team,omitempty"`
+	Account    string           `json:"account,omitempty"`
+	Class      string           `json:"class,omitempty"`
+	Type       string           `json:"type,omitempty"`
+	Spot       *bool            `json:"spot,omitempty"`
+	Attempts   int64            `json:"attempts"`
+	Ends       map[string]int64 `json:"ends,omitempty"`
+	CoreHours  float64          `json:"core_hours"`
+	GPUHours   float64          `json:"gpu_hours"`
+	MemoryGBH  float64          `json:"memory_gb_hours"`
+	Money      float64          `json:"money"`
+	CoreMicroS int64            `json:"core_us"`
+	MoneyMicro int64            `json:"money_u"`
+	RunMS      int64            `json:"run_ms"`
+}
+
+// Totals answers a question for totals.
+type Totals struct {
+	From string  `json:"from,omitempty"` // the first day
+	To   string  `json:"to,omitempty"`   // the last day
+	Zone string  `json:"zone"`           // in which days begin
+	By   string  `json:"by"`
+	Rows []Total `json:"rows"`
+	Next int     `json:"next,omitempty"` // the skip with which the answer goes on; 0: there is no more
+	Sum  Total   `json:"sum"`
+	// Running is what tasks that run now have taken and are not charged for yet.
+	Running Total `json:"running"`
+}
+
+// TotalOf gives amounts for people and programs.
+func TotalOf(a charge.Amounts) Total {
+	t := Total{
+		Attempts: a.Attempts(), CoreHours: a.CoreHours(), GPUHours: float64(a.GPU) / 1e6 / 3600, MemoryGBH: float64(a.Memory) / 1e6 / 3600,
+		Money: float64(a.Money) / 1e6, CoreMicroS: a.Core, MoneyMicro: a.Money, RunMS: a.Run, Ends: map[string]int64{},
+	}
+	for h, n := range a.Ends {
+		if n > 0 && charge.How(h) != charge.Continues {
+			t.Ends[charge.How(h).String()] = n
+		}
+	}
+	return t
+}
+
+// Query is a question for totals.
+type Query struct {
+	Team, Account, Class string // empty: any
+	From, To             string // days, both included; empty: no bound
+	By                   []string
+	Skip                 int // rows of the answer that are left out, from its beginning
+}
+
+var columns = []string{"day", "team", "account", "class", "type", "spot"}
+
+// ParseQuery reads a question from a URL's values.
+func ParseQuery(v url.Values) (q Query, err error) {
+	q = Query{Team: v.Get("team"), Account: v.Get("account"), Class: v.Get("class"), From: v.Get("from"), To: v.Get("to")}
+	for _, day := range []string{q.From, q.To} {
+		if day == "" {
+			continue
+		}
+		if _, err := time.Parse(time.DateOnly, day); err != nil {
+			return q, fmt.Errorf("%q is not a day such as 2026-12-01", day)
+		}
+	}
+	if skip := v.Get("skip"); skip != "" {
+		if q.Skip, err = strconv.Atoi(skip); err != nil || q.Skip < 0 {
+			return q, fmt.Errorf("skip is %q; it must be a count", skip)
+		}
+	}
+	by := v.Get("by")
+	if by == "" {
+		by = "team,account,class,type"
+	}
+	for c := range strings.SplitSeq(by, ",") {
+		if !slices.Contains(columns, c) {
+			return q, fmt.Errorf("%q is not a column; there are %s", c, strings.Join(columns, ", "))
+		}
+		q.By = append(q.By, c)
+	}
+	return q, nil
+}
+
+// in tells whether a row is asked about. A month that is only partly within
+// the bounds is not, since its days can no longer be told apart.
+func (q *Query) in(n RowName) bool {
+	first, last := n.Day, n.Day
+	if len(n.Day) < len(time.DateOnly) {
+		first, last = n.Day+"-01", n.Day+"-31"
+	}
+	return (q.Team == "" || n.Team == q.Team) && (q.Account == "" || n.Account == q.Account) && (q.Class == "" || n.Class == q.Class) &&
+		(q.From == "" || first >= q.From) && (q.To == "" || last <= q.To)
+}
+
+// pick keeps of a row's name what the answer is by.
+func (q *Query) pick(n RowName) RowName {
+	var out RowName
+	for _, c := range q.By {
+		switch c {
+		case "day":
+			out.Day = n.Day
+		case "team":
+			out.Team = n.Team
+		case "account":
+			out.Account = n.Account
+		case "class":
+			out.Class = n.Class
+		case "type":
+			out.Type = n.Type
+		case "spot":
+			out.Spot = n.Spot
+		}
+	}
+	return out
+}
+
+// Tally sums up rows for a question.
+type Tally struct {
+	q    Query
+	rows map[RowName]charge.Amounts
+	sum  charge.Amounts
+}
+
+// NewTally begins to sum up.
+func NewTally(q Query) *Tally { return &Tally{q: q, rows: map[RowName]charge.Amounts{}} }
+
+// Add adds a row, if it is asked about.
+func (t *Tally) Add(n RowName, a charge.Amounts) {
+	if !t.q.in(n) {
+		return
+	}
+	name := t.q.pick(n)
+	sum := t.rows[name]
+	sum.Add(a)
+	t.rows[name] = sum
+	t.sum.Add(a)
+}
+
+// Answer gives what was summed up.
+func (t *Tally) Answer(where *time.Location) Totals {
+	out := Totals{From: t.q.From, To: t.q.To, Zone: where.String(), By: strings.Join(t.q.By, ","), Rows: []Total{}, Sum: TotalOf(t.sum)}
+	rows := make([]Row, 0, len(t.rows))
+	for n, a := range t.rows {
+		rows = append(rows, Row{Name: n, Sum: a})
+	}
+	sortRows(rows)
+	rows = rows[min(t.q.Skip, len(rows)):]
+	if len(rows) > tuning.TotalRows {
+		rows, out.Next = rows[:tuning.TotalRows], t.q.Skip+tuning.TotalRows
+	}
+	for _, r := range rows {
+		v := TotalOf(r.Sum)
+		v.Day, v.Team, v.Account, v.Class, v.Type = r.Name.Day, r.Name.Team, r.Name.Account, r.Name.Class, r.Name.Type
+		if slices.Contains(t.q.By, "spot") {
+			v.Spot = &r.Name.Spot
+		}
+		out.Rows = append(out.Rows, v)
+	}
+	return out
+}
+
+// Show answers the questions that the ledger has the answers to in memory.
+func (l *Ledger) Show(uri string, now time.Time) (status int, body any, ok bool) {
+	u, err := url.Parse(uri)
+	if err != nil {
+		return 0, nil, false
+	}
+	switch u.Path {
+	case PathStats:
+		return http.StatusOK, l.stats, true
+	case PathBudgets:
+		l.budgets.Sum(now)
+		return http.StatusOK, map[string]any{"budgets": l.budgets.Views(u.Query().Get("team"))}, true
+	case PathTotals:
+	default:
+		return 0, nil, false
+	}
+	q, err := ParseQuery(u.Query())
+	if err != nil {
+		return http.StatusBadRequest, wire.Error{Error: err.Error()}, true
+	}
+	if !l.read {
+		return http.StatusServiceUnavailable, wire.Error{Error: "the ledger is being read"}, true
+	}
+	return http.StatusOK, l.totals(q, now), true
+}
+
+func (l *Ledger) totals(q Query, now time.Time) Totals {
+	t := NewTally(q)
+	for _, p := range append(valuesOf(l.closed), l.open) {
+		for n, a := range p.rows {
+			t.Add(n, a)
+		}
+	}
+	pack := func(p *charge.Pack) {
+		for n, a := range Rows(p, l.where) {
+			t.Add(n, a)
+		}
+	}
+	for _, left := range l.lefts {
+		pack(left.Pack)
+	}
+	l.book.Charges(pack)
+	out := t.Answer(l.where)
+	running := NewTally(q)
+	for p := range l.live {
+		if p.Began.IsZero() {
+			continue
+		}
+		var c charge.Charge
+		meter(&c, p, p.Began, now, l.rateNow(p))
+		brief := l.brief(p)
+		a := brief.Of(&c)
+		a.Ends = [len(a.Ends)]int64{}
+		running.Add(RowName{Day: charge.DayOf(now.UnixMilli(), l.where), Team: brief.Team, Account: brief.Account, Class: brief.Class}, a)
+	}
+	out.Running = TotalOf(running.sum)
+	return out
+}
+
+// ChargeView is a charge for people and programs.
+type ChargeView struct {
+	Task    string     `json:"task"`
+	Attempt uint64     `json:"attempt"`
+	Part    int        `json:"part"`
+	Team    string     `json:"team"`
+	Account string     `json:"account,omitempty"`
+	Class   string     `json:"class"`
+	Type    string     `json:"type"`
+	Zone    string     `json:"zone"`
+	Spot    bool       `json:"spot"`
+	Start   time.Time  `json:"start"`
+	End     time.Time  `json:"end"`
+	CoreS   float64    `json:"core_s"`
+	GPUS    float64    `json:"gpu_s"`
+	MemGBS  float64    `json:"memory_gb_s"`
+	Money   float64    `json:"money"`
+	How     charge.How `json:"how"`
+	Bound   bool       `json:"upper_bound,omitempty"`
+	Saved   bool       `json:"saved,omitempty"`
+	Blind   bool       `json:"price_unknown,omitempty"`
+}
+
+// Views gives the charges of a pack.
+func Views(p *charge.Pack) []ChargeView {
+	out := make([]ChargeView, 0, len(p.Charges))
+	for i := range p.Charges {
+		c := &p.Charges[i]
+		kind, a := p.Kinds[c.Kind], p.Brief.Of(c)
+		out = append(out, ChargeView{
+			Task: wire.TaskID{Job: p.Job, Index: c.Task}.String(), Attempt: c.Attempt, Part: c.Part,
+			Team: p.Brief.Team, Account: p.Brief.Account, Class: p.Brief.Class, Type: kind.Type, Zone: kind.Zone, Spot: kind.Spot,
+			Start: time.UnixMilli(c.Start).UTC(), End: time.UnixMilli(c.End()).UTC(),
+			CoreS: float64(a.Core) / 1e6, GPUS: float64(a.GPU) / 1e6, MemGBS: float64(a.Memory) / 1e6, Money: float64(c.Money) / 1e6,
+			How: c.How, Bound: c.Flags&charge.Bound != 0, Saved: c.Flags&charge.Saved != 0, Blind: c.Flags&charge.Blind != 0,
+		})
+	}
+	return out
+}
+
+func sortViews(v []ChargeView) {
+	slices.SortFunc(v, func(a, b ChargeView) int {
+		x, _ := wire.ParseTaskID(a.Task)
+		y, _ := wire.ParseTaskID(b.Task)
+		return cmp.Or(cmp.Compare(x.Index, y.Index), cmp.Compare(a.Attempt, b.Attempt), cmp.Compare(a.Part, b.Part))
+	})
+}
--- a/internal/mesh/fb/Verb.go
+++ b/internal/mesh/fb/Verb.go
@@ -16,6 +16,7 @@
 	VerbPing       Verb = 6
 	VerbVouch      Verb = 7
 	VerbYield      Verb = 8
+	VerbShow       Verb = 9
 )
 
 var EnumNamesVerb = map[Verb]string{
@@ -28,6 +29,7 @@
 	VerbPing:       "Ping",
 	VerbVouch:      "Vouch",
 	VerbYield:      "Yield",
+	VerbShow:       "Show",
 }
 
 var EnumValuesVerb = map[string]Verb{
@@ -40,6 +42,7 @@
 	"Ping":       VerbPing,
 	"Vouch":      VerbVouch,
 	"Yield":      VerbYield,
+	"Show":       VerbShow,
 }
 
 func (v Verb) String() string {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -40,6 +40,7 @@
 	Submit     = Verb(fb.VerbSubmit)     // a submission, to any member
 	Vouch      = Verb(fb.VerbVouch)      // that no leader of a term, or an earlier one, can count on it any more
 	Yield      = Verb(fb.VerbYield)      // to end the lease of a leader that gave up its right
+	Show       = Verb(fb.VerbShow)       // what a subsystem of the leader knows, by a path
 	Ping       = Verb(fb.VerbPing)       // whether a member can be reached, and who leads by its knowledge
 )
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -70,6 +70,14 @@
 	})
 }
 
+// Leader names the leading member if it is another one, as far as known.
+func (p *Peers) Leader() string {
+	if name := p.elector.Leader(); p.Known(name) {
+		return name
+	}
+	return ""
+}
+
 // Call asks one member.
 func (p *Peers) Call(ctx context.Context, name string, req mesh.Request) (mesh.Response, error) {
 	return p.client.Call(ctx, p.endpoint[name], req)
@@ -77,8 +85,8 @@
 
 // Relay asks the leader; ok is false when it gives no usable answer.
 func (p *Peers) Relay(ctx context.Context, req mesh.Request) (mesh.Response, bool) {
-	leader := p.elector.Leader()
-	if !p.Known(leader) {
+	leader := p.Leader()
+	if leader == "" {
 		return mesh.Response{}, false
 	}
 	resp, err := p.Call(ctx, leader, req)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -221,7 +221,10 @@
 // Outcome is the proven end of a task in a place.
 type Outcome struct {
 	Place *jobs.Place
-	Why   wire.Why // WhyStopped also when its machine's session is over
+	Why   wire.Why  // WhyStopped also when its machine's session is over
+	Saved bool      // it saved its progress when it was stopped
+	Lost  bool      // nobody saw its end: its machine's session is over, or the machine is gone
+	Idle  time.Time // a time at which it was known not to run yet; zero: none
 }
 
 // Answer is what a report leads to.
@@ -229,7 +232,8 @@
 	Machine  *Machine
 	Outcomes []Outcome
 	Commands []wire.Command
-	Changed  bool // something that matters to placement changed, outcomes apart
+	Began    []*jobs.Place // those that were seen to run for the first time
+	Changed  bool          // something that matters to placement changed, outcomes apart
 }
 
 // MayForget tells whether an exited attempt that no place holds may be
@@ -267,6 +271,7 @@
 	if m.Heard.IsZero() && len(m.Places) == 0 {
 		m.IdleSince = now
 	}
+	before := m.Heard
 	m.Unlisted = 0
 	switch {
 	case rep.NoticeS == nil:
@@ -308,10 +313,11 @@
 			m.strays[k] = true
 			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 		case t.State == wire.TaskExited:
-			a.Outcomes = append(a.Outcomes, Outcome{p, t.Why})
+			a.Outcomes = append(a.Outcomes, Outcome{Place: p, Why: t.Why, Saved: t.Saved, Idle: before})
 		default:
 			if t.State == wire.TaskRunning && p.State != wire.TaskRunning {
 				p.Running = now
+				a.Began = append(a.Began, p)
 			}
 			p.State = t.State
 			if p.Stop != nil && (t.State != wire.TaskSaving || p.Stop.GraceS == 0) {
@@ -342,7 +348,7 @@
 		default:
 			// The worker has one report in flight, so no answer of ours that
 			// held its start is still on the way: it is not there.
-			a.Outcomes = append(a.Outcomes, Outcome{p, wire.WhyStopped})
+			a.Outcomes = append(a.Outcomes, Outcome{Place: p, Why: wire.WhyStopped, Idle: now})
 		}
 	}
 	if !direct {
@@ -366,7 +372,7 @@
 	m.Dead = max(m.Dead, last)
 	for _, p := range m.Places {
 		if p.Session <= last {
-			a.Outcomes = append(a.Outcomes, Outcome{p, wire.WhyStopped})
+			a.Outcomes = append(a.Outcomes, Outcome{Place: p, Why: wire.WhyStopped, Lost: true})
 		}
 	}
 	clear(m.strays)
@@ -414,7 +420,7 @@
 	}
 	var outs []Outcome
 	for _, p := range m.Places {
-		outs = append(outs, Outcome{p, wire.WhyStopped})
+		outs = append(outs, Outcome{Place: p, Why: wire.WhyStopped, Lost: true})
 	}
 	delete(r.Machines, name)
 	return outs
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -69,6 +69,8 @@
 	MeshIdle = 30 * time.Second
 	// MeshFrame is the largest mesh message in bytes: a relayed body of 64 KiB and what is around it.
 	MeshFrame = 72 << 10
+	// MaxShow bounds the answer to an operator's question, in bytes: it must fit that.
+	MaxShow = 64 << 10
 	// MaxResponse is the largest response body read from outside, in bytes:
 	// a watch has no limit of its own, a list page is 512 KiB.
 	MaxResponse = 4 << 20
@@ -152,6 +154,16 @@
 	LazyLeast = 2
 	// CommitBytes bounds a transaction's size in bytes, under the protocol's 64 KiB.
 	CommitBytes = 48 << 10
+	// SealCharges is how many charges may lie in a progress record before they are
+	// moved to one of their own: at about 25 bytes each they take up to 3 KB of it.
+	SealCharges = 96
+	// EndChunks is how many progress records with new charges go with a job's end;
+	// more are written before it, since a transaction holds 64 KiB.
+	EndChunks = 4
+	// BeganAfter is how long a task must run until the time when it began is written
+	// for its own sake: most arrays' tasks end within a minute, and a new leader
+	// otherwise counts from when the task was placed.
+	BeganAfter = 10 * time.Second
 	// JobWatch is how long the leader's watch for new jobs waits.
 	JobWatch = 10 * time.Second
 	// LoadPage is how many keys a new leader reads in one call.
@@ -346,12 +358,58 @@
 const (
 	// Tick is the leader's own clock for expiries and timed work.
 	Tick = 100 * time.Millisecond
+	// SliceTick is how often the subsystems that joined the leader's loop are asked
+	// what is due: budgets are looked at and charges rolled up that often.
+	SliceTick = 500 * time.Millisecond
 	// Inbox is how many messages may wait for the leader's loop.
 	Inbox = 1024
 	// MemoryShare is the share of the machine's memory that the Go runtime aims to stay under.
 	MemoryShare = 0.65
 )
 
+// Charges and budgets.
+const (
+	// ServiceReserve is what a started replica reserves of its team's budget: it ends
+	// by itself never, and an hour is as far as anybody can expect.
+	ServiceReserve = time.Hour
+	// EstimateTrust bounds the factor by which owners' estimates are corrected: they
+	// are often wrong by half, rarely by more.
+	EstimateTrust = 4.0
+	// EstimateLearn is how much one more completed task counts in that factor.
+	EstimateLearn = 0.1
+	// LedgerValueKB is the least size of a value, in KiB, that progress records with charges need.
+	LedgerValueKB = 14
+	// RollAfter is how long charges lie in their jobs' records before they are
+	// rolled up; sooner if there are as many as one transaction can take. Longer lets
+	// more of them share one.
+	RollAfter = 60 * time.Second
+	// RollBytes bounds, in bytes, what is added to a segment in one transaction.
+	RollBytes = 6 << 10
+	// SegmentBytes is the size, in bytes, at which a segment is closed. One that is open is
+	// rewritten with each roll-up.
+	SegmentBytes = 8 << 10
+	// PageBytes bounds a page of totals, in bytes before compression.
+	PageBytes = 8 << 10
+	// CompactPages is how many pages of totals may be closed before rows of the same
+	// name are brought together.
+	CompactPages = 4
+	// CareEvery is how often the totals are looked at for that: it costs a look at each row.
+	CareEvery = time.Minute
+	// SegmentPage is how many segments one question for a job's charges reads: some
+	// hundred KB.
+	SegmentPage = 20
+	// ChargesWait is how long such a question may take.
+	ChargesWait = 4 * time.Second
+	// TotalRows is how many rows one answer on totals holds: with names of 200 bytes
+	// they still fit MaxShow.
+	TotalRows = 40
+	// FoldAfter is after how many days the totals of days are brought together
+	// to months: budgets look back over the month before at most.
+	FoldAfter = 93
+	// PropertiesEvery is how often the operators' file is looked at for changes.
+	PropertiesEvery = 5 * time.Second
+)
+
 // Knobs are the settings that operators may change.
 type Knobs struct {
 	// IdleKeep is how long a machine without tasks is kept before it is returned.
--- /dev/null
+++ b/internal/users/show.go
@@ -0,0 +1,76 @@
+package users
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"poppypass/internal/httpjson"
+	"poppypass/internal/leader"
+	"poppypass/internal/mesh"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Ask has the leader's subsystems answer a question: a path and query beside the
+// protocol's. The answer is a status and JSON.
+func (d *Door) Ask(ctx context.Context, uri string) (status int, body json.RawMessage) {
+	ctx, cancel := context.WithTimeout(ctx, tuning.PollWait)
+	defer cancel()
+	if l := d.leader(); l != nil {
+		return show(ctx, l, uri)
+	}
+	if lead := d.peers.Leader(); lead != "" {
+		if r, err := d.peers.Call(ctx, lead, mesh.Request{Verb: mesh.Show, Payload: []byte(uri)}); err == nil && r.Status > 0 {
+			return r.Status, r.Payload
+		}
+	}
+	return http.StatusServiceUnavailable, problem("the leader cannot be asked now")
+}
+
+// AnswerShow answers a question that another member hands on to the leader.
+func (d *Door) AnswerShow(ctx context.Context, uri string) mesh.Response {
+	l := d.leader()
+	if l == nil {
+		return mesh.Response{Status: http.StatusServiceUnavailable, Payload: problem("this member does not lead")}
+	}
+	status, body := show(ctx, l, uri)
+	return mesh.Response{Status: status, Payload: body}
+}
+
+func show(ctx context.Context, l *leader.Loop, uri string) (int, json.RawMessage) {
+	status, v, err := l.Show(ctx, uri)
+	if err != nil {
+		return http.StatusServiceUnavailable, problem("the leader cannot be asked now")
+	}
+	body, err := json.MarshalIndent(v, "", " ")
+	switch {
+	case err != nil:
+		return http.StatusInternalServerError, problem("the answer cannot be written")
+	case len(body) > tuning.MaxShow:
+		return http.StatusRequestEntityTooLarge, problem("the answer is too long; ask for less")
+	}
+	return status, body
+}
+
+func problem(text string) json.RawMessage {
+	raw, _ := json.Marshal(wire.Error{Error: text}) // a string is always encodable
+	return raw
+}
+
+// ServeWhy says what a job waits for.
+func (d *Door) ServeWhy(w http.ResponseWriter, r *http.Request) {
+	if id := r.PathValue("id"); !wire.ValidJobID(id) {
+		httpjson.WriteRaw(w, http.StatusNotFound, problem("no such job"))
+		return
+	}
+	status, body := d.Ask(r.Context(), r.URL.Path)
+	if status == http.StatusNotFound {
+		// The leader knows live jobs only; one that is over waits for nothing.
+		if code, s := d.status(r.Context(), r.PathValue("id"), d.polls.status); code == http.StatusOK {
+			status = code
+			body, _ = json.MarshalIndent(wire.Reasons{JobStatus: s, Reasons: []string{}}, "", " ") // plain data
+		}
+	}
+	httpjson.WriteRaw(w, status, body)
+}
--- a/internal/users/submissions.go
+++ b/internal/users/submissions.go
@@ -105,6 +105,11 @@
 	if err != nil {
 		return refused(http.StatusBadRequest, httpjson.OneLine(err))
 	}
+	if d.accounts {
+		if err := job.ReadAccount(body); err != nil {
+			return refused(http.StatusBadRequest, httpjson.OneLine(err))
+		}
+	}
 	if s, ok := d.finals.Get(job.ID); ok {
 		return accepted(http.StatusOK, s.ID, s.State)
 	}
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -32,6 +32,7 @@
 	types    func() []wire.MachineType
 	leader   func() *leader.Loop
 	polls    *poller
+	accounts bool // charges are kept: jobs may name an account
 }
 
 // New makes the door. current gives the leader's loop while this member has
@@ -39,7 +40,7 @@
 func New(env *leader.Env, p *peers.Peers, current func() *leader.Loop) *Door {
 	d := &Door{
 		settings: env.Settings, clock: env.Clock, log: env.Log, store: env.Store, peers: p,
-		teams: env.Teams, finals: env.Finals, types: env.Types, leader: current,
+		teams: env.Teams, finals: env.Finals, types: env.Types, leader: current, accounts: env.Accounts,
 	}
 	d.polls = newPoller(d)
 	return d
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"strings"
+	"unicode"
 )
 
 // Paths that users call.
@@ -14,6 +15,8 @@
 	PathJobs   = "/v2/runs"
 	PathHealth = "/up"
 	EndCancel  = "cancel"
+	EndWhy     = "why"     // beside the protocol: what a job waits for
+	EndCharges = "charges" // beside the protocol: what a job's attempts took
 )
 
 // MaxBody is the largest request body that the protocol allows, in bytes.
@@ -79,6 +82,10 @@
 	CheckpointS float64  `json:"stub_s"`
 	SaveS       float64  `json:"stamp_s"`
 	DeadlineS   *float64 `json:"departure_s"`
+
+	// Account is whom the team bills for the job. The protocol has no such field, so
+	// it is only read where charges are kept.
+	Account string `json:"account,omitempty"`
 }
 
 // jobDraft finds out which fields a submission has: a field that is missing
@@ -106,6 +113,22 @@
 	DeadlineS   *float64  `json:"departure_s"`
 }
 
+// ReadAccount reads whom a job is billed to from its submission. The protocol has no
+// such field, so it is asked for only where charges are kept.
+func (j *Job) ReadAccount(body []byte) error {
+	var d struct {
+		Account *json.RawMessage `json:"account"`
+	}
+	if err := json.Unmarshal(body, &d); err != nil || d.Account == nil {
+		return err
+	}
+	if err := json.Unmarshal(*d.Account, &j.Account); err != nil || len(j.Account) > maxName || strings.ContainsFunc(j.Account, unicode.IsControl) {
+		j.Account = ""
+		return errors.New(`field "account" is not a name`)
+	}
+	return nil
+}
+
 // ValidJobID tells whether id has the form of a job id: job- and up to 32
 // digits. Every task of every report is looked at, so it takes little time.
 func ValidJobID(id string) bool {
@@ -246,3 +269,11 @@
 type Error struct {
 	Error string `json:"error"`
 }
+
+// Reasons tells what a job waits for.
+type Reasons struct {
+	JobStatus
+	Waiting int      `json:"waiting"` // tasks that wait to be placed
+	Held    int      `json:"held"`    // of these, tasks that may not start now even if there is room
+	Reasons []string `json:"reasons"`
+}
