Ledger: tests by a model of leaders that die at each step; a property test of whole histories

Cause: the ledger had no tests. Change: a harness of book and ledger over a store in memory; totals take in what came to lie apart since the last tick (found by the tests: for up to half a second they lacked charges). Result: all orders of four steps of death and commit, and random histories, give each attempt one charge and exact totals.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -397,3 +397,6 @@
 		Cores: charge.Milli(j.CPUs), EstimateS: j.EstimateS,
 	}
 }
+
+// Used gives what a team was charged, by day or month.
+func (k *Keeper) Used(team string) map[string]Use { return k.days[Scope{Team: team}] }
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -59,7 +59,7 @@
 	Began       time.Time // when it was first seen to run, or its day began
 	Part        int       // how many parts of it are charged already
 	beganStored bool
-	inherited   bool // a former leader placed it
+	Inherited   bool // a former leader placed it
 }
 
 // Task names the task.
@@ -251,7 +251,7 @@
 		if e.Machine == "" {
 			continue
 		}
-		p := &Place{Job: j, Index: e.Index, Attempt: e.Attempt, Machine: e.Machine, Session: e.Session, Zone: e.Zone, Committed: true, At: now, Placed: now, inherited: true}
+		p := &Place{Job: j, Index: e.Index, Attempt: e.Attempt, Machine: e.Machine, Session: e.Session, Zone: e.Zone, Committed: true, At: now, Placed: now, Inherited: true}
 		c.metered(&e, p)
 		t.State, t.Place = Placed, p
 		j.Placed++
--- a/internal/jobs/charges.go
+++ b/internal/jobs/charges.go
@@ -67,7 +67,7 @@
 func (b *Book) Began(p *Place, now time.Time) {
 	if b.Meter && p.Began.IsZero() {
 		p.Began = now
-		if p.inherited {
+		if p.Inherited {
 			// It may have run since before this leader: that it was placed is all that
 			// is known. A start that equals the placing says so.
 			p.Began = p.Placed
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -48,6 +48,7 @@
 	open      *page
 	closed    map[int]*page
 	lefts     []jobs.Left
+	nextTell  time.Time
 	nextCare  time.Time // the totals are not looked at for compaction before
 	leftSince time.Time // when the oldest of them came
 
@@ -322,6 +323,7 @@
 func (l *Ledger) Tick(now time.Time) []*jobs.Place {
 	l.collect(now)
 	l.configure(now)
+	l.tell(now)
 	if !now.Before(l.turn) {
 		l.turnDay(now)
 	}
@@ -355,6 +357,24 @@
 	return stop
 }
 
+// tell logs the totals now and then, for those who look closely.
+func (l *Ledger) tell(now time.Time) {
+	if !l.read || now.Before(l.nextTell) || !l.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	l.nextTell = now.Add(tuning.TellEvery)
+	t := l.totals(Query{By: []string{"team"}}, now)
+	running := 0
+	for p := range l.live {
+		if !p.Began.IsZero() {
+			running++
+		}
+	}
+	l.log.Debug("ledger totals", "attempts", t.Sum.Attempts, "core_us", t.Sum.CoreMicroS, "money_u", t.Sum.MoneyMicro, "done", t.Sum.Ends["done"],
+		"lost", t.Sum.Ends["lost"], "running", running, "running_core_us", t.Running.CoreMicroS, "running_money_u", t.Running.MoneyMicro,
+		"lefts", len(l.lefts), "roll_ups", l.stats.RollUps, "changes", l.stats.Changes)
+}
+
 // turnDay charges what running tasks took up to the end of the day: a bill for a day
 // is whole soon after it, however long a task runs on.
 func (l *Ledger) turnDay(now time.Time) {
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,473 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"poppypass/internal/budget"
+	"poppypass/internal/charge"
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+func array(id string, tasks int) wire.Job {
+	return wire.Job{ID: id, Class: "c", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: tasks, Image: "img", EstimateS: 10}
+}
+
+// only gives the one charge of an attempt.
+func (w *world) only(k attempt) charge.Charge {
+	w.t.Helper()
+	stored, _ := w.stored()
+	if len(stored[k]) != 1 {
+		w.t.Fatalf("%v has the charges %+v", k, stored[k])
+	}
+	return stored[k][0]
+}
+
+func TestHowAttemptsEndAndWhatTheyTake(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(w *world, p *jobs.Place)
+		how  charge.How
+		flag charge.Flag
+	}{
+		{"done", func(w *world, p *jobs.Place) { w.end(p, wire.WhyDone, false) }, charge.Done, 0},
+		{"failed", func(w *world, p *jobs.Place) { w.end(p, wire.WhyError, false) }, charge.Failed, 0},
+		{"its machine is taken back or its session ends", func(w *world, p *jobs.Place) { w.end(p, wire.WhyStopped, true) }, charge.Lost, charge.Bound},
+		{"drained", func(w *world, p *jobs.Place) {
+			p.Stop = &jobs.Stop{For: charge.Drained}
+			w.end(p, wire.WhyStopped, false)
+		}, charge.Drained, 0},
+		{"stopped for others", func(w *world, p *jobs.Place) {
+			p.Stop = &jobs.Stop{For: charge.Preempted}
+			w.end(p, wire.WhyStopped, false)
+		}, charge.Preempted, 0},
+		{"its job is cancelled", func(w *world, p *jobs.Place) {
+			w.book.Cancel(p.Job, func(wire.JobState) {})
+			w.flush()
+			w.end(p, wire.WhyStopped, false)
+		}, charge.Cancelled, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.submit(array("job-1", 1))
+			p := w.start("job-1")
+			w.clock.Advance(30 * time.Second)
+			c.end(w, p)
+			w.check()
+			got := w.only(keyOf(p))
+			if got.How != c.how || got.Flags != c.flag || got.Run != 30_000 {
+				t.Errorf("charged %+v", got)
+			}
+			// Half of its processors and half of its memory, at 0.8 an hour, for 30 s.
+			if want := int64(3333); got.Money != want { // 0.8 / 2 * 30 / 3600
+				t.Errorf("costs %d, want %d", got.Money, want)
+			}
+			w.roll()
+			w.check()
+		})
+	}
+}
+
+// Guards against charges that are lost or doubled when a leader dies between an
+// attempt's end and its charge, between the charge and its roll-up, or after a
+// transaction that was applied and never answered.
+func TestALeaderDiesAnywhere(t *testing.T) {
+	steps := []func(*world){
+		func(w *world) { w.commit(true) },
+		func(w *world) { w.commit(false); w.lead() },
+		func(w *world) { w.lead() },
+		func(w *world) { w.ledger.leftSince = time.Time{}; w.next(true) },
+		func(w *world) {
+			w.ledger.leftSince = time.Time{}
+			if w.next(false) {
+				w.lead()
+			}
+		},
+	}
+	// All orders of four of them, after each of which the job has ended.
+	n := len(steps)
+	for order := range n * n * n * n {
+		w := newWorld(t)
+		w.submit(array("job-1", 2))
+		a, b := w.start("job-1"), w.start("job-1")
+		w.clock.Advance(20 * time.Second)
+		w.end(a, wire.WhyError, false) // and is repeated
+		w.end(b, wire.WhyDone, false)
+		for o, i := order, 0; i < 4; o, i = o/n, i+1 {
+			steps[o%n](w)
+			w.clock.Advance(time.Second)
+		}
+		w.flush()
+		again := w.start("job-1")
+		w.clock.Advance(20 * time.Second)
+		w.end(again, wire.WhyDone, false)
+		for o, i := order, 0; i < 4; o, i = o/n, i+1 {
+			steps[n-1-o%n](w)
+		}
+		w.check()
+		w.roll()
+		w.check()
+		if stored, _ := w.stored(); len(stored) != 3 {
+			t.Fatalf("order %d: %d attempts are charged, want 3", order, len(stored))
+		}
+		if len(w.with(jobs.PrefixRun))+len(w.with(jobs.PrefixLeft)) != 0 {
+			t.Fatalf("order %d: records of a job that is over and rolled up are left", order)
+		}
+	}
+}
+
+// The property: whatever happens, in whatever order, each attempt is charged once,
+// and the totals are the sum of the charges.
+func TestTheLedgerEqualsWhatRan(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(t)
+		next := 0
+		pick := func() *jobs.Place {
+			var live []*jobs.Place
+			for _, p := range w.places {
+				if tr := w.attempts[keyOf(p)]; tr != nil && tr.ended.IsZero() && !p.Removed {
+					live = append(live, p)
+				}
+			}
+			if len(live) == 0 {
+				return nil
+			}
+			return live[rapid.IntRange(0, len(live)-1).Draw(rt, "place")]
+		}
+		actions := map[string]func(*rapid.T){
+			"submit": func(rt *rapid.T) {
+				next++
+				j := array(fmt.Sprintf("job-%d", next), rapid.SampledFrom([]int{1, 3, 70, 200}).Draw(rt, "tasks"))
+				j.Account = rapid.SampledFrom([]string{"", "a", "b"}).Draw(rt, "account")
+				w.submit(j)
+			},
+			"place": func(rt *rapid.T) {
+				for id := range w.book.Jobs {
+					for range rapid.IntRange(1, 40).Draw(rt, "count") {
+						w.place(id)
+					}
+				}
+			},
+			"run": func(*rapid.T) {
+				if p := pick(); p != nil {
+					w.run(p)
+				}
+			},
+			"finish many": func(rt *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(rt, "count") {
+					if p := pick(); p != nil {
+						w.run(p)
+						w.end(p, rapid.SampledFrom([]wire.Why{wire.WhyDone, wire.WhyError, wire.WhyStopped}).Draw(rt, "why"), false)
+					}
+				}
+			},
+			"refuse": func(*rapid.T) {
+				if p := pick(); p != nil && w.attempts[keyOf(p)].began.IsZero() {
+					w.end(p, wire.WhyNoRoom, false)
+				}
+			},
+			"lose": func(*rapid.T) {
+				if p := pick(); p != nil {
+					w.end(p, wire.WhyStopped, true)
+				}
+			},
+			"cancel": func(*rapid.T) {
+				for _, j := range w.book.Jobs {
+					w.book.Cancel(j, func(wire.JobState) {})
+					return
+				}
+			},
+			"commit":        func(*rapid.T) { w.commit(true) },
+			"commit unsure": func(*rapid.T) { w.commit(false); w.lead() },
+			"new leader":    func(*rapid.T) { w.lead() },
+			"roll up":       func(*rapid.T) { w.ledger.leftSince = time.Time{}; w.ledger.nextCare = time.Time{}; w.next(true) },
+			"roll up unsure": func(*rapid.T) {
+				if w.ledger.leftSince = (time.Time{}); w.next(false) {
+					w.lead()
+				}
+			},
+			"seconds": func(rt *rapid.T) {
+				w.clock.Advance(time.Duration(rapid.IntRange(1, 90_000).Draw(rt, "ms")) * time.Millisecond)
+			},
+			"hours": func(rt *rapid.T) {
+				w.clock.Advance(time.Duration(rapid.IntRange(1, 50).Draw(rt, "hours")) * time.Hour)
+				w.ledger.Tick(w.now())
+			},
+			"": func(*rapid.T) {},
+		}
+		rt.Repeat(actions)
+		w.check()
+		w.roll()
+		w.check()
+		w.lead()
+		w.check()
+	})
+}
+
+// A period that turns over while a task runs: its seconds are split, and the bill
+// of the day before is whole although the task runs on.
+func TestADayTurnsWhileATaskRuns(t *testing.T) {
+	w := newWorld(t)
+	w.submit(array("job-1", 1))
+	p := w.start("job-1")
+	w.clock.Advance(13*time.Hour - time.Second) // from noon to one in the night
+	w.ledger.Tick(w.now())
+	w.roll()
+	day := func(day string) int64 {
+		return w.ledger.totals(Query{From: day, To: day, By: []string{"day"}}, w.now()).Sum.RunMS
+	}
+	if got := day("2026-12-01"); got != 12*3600_000-1000 {
+		t.Errorf("the first day has %d ms", got)
+	}
+	if got := day("2026-12-02"); got != 0 {
+		t.Errorf("the second day has %d ms while the task runs", got)
+	}
+	w.lead() // the new leader goes on from the turn
+	w.clock.Advance(time.Hour)
+	w.end(w.places[keyOf(p)], wire.WhyDone, false)
+	w.check()
+	if got := day("2026-12-02"); got != 2*3600_000 {
+		t.Errorf("the second day has %d ms", got)
+	}
+	if got := w.ledger.totals(Query{By: []string{"day"}}, w.now()).Sum.Attempts; got != 1 {
+		t.Errorf("%d attempts are counted", got)
+	}
+}
+
+// A change of leaders loses no seconds: when a task began is stored once it has run
+// for a while.
+func TestTheStartSurvivesALeader(t *testing.T) {
+	w := newWorld(t)
+	w.submit(array("job-1", 1))
+	p := w.place("job-1")
+	w.flush()
+	w.clock.Advance(5 * time.Second) // the image is fetched
+	w.run(p)
+	w.clock.Advance(tuning.BeganAfter)
+	w.flush()
+	w.lead()
+	w.clock.Advance(10 * time.Second)
+	p = w.places[keyOf(p)]
+	w.end(p, wire.WhyDone, false)
+	w.check()
+	if c := w.only(keyOf(p)); c.Run != 20_000 || c.Flags != 0 {
+		t.Errorf("charged %+v", c)
+	}
+}
+
+// A job of very many tasks ends although its charges fit no transaction, and a task
+// that fails again and again does not outgrow its record.
+func TestManyChargesFitTheStore(t *testing.T) {
+	w := newWorld(t)
+	w.submit(array("job-1", 40*tuning.ChunkTasks))
+	for w.place("job-1") != nil {
+	}
+	w.flush()
+	for _, p := range w.places {
+		w.attempts[keyOf(p)].began = w.now()
+	}
+	w.report()
+	w.clock.Advance(time.Minute)
+	for _, p := range w.places {
+		w.attempts[keyOf(p)].ended, w.attempts[keyOf(p)].why = w.now(), wire.WhyDone
+	}
+	w.report()
+	w.check()
+	if _, over := w.items[jobs.KeyEnd("job-1")]; !over {
+		t.Fatal("the job does not end")
+	}
+	w.submit(array("job-2", 1))
+	for range 3 * tuning.SealCharges {
+		p := w.start("job-2")
+		w.clock.Advance(time.Second)
+		w.end(p, wire.WhyError, false)
+	}
+	w.check()
+	w.roll()
+	w.check()
+	if n := len(w.with(jobs.PrefixLeft)); n != 0 {
+		t.Errorf("%d records are left", n)
+	}
+}
+
+// Guards against an array that starts past its budget at once: each start reserves
+// what it is expected to take, also those of the same pass.
+func TestABudgetRunsOutUnderARunningArray(t *testing.T) {
+	w := newWorld(t)
+	w.settings = &budget.Settings{}
+	if err := w.settings.Set("budget.t.day.core-hours", "1"); err != nil { // 3,600 core-seconds: 180 tasks of 2 cores for 10 s
+		t.Fatal(err)
+	}
+	w.lead()
+	w.submit(array("job-1", 10_000))
+	var placed []*jobs.Place
+	for p := w.place("job-1"); p != nil; p = w.place("job-1") {
+		placed = append(placed, p)
+	}
+	if len(placed) != 180 {
+		t.Fatalf("%d tasks start, want 180", len(placed))
+	}
+	w.flush()
+	w.clock.Advance(time.Second)
+	for _, p := range placed {
+		w.run(p)
+	}
+	w.clock.Advance(20 * time.Second) // twice what was expected
+	for _, p := range placed {
+		w.end(p, wire.WhyDone, false)
+	}
+	w.flush()
+	w.ledger.Tick(w.now())
+	if p := w.place("job-1"); p != nil {
+		t.Error("more starts though the budget is spent")
+	}
+	n, why := w.ledger.Admit(w.book.Jobs["job-1"], w.now())
+	if n != 0 || why == "" {
+		t.Errorf("%d may start, since %q", n, why)
+	}
+	// The overdraft is what the running tasks took beyond their estimates.
+	if v := w.ledger.budgets.Views("t")[0]; v.Used != 2 || v.State != "spent" {
+		t.Errorf("the budget is %+v", v)
+	}
+	// It is raised meanwhile; and the tasks are known to take twice their estimate now.
+	w.settings = &budget.Settings{}
+	if err := w.settings.Set("budget.t.day.core-hours", "3"); err != nil {
+		t.Fatal(err)
+	}
+	w.ledger.Tick(w.now())
+	n = 0
+	for w.place("job-1") != nil {
+		n++
+	}
+	if n < 90 || n > 100 {
+		t.Errorf("%d more start, want about 90", n)
+	}
+	// A new leader counts the same, and the next day begins anew.
+	w.flush()
+	w.lead()
+	if n, _ := w.ledger.Admit(w.book.Jobs["job-1"], w.now()); n > 90 {
+		t.Errorf("a new leader lets %d start", n)
+	}
+	w.check()
+}
+
+func TestTheNextPeriodGoesOn(t *testing.T) {
+	w := newWorld(t)
+	w.settings = &budget.Settings{}
+	for key, value := range map[string]string{"budget.t.day.core-hours": "0.01", "budget.t.carry-over": "0.5"} { // 36 core-seconds
+		if err := w.settings.Set(key, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.lead()
+	j := array("job-1", 100)
+	j.EstimateS = 3600 // one alone is beyond the budget
+	w.submit(j)
+	p := w.start("job-1")
+	if w.place("job-1") != nil {
+		t.Error("a second one starts beside it")
+	}
+	w.clock.Advance(time.Minute)
+	w.end(p, wire.WhyDone, false)
+	w.flush()
+	w.ledger.Tick(w.now())
+	if w.place("job-1") != nil {
+		t.Error("another one starts though the budget is spent")
+	}
+	w.clock.Advance(24 * time.Hour)
+	w.ledger.Tick(w.now())
+	if w.place("job-1") == nil {
+		t.Error("nothing starts on the next day")
+	}
+	w.check()
+}
+
+func TestWhatRunsIsStoppedAtTheMark(t *testing.T) {
+	w := newWorld(t)
+	w.settings = &budget.Settings{}
+	for key, value := range map[string]string{"budget.t.day.core-hours": "0.1", "budget.t.when-spent": "drain", "budget.t.drain-at": "0.5"} {
+		if err := w.settings.Set(key, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.lead()
+	batch := array("job-1", 1)
+	batch.EstimateS, batch.CheckpointS, batch.SaveS = 60, 10, 4
+	w.submit(batch)
+	service := wire.Job{ID: "job-2", Class: "s", Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 1}
+	w.submit(service)
+	p, replica := w.start("job-1"), w.start("job-2")
+	if stop := w.ledger.Tick(w.now()); len(stop) != 0 {
+		t.Fatal("something is stopped at once")
+	}
+	w.clock.Advance(time.Minute) // 240 core-seconds of 180
+	stop := w.ledger.Tick(w.now())
+	if len(stop) != 1 || stop[0] != p || p.Stop.For != charge.OverSpent || p.Stop.GraceS < 4 || replica.Stop != nil {
+		t.Fatalf("stopped are %v", stop)
+	}
+	if again := w.ledger.Tick(w.now()); len(again) != 0 {
+		t.Error("what stops already is stopped again")
+	}
+	w.end(p, wire.WhyStopped, false)
+	w.check()
+	if c := w.only(keyOf(p)); c.How != charge.OverSpent {
+		t.Errorf("charged %+v", c)
+	}
+}
+
+// Rows of one name are spread over pages as they come, and brought together later;
+// days of long ago become months. The totals are the same all the time.
+func TestTotalsAreCompactedAndFolded(t *testing.T) {
+	w := newWorld(t)
+	for i := range 400 {
+		j := array(fmt.Sprintf("job-%d", i), 1)
+		j.Account = fmt.Sprintf("an account with a long name, number %d", i%150)
+		w.submit(j)
+		p := w.start(j.ID)
+		w.clock.Advance(time.Minute)
+		w.end(p, wire.WhyDone, false)
+		w.flush()
+		if i%8 == 7 {
+			w.ledger.Tick(w.now())
+			w.ledger.leftSince = time.Time{}
+			for w.ledger.lefts != nil && len(w.ledger.lefts) > 0 && w.next(true) {
+			}
+		}
+	}
+	w.check()
+	before := len(w.with(PrefixPage))
+	w.ledger.nextCare = time.Time{}
+	w.roll()
+	w.check()
+	if after := len(w.with(PrefixPage)); after >= before {
+		t.Errorf("%d pages are %d after compaction", before, after)
+	}
+	names := map[RowName]int{}
+	for _, p := range valuesOf(w.ledger.closed) {
+		if len(w.ledger.closed) < tuning.CompactPages {
+			break // so few are left as they are
+		}
+		for n := range p.rows {
+			if names[n]++; names[n] > 1 {
+				t.Fatalf("%v still stands in two closed pages", n)
+			}
+		}
+	}
+	w.clock.Advance((tuning.FoldAfter + 40) * 24 * time.Hour)
+	w.ledger.nextCare = time.Time{}
+	w.roll()
+	w.lead()
+	w.check()
+	for _, p := range valuesOf(w.ledger.closed) {
+		for n := range p.rows {
+			if len(n.Day) != len("2026-12") {
+				t.Fatalf("%v is not folded", n)
+			}
+		}
+	}
+}
--- a/internal/ledger/meter.go
+++ b/internal/ledger/meter.go
@@ -20,7 +20,8 @@
 //     machine was lost counts until its loss was proven, which is after the last moment
 //     in which its worker can have run it; one that was never seen running but ended
 //     counts from the last report that did not have it running; one that a former leader
-//     placed counts from when it was placed, if no record says when it began.
+//     placed counts from when it was placed, if no record says when it began; and one
+//     whose end came while nobody led counts until a leader saw it.
 
 // Rate is what a task takes of a machine's price, in millionths an hour: the mean of
 // its shares of the machine's processors, memory and, if it has some, GPUs. So the
@@ -93,6 +94,10 @@
 		}
 		c.Flags |= charge.Bound
 	}
+	if p.Inherited && p.State == "" && c.How != charge.Refused {
+		// This leader never saw it run: it may have ended while nobody led.
+		c.Flags |= charge.Bound
+	}
 	meter(&c, p, begun, now, rateNow)
 	return c, true
 }
--- a/internal/ledger/show.go
+++ b/internal/ledger/show.go
@@ -213,6 +213,7 @@
 }
 
 func (l *Ledger) totals(q Query, now time.Time) Totals {
+	l.collect(now) // what lies apart since the last tick counts too
 	t := NewTally(q)
 	for _, p := range append(valuesOf(l.closed), l.open) {
 		for n, a := range p.rows {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -395,6 +395,8 @@
 	CompactPages = 4
 	// CareEvery is how often the totals are looked at for that: it costs a look at each row.
 	CareEvery = time.Minute
+	// TellEvery is how often the totals go to the log, at debug level.
+	TellEvery = 10 * time.Second
 	// SegmentPage is how many segments one question for a job's charges reads: some
 	// hundred KB.
 	SegmentPage = 20
