--- a/cmd/poppypass/commands.go
+++ b/cmd/poppypass/commands.go
@@ -29,7 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), jobCommand())
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), jobCommand(), ledgerCommand(), budgetCommand())
 	return root
 }
 
--- a/cmd/poppypass/job.go
+++ b/cmd/poppypass/job.go
@@ -48,6 +48,14 @@
 				return callService(cmd, http.MethodGet, addr, wire.PathJobs+"/"+args[0], nil)
 			},
 		},
+		&cobra.Command{
+			Use:   "why ID",
+			Short: "Say what a job's tasks wait for",
+			Args:  cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				return callService(cmd, http.MethodGet, addr, wire.PathJobs+"/"+args[0]+"/"+wire.EndWhy, nil)
+			},
+		},
 		&cobra.Command{
 			Use:   "cancel ID",
 			Short: "Cancel a job",
@@ -68,21 +76,30 @@
 }
 
 func callService(cmd *cobra.Command, method, addr, path string, in any) error {
+	out, err := askService(cmd, method, addr, path, in)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(cmd.OutOrStdout(), string(out))
+	return err
+}
+
+// askService calls a controller; a refusal is an error.
+func askService(cmd *cobra.Command, method, addr, path string, in any) (json.RawMessage, error) {
 	ctx, cancel := context.WithTimeout(cmd.Context(), clientTimeout)
 	defer cancel()
 	var out json.RawMessage
 	status, err := httpjson.Call(ctx, httpjson.NewClient(1, 1, clientTimeout), method, "http://"+addr+path, in,
 		func(int) any { return &out })
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if status >= http.StatusBadRequest {
 		var e wire.Error
 		if json.Unmarshal(out, &e) == nil && e.Error != "" {
-			return fmt.Errorf("status %d: %s", status, e.Error)
+			return nil, fmt.Errorf("status %d: %s", status, e.Error)
 		}
-		return errors.New(http.StatusText(status))
+		return nil, errors.New(http.StatusText(status))
 	}
-	_, err = fmt.Fprintln(cmd.OutOrStdout(), string(out))
-	return err
+	return out, nil
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -26,6 +26,7 @@
 	"poppypass/internal/leadership"
 	"poppypass/internal/ledger"
 	"poppypass/internal/mesh"
+	"poppypass/internal/metrics"
 	"poppypass/internal/peers"
 	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
@@ -50,7 +51,8 @@
 	keeper  *keeper.Keeper
 	users   *users.Door
 	reports *workers.Door
-	ledger  *ledger.Door // nil: no charges are kept
+	ledger  *ledger.Door     // nil: no charges are kept
+	metrics *metrics.Metrics // nil: they are served nowhere
 
 	leading atomic.Pointer[leader.Loop] // the leader's loop, while this member leads
 }
@@ -90,6 +92,10 @@
 
 // join registers the subsystems that are on.
 func (c *Controller) join() error {
+	if c.own.MetricsAddr() != "" {
+		c.metrics = metrics.New(c.settings.Cluster.State.WriteRPS)
+		c.env.Observer = c.metrics
+	}
 	if !c.own.Ledger() {
 		return nil
 	}
@@ -151,6 +157,14 @@
 	if !c.peers.Alone() {
 		wg.Go(func() { c.peers.Run(ctx) })
 	}
+	if c.metrics != nil {
+		wg.Go(func() {
+			// Its failure is no reason not to schedule.
+			if err := c.metrics.Serve(ctx, c.own.MetricsAddr(), c.log); err != nil {
+				c.log.Error("metrics are not served", "err", err)
+			}
+		})
+	}
 	wg.Go(func() {
 		<-ctx.Done()
 		srv.Close()
@@ -185,6 +199,10 @@
 	l.Start(ctx)
 	c.setCloudShare(true)
 	c.leading.Store(l)
+	if c.metrics != nil {
+		c.metrics.Leading(true)
+		defer c.metrics.Leading(false)
+	}
 	defer func() {
 		c.leading.Store(nil)
 		c.setCloudShare(false)
--- /dev/null
+++ b/internal/controller/ledger_test.go
@@ -0,0 +1,140 @@
+package controller
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/ledger"
+	"poppypass/internal/standin"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// rebooted is a world whose controller has operators' properties.
+func rebooted(t *testing.T, properties string) *world {
+	w := newWorld(t)
+	w.stop()
+	w.clock.Advance(2 * tuning.LeaseTTL)
+	w.state.Expire()
+	w.props = standin.File(t, "own.properties", properties)
+	w.boot()
+	return w
+}
+
+// ms reads an integer of an answer.
+func ms(v any) int64 { return int64(v.(float64)) }
+
+func TestAJobIsChargedToItsTeamAndAccount(t *testing.T) {
+	metrics := standin.FreeAddr(t)
+	w := rebooted(t, "ledger = on\nmetrics.addr = "+metrics+"\n")
+	j := job("job-1", 2)
+	j["account"] = "a coach owner"
+	w.until("accepted", func() bool { status, _ := w.call("POST", "/v2/runs", j); return status < 300 && status > 0 })
+	k := w.worker("n-000001", "a")
+	w.until("both run", func() bool { k.beat(); return k.running() == 2 })
+	w.until("that is seen", func() bool { k.beat(); return w.jobState("job-1") == "running" })
+	// The team is at its limit of 12 CPUs with one more, and the next job says so.
+	w.submit("job-2", 4)
+	w.until("a third runs", func() bool { k.beat(); return k.running() == 3 })
+	w.until("the reason is told", func() bool {
+		status, out := w.call("GET", "/v2/runs/job-2/why", nil)
+		return status == 200 && strings.Contains(fmt.Sprint(out["reasons"]), "team's limit")
+	})
+	for range 4 { // time passes while the worker reports
+		w.clock.Advance(2 * time.Second)
+		w.until("reported", func() bool { return k.beat() == 200 })
+	}
+	w.until("done", func() bool { k.finish(); k.beat(); return w.jobState("job-1") == "done" && w.jobState("job-2") == "done" })
+	w.until("all is charged", func() bool {
+		_, out := w.call("GET", ledger.PathTotals+"?team=t&by=account", nil)
+		rows, _ := out["rows"].([]any)
+		if len(rows) != 2 {
+			return false
+		}
+		none, owner := rows[0].(map[string]any), rows[1].(map[string]any)
+		return owner["account"] == "a coach owner" && ms(owner["attempts"]) == 2 && ms(none["attempts"]) == 4 &&
+			ms(owner["run_ms"]) >= 16_000 && ms(owner["core_us"]) == 4000*ms(owner["run_ms"])
+	})
+	status, out := w.call("GET", "/v2/runs/job-1/charges", nil)
+	if charges, _ := out["charges"].([]any); status != 200 || len(charges) != 2 || charges[0].(map[string]any)["how"] != "done" {
+		t.Errorf("the job's charges: %d %v", status, out)
+	}
+	if status, out := w.call("GET", "/v2/runs/job-1/why", nil); status != 200 || out["status"] != "done" {
+		t.Errorf("a job that is over: %d %v", status, out)
+	}
+	for path, want := range map[string]int{
+		ledger.PathTotals: 400, ledger.PathTotals + "?team=t&by=owner": 400, ledger.PathTotals + "?team=t&from=yesterday": 400,
+		"/v2/runs/job-9/why": 404, "/v2/runs/x/charges": 404, ledger.PathBudgets: 200, ledger.PathStats: 200,
+	} {
+		if status, out := w.call("GET", path, nil); status != want {
+			t.Errorf("%s: %d %v, want %d", path, status, out, want)
+		}
+	}
+	if text := w.text("http://" + w.addr + ledger.PathTotals + "?team=t&format=csv"); !strings.HasPrefix(text, "day,team,account") || strings.Count(text, "\n") != 3 {
+		t.Errorf("as CSV: %q", text)
+	}
+	if text := w.text("http://" + metrics + "/metrics"); !strings.Contains(text, `poppypass_ends_total{class="l",how="done"} 6`) || !strings.Contains(text, "poppypass_leading 1") {
+		t.Errorf("metrics: %s", text)
+	}
+	// Accounts are names.
+	j["ref"], j["account"] = "job-3", 3
+	if status, _ := w.call("POST", "/v2/runs", j); status != 400 {
+		t.Errorf("an account that is no name: %d", status)
+	}
+}
+
+// text reads a page.
+func (w *world) text(url string) string {
+	resp, err := http.Get(url)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body) // what is missing, the caller notices
+	return string(raw)
+}
+
+// Without a ledger a job's unknown fields are ignored, as the protocol wants, and
+// nothing more is written than before.
+func TestWithoutALedgerNothingIsKept(t *testing.T) {
+	w := newWorld(t)
+	j := job("job-1", 1)
+	j["account"] = 3
+	w.until("accepted", func() bool { status, _ := w.call("POST", "/v2/runs", j); return status == 201 || status == 200 })
+	k := w.worker("n-000001", "a")
+	w.until("done", func() bool { k.beat(); k.finish(); return w.jobState("job-1") == "done" })
+	for _, txn := range w.state.Applied() {
+		for _, c := range txn.Then {
+			if strings.HasPrefix(c.Put, "ledger/") || strings.HasPrefix(c.Put, jobs.PrefixLeft) || strings.Contains(string(c.Value), `"c":`) {
+				t.Errorf("%s is written: %s", c.Put, c.Value)
+			}
+		}
+	}
+	if status, _ := w.call("GET", ledger.PathTotals+"?team=t", nil); status != 404 {
+		t.Errorf("totals: %d", status)
+	}
+}
+
+// A job that its team's budget does not allow is accepted and waits, and says why.
+func TestAJobWaitsForItsBudget(t *testing.T) {
+	w := rebooted(t, "ledger = on\nbudget.t.ever.core-hours = 0\n")
+	w.submit("job-1", 1)
+	k := w.worker("n-000001", "a")
+	w.until("the reason is told", func() bool {
+		k.beat()
+		_, out := w.call("GET", "/v2/runs/job-1/why", nil)
+		return strings.Contains(fmt.Sprint(out["reasons"]), "budget")
+	})
+	replica := job("job-2", 1)
+	replica["shape"], replica["urgency"], replica["ride_s"] = wire.KindService, wire.PriorityProduction, 0
+	w.until("production is accepted", func() bool { status, _ := w.call("POST", "/v2/runs", replica); return status == 201 || status == 200 })
+	w.until("production runs", func() bool { k.beat(); return k.running() == 1 })
+	if k.start["job-1/0"] != 0 || w.jobState("job-1") != "pending" {
+		t.Error("the job did not wait for its budget")
+	}
+}
--- a/internal/leader/env.go
+++ b/internal/leader/env.go
@@ -32,6 +32,8 @@
 	Teams   map[string]config.Team
 	Finals  *jobs.Finals
 
+	// Observer hears what the loop does; nil: nobody does.
+	Observer Observer
 	// Accounts tells that charges are kept, by accounts that jobs may name.
 	Accounts bool
 	// Joins makes the slices that join each tenure's loop.
@@ -42,6 +44,24 @@
 	Types func() []wire.MachineType
 }
 
+// Observer hears what a leader's loop does, for metrics. Its methods must not wait.
+type Observer interface {
+	TookOver(took time.Duration)
+	Passed(took time.Duration)
+	Reported(took time.Duration)
+	Started(class string)
+	Ended(class, how string)
+	Wrote(changes int)
+	Holds(jobs, machines int, waiting map[string]int)
+}
+
+// observe calls fn if somebody observes.
+func (e *Env) observe(fn func(Observer)) {
+	if e.Observer != nil {
+		fn(e.Observer)
+	}
+}
+
 func (e *Env) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -160,6 +160,7 @@
 	if l.env.Valid(l.tenure.Term) {
 		if l.changed && !now.Before(l.rested) || !now.Before(l.nextPass) {
 			l.pass(now)
+			l.env.observe(func(o Observer) { o.Passed(l.env.Clock.Since(now)) })
 			l.rested = l.rest(now)
 		}
 		if !now.Before(l.fleet.next) {
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -140,6 +140,7 @@
 		s.Loaded(l.book, now)
 	}
 	l.readSlices()
+	l.env.observe(func(o Observer) { o.TookOver(now.Sub(l.begun)) })
 	l.log.Info("records loaded", "jobs", len(l.book.Jobs), "machines", len(l.roster.Machines),
 		"took_ms", now.Sub(l.begun).Milliseconds())
 }
@@ -225,6 +226,7 @@
 
 func (l *Loop) written(batch *jobs.Batch, revision uint64) {
 	l.writing = false
+	l.env.observe(func(o Observer) { o.Wrote(len(batch.Txn.Then)) })
 	start, over := l.book.Written(batch, revision)
 	for _, o := range over {
 		l.env.Finals.Add(wire.JobStatus{ID: o.Job.ID, State: o.State, Done: o.Job.Done})
--- a/internal/leader/slices.go
+++ b/internal/leader/slices.go
@@ -73,11 +73,9 @@
 
 // stepSlices does what the slices have due.
 func (l *Loop) stepSlices(now time.Time) {
-	if len(l.slices) == 0 {
-		return
-	}
 	if !now.Before(l.nextSlices) {
 		l.nextSlices = now.Add(tuning.SliceTick)
+		l.env.observe(l.holds)
 		for _, s := range l.slices {
 			l.direct(s.Tick(now))
 		}
@@ -104,7 +102,11 @@
 				l.log.Error("a subsystem's records cannot be stored", "err", err)
 				return
 			}
-			l.post(func() { l.aside = false; w.Done(revision) })
+			l.post(func() {
+				l.aside = false
+				l.env.observe(func(o Observer) { o.Wrote(len(w.Txn.Then)) })
+				w.Done(revision)
+			})
 		}()
 		return
 	}
@@ -137,3 +139,14 @@
 	})
 	return r.status, r.body, err
 }
+
+// holds tells an observer what the loop holds.
+func (l *Loop) holds(o Observer) {
+	waiting := map[string]int{}
+	for _, j := range l.book.Jobs {
+		if j.Open() {
+			waiting[j.Class] += j.Waiting()
+		}
+	}
+	o.Holds(len(l.book.Jobs), len(l.roster.Machines), waiting)
+}
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -80,6 +80,8 @@
 		commands []wire.Command
 		err      error
 	}
+	begun := l.env.Clock.Now()
+	defer func() { l.env.observe(func(o Observer) { o.Reported(l.env.Clock.Since(begun)) }) }()
 	r, err := ask(ctx, l, func(answer func(result)) {
 		commands, err := l.take(rep, false)
 		answer(result{commands, err})
@@ -137,6 +139,7 @@
 		for _, s := range l.slices {
 			s.Ended(o, now)
 		}
+		l.env.observe(func(b Observer) { b.Ended(p.Job.Class, o.How()) })
 		l.roster.Remove(p, now)
 		l.changed = true
 		m := l.roster.Machines[p.Machine]
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -450,7 +450,7 @@
 		if i%8 == 7 {
 			w.ledger.Tick(w.now())
 			w.ledger.leftSince = time.Time{}
-			for w.ledger.lefts != nil && len(w.ledger.lefts) > 0 && w.next(true) {
+			for len(w.ledger.lefts) > 0 && w.next(true) {
 			}
 		}
 	}
--- a/internal/ledger/reader.go
+++ b/internal/ledger/reader.go
@@ -75,6 +75,10 @@
 				page.Charges = append(page.Charges, Views(&packs[i])...)
 			}
 		}
+		if len(page.Charges) >= tuning.ChargesPage {
+			page.Next = item.Key
+			break
+		}
 		if items.More {
 			page.Next = item.Key
 		}
--- a/internal/ledger/world_test.go
+++ b/internal/ledger/world_test.go
@@ -48,7 +48,6 @@
 	began, ended time.Time // zero: not yet
 	why          wire.Why  // as its worker reports it
 	lost         bool      // its machine is gone
-	settled      bool      // its end is stored
 }
 
 var (
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,130 @@
+// Package metrics serves what the controller does as Prometheus metrics, at an
+// address of its own. It is set up only when an address is given.
+package metrics
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"poppypass/internal/tuning"
+)
+
+// Metrics counts what a controller does. It implements leader.Observer and is safe for
+// concurrent use. Names follow the Prometheus conventions: seconds, and totals that
+// only grow while the process lives.
+type Metrics struct {
+	registry *prometheus.Registry
+	leading  prometheus.Gauge
+	takeOver prometheus.Histogram
+	pass     prometheus.Histogram
+	report   prometheus.Histogram
+	queue    *prometheus.GaugeVec
+	started  *prometheus.CounterVec
+	ended    *prometheus.CounterVec
+	written  prometheus.Counter
+	machines prometheus.Gauge
+	jobs     prometheus.Gauge
+}
+
+// New makes the metrics of a controller. writeRPS is the state service's limit on
+// changes a second.
+func New(writeRPS float64) *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		leading:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_leading", Help: "1 while this controller leads."}),
+		takeOver: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "poppypass_takeover_seconds", Help: "From the begin of a tenure until the records are loaded.", Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+		}),
+		pass: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "poppypass_pass_seconds", Help: "How long a pass over the waiting tasks takes.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
+		}),
+		report: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "poppypass_report_seconds", Help: "How long a worker's report waits for the leader's answer.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
+		}),
+		queue:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "poppypass_queue_tasks", Help: "Tasks that wait to be placed."}, []string{"class"}),
+		started:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_starts_total", Help: "Attempts that were placed."}, []string{"class"}),
+		ended:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_ends_total", Help: "Attempts that are proven over."}, []string{"class", "how"}),
+		written:  prometheus.NewCounter(prometheus.CounterOpts{Name: "poppypass_state_changes_total", Help: "Changes that the leader wrote to the state service."}),
+		machines: prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines", Help: "Machines that the leader knows."}),
+		jobs:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_jobs", Help: "Jobs that are not over."}),
+	}
+	limit := prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_state_changes_limit", Help: "Changes a second that the state service allows."})
+	limit.Set(writeRPS)
+	m.registry.MustRegister(m.leading, m.takeOver, m.pass, m.report, m.queue, m.started, m.ended, m.written, m.machines, m.jobs, limit,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Leading tells whether this controller leads.
+func (m *Metrics) Leading(leads bool) {
+	if leads {
+		m.leading.Set(1)
+		return
+	}
+	m.leading.Set(0)
+	m.queue.Reset()
+	m.machines.Set(0)
+	m.jobs.Set(0)
+}
+
+// TookOver takes in how long it took to load the records.
+func (m *Metrics) TookOver(took time.Duration) { m.takeOver.Observe(took.Seconds()) }
+
+// Passed takes in a pass.
+func (m *Metrics) Passed(took time.Duration) { m.pass.Observe(took.Seconds()) }
+
+// Reported takes in how long a report waited.
+func (m *Metrics) Reported(took time.Duration) { m.report.Observe(took.Seconds()) }
+
+// Started takes in that an attempt was placed.
+func (m *Metrics) Started(class string) { m.started.WithLabelValues(class).Inc() }
+
+// Ended takes in that an attempt is over.
+func (m *Metrics) Ended(class, how string) { m.ended.WithLabelValues(class, how).Inc() }
+
+// Wrote takes in that changes were written.
+func (m *Metrics) Wrote(changes int) { m.written.Add(float64(changes)) }
+
+// Holds takes in what the leader holds: jobs, machines, and waiting tasks by class.
+func (m *Metrics) Holds(jobs, machines int, waiting map[string]int) {
+	m.jobs.Set(float64(jobs))
+	m.machines.Set(float64(machines))
+	m.queue.Reset()
+	for class, n := range waiting {
+		m.queue.WithLabelValues(class).Set(float64(n))
+	}
+}
+
+// Count adds a counter of a subsystem whose value is asked for when it is read.
+func (m *Metrics) Count(name, help string, value func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
+// Serve serves the metrics at /metrics until ctx ends.
+func (m *Metrics) Serve(ctx context.Context, addr string, log *slog.Logger) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("metrics.addr: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2}))
+	srv := &http.Server{
+		Handler: mux, ReadHeaderTimeout: tuning.HeaderTimeout, WriteTimeout: tuning.AnswerTimeout, IdleTimeout: tuning.IdleTimeout,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -227,6 +227,14 @@
 	Idle  time.Time // a time at which it was known not to run yet; zero: none
 }
 
+// How names the end, for people.
+func (o *Outcome) How() string {
+	if o.Lost {
+		return "lost"
+	}
+	return string(o.Why)
+}
+
 // Answer is what a report leads to.
 type Answer struct {
 	Machine  *Machine
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -80,6 +80,13 @@
 	return append([]wire.Rent(nil), c.rents...)
 }
 
+// Deleted gives the machines whose deletion was asked for.
+func (c *Cloud) Deleted() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]string(nil), c.deleted...)
+}
+
 // Machines gives the machines that are there.
 func (c *Cloud) Machines() []wire.ListedMachine {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,252 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"poppypass/internal/wire"
+)
+
+// Attempt names an attempt of a task.
+type Attempt struct {
+	Task    string
+	Attempt uint64
+}
+
+// Measured is what a worker itself saw of an attempt.
+type Measured struct {
+	Attempt
+	Run  time.Duration // from when it ran to when it ended
+	Why  wire.Why      // empty: it was killed with its worker's session
+	Team string
+}
+
+// Task says how long a task runs and how it ends, and whose it is.
+type Task func(task string, attempt uint64) (run time.Duration, why wire.Why, team string)
+
+// Worker is a worker in real time: it reports, obeys, and measures each attempt.
+type Worker struct {
+	rep      wire.Report
+	nodes    map[string]string // addresses of the controllers by member
+	order    []string
+	every    time.Duration
+	lease    time.Duration
+	task     Task
+	measured func(Measured)
+	wake     chan struct{}
+
+	mu      sync.Mutex
+	running map[Attempt]*run
+	seen    time.Time // when the last answered report was sent
+}
+
+type run struct {
+	begun time.Time
+	end   *time.Timer
+	team  string
+	saved bool
+}
+
+// NewWorker makes a worker of a machine. measured is told each attempt that ended.
+func NewWorker(m wire.ListedMachine, nodes map[string]string, order []string, every, lease time.Duration, task Task, measured func(Measured)) *Worker {
+	return &Worker{
+		rep:   wire.Report{Machine: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Session: 1},
+		nodes: nodes, order: order, every: every, lease: lease, task: task, measured: measured,
+		wake: make(chan struct{}, 1), running: map[Attempt]*run{}, seen: time.Now(),
+	}
+}
+
+// Run works until ctx ends; its tasks then end with it.
+func (k *Worker) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	k.rep.Address = l.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathCommands, k.direct)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }() // it ends when it is closed
+	defer srv.Close()
+	defer k.kill()
+	client := &http.Client{Timeout: 4 * time.Second}
+	at, last := 0, time.Time{}
+	for ctx.Err() == nil {
+		name := k.order[at%len(k.order)]
+		pause := k.every
+		status, to := k.beat(ctx, client, name)
+		switch {
+		case status == http.StatusOK:
+		case status == http.StatusMisdirectedRequest && to != "" && to != name && k.nodes[to] != "":
+			for i, n := range k.order {
+				if n == to {
+					at = i
+				}
+			}
+			pause = 0
+		default:
+			at++
+			pause = time.Second
+		}
+		k.expire()
+		last = time.Now()
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		case <-k.wake:
+			select { // a change is told at most once every half second
+			case <-ctx.Done():
+			case <-time.After(time.Until(last.Add(500 * time.Millisecond))):
+			}
+		}
+	}
+	return nil
+}
+
+func (k *Worker) changed() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// beat reports once.
+func (k *Worker) beat(ctx context.Context, client *http.Client, name string) (status int, to string) {
+	k.mu.Lock()
+	k.rep.Seq++
+	session := k.rep.Session
+	raw, err := json.Marshal(k.rep)
+	k.mu.Unlock()
+	if err != nil {
+		return 0, ""
+	}
+	sent := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+k.nodes[name]+wire.PathReport, bytes.NewReader(raw))
+	if err != nil {
+		return 0, ""
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		var r wire.Redirect
+		_ = json.NewDecoder(resp.Body).Decode(&r) // without one, the next controller is tried
+		return resp.StatusCode, r.ReportTo
+	}
+	var a wire.ReportAnswer
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&a) != nil {
+		return 0, ""
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if a.Token >= k.rep.Token && session == k.rep.Session {
+		k.rep.Token = a.Token
+		k.seen = sent
+		k.obey(a.Commands)
+	}
+	return resp.StatusCode, ""
+}
+
+func (k *Worker) direct(w http.ResponseWriter, r *http.Request) {
+	var q wire.DirectCommands
+	if json.NewDecoder(r.Body).Decode(&q) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	status := http.StatusConflict
+	if q.Token >= k.rep.Token && q.Session == k.rep.Session {
+		k.rep.Token = q.Token
+		k.obey(q.Commands)
+		status = http.StatusOK
+	}
+	k.rep.Seq++
+	answer(w, status, k.rep)
+}
+
+// obey executes commands.
+func (k *Worker) obey(commands []wire.Command) {
+	for _, c := range commands {
+		i := -1
+		for n, t := range k.rep.Tasks {
+			if t.Task == c.Task && t.Attempt == c.Attempt {
+				i = n
+			}
+		}
+		id := Attempt{c.Task, c.Attempt}
+		switch {
+		case c.Op == wire.OpStart && i < 0:
+			length, why, team := k.task(c.Task, c.Attempt)
+			k.rep.Tasks = append(k.rep.Tasks, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
+			k.running[id] = &run{begun: time.Now(), team: team, end: time.AfterFunc(length, func() {
+				k.mu.Lock()
+				defer k.mu.Unlock()
+				k.exit(id, why)
+			})}
+			k.changed()
+		case c.Op == wire.OpStop && i >= 0:
+			if r := k.running[id]; r != nil {
+				r.saved = c.GraceS != nil && *c.GraceS > 0
+				r.end.Stop()
+				k.exit(id, wire.WhyStopped)
+			}
+		case c.Op == wire.OpForget && i >= 0 && k.rep.Tasks[i].State == wire.TaskExited:
+			k.rep.Tasks = append(k.rep.Tasks[:i:i], k.rep.Tasks[i+1:]...)
+		}
+	}
+}
+
+// exit ends a running attempt. The lock is held.
+func (k *Worker) exit(id Attempt, why wire.Why) {
+	r := k.running[id]
+	if r == nil {
+		return
+	}
+	delete(k.running, id)
+	for i := range k.rep.Tasks {
+		if t := &k.rep.Tasks[i]; t.Task == id.Task && t.Attempt == id.Attempt {
+			t.State, t.Why, t.Saved = wire.TaskExited, why, r.saved
+		}
+	}
+	k.measured(Measured{id, time.Since(r.begun), why, r.team})
+	k.changed()
+}
+
+// expire ends the session when nobody answered for a lease.
+func (k *Worker) expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if time.Since(k.seen) <= k.lease {
+		return
+	}
+	k.killAll()
+	k.rep.Session++
+	k.seen = time.Now()
+}
+
+func (k *Worker) kill() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.killAll()
+}
+
+func (k *Worker) killAll() {
+	for id, r := range k.running {
+		r.end.Stop()
+		k.measured(Measured{id, time.Since(r.begun), "", r.team})
+	}
+	clear(k.running)
+	k.rep.Tasks = nil
+}
+
+// JobOf is the job of a task's name.
+func JobOf(task string) string { return task[:strings.IndexByte(task, '/')] }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -403,6 +403,9 @@
 	// SegmentPage is how many segments one question for a job's charges reads: some
 	// hundred KB.
 	SegmentPage = 20
+	// ChargesPage is after how many charges an answer goes on at another question: at
+	// some 350 bytes each it stays under half a MB.
+	ChargesPage = 500
 	// ChargesWait is how long such a question may take.
 	ChargesWait = 4 * time.Second
 	// TotalRows is how many rows one answer on totals holds: with names of 200 bytes
