--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"log/slog"
 	"math"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -103,9 +105,61 @@
 	if k, err = LoadProperties(""); err != nil || k.Knobs != tuning.Defaults() {
 		t.Errorf("without a file: %+v, %v", k, err)
 	}
+	own, err := LoadProperties(standin.File(t, "p.properties", "ledger = on\nledger.zone = UTC\nbudget.t.month.money = 5\nmetrics.addr = 127.0.0.1:9\n"))
+	if err != nil || !own.Ledger || len(own.Budgets.Budgets) != 1 || own.MetricsAddr != "127.0.0.1:9" {
+		t.Errorf("read as %+v, %v", own, err)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`name = "t"`, `name = "other"`, "unknown"}, {"value_kb = 16.0", "value_kb = 8.0", "value_kb"},
+	} {
+		s, err := Load(standin.File(t, "s.toml", strings.Replace(good, c.old, c.new, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := own.Check(s); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+	for _, text := range []string{
+		"ledger = yes", "ledger.zone = Nowhere/At-All", "metrics.addr = here", "budget.t.month.money = 5", "ledger = on\nbudget.t.month.money = x",
+	} {
+		if _, err := LoadProperties(standin.File(t, "p.properties", text)); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
 	for _, text := range []string{"fleet.idle.keep = soon", "fleet.idle.keep = -1s", "fleet.machines.max = 0", "fleet.machine.max = 3"} {
 		if _, err := LoadProperties(standin.File(t, "p.properties", text)); err == nil {
 			t.Errorf("%q was taken", text)
 		}
 	}
 }
+
+// Budgets change while the program runs; a file with a mistake changes nothing.
+func TestChangedBudgetsAreTakenIn(t *testing.T) {
+	path := standin.File(t, "p.properties", "ledger = on\nbudget.t.month.money = 5\n")
+	s, err := Load(standin.File(t, "s.toml", good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	own, err := LoadProperties(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := Watch(path, s, own)
+	log := slog.New(slog.DiscardHandler)
+	for _, c := range []struct {
+		text string
+		want float64
+	}{
+		{"ledger = on\nbudget.t.month.money = 60\n", 60}, {"ledger = on\nbudget.t.month.money = much\n", 60},
+		{"ledger = on\nbudget.nobody.month.money = 700\n", 60}, {"ledger = on\nbudget.t.month.money = 80000\n", 80000},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w.look(log)
+		if got := w.Budgets().Budgets[0].Amount; got != c.want {
+			t.Errorf("after %q: %v", c.text, got)
+		}
+	}
+}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -178,6 +178,7 @@
 	w     *world
 	rep   wire.Report
 	start map[string]int // starts of each task that had an effect
+	saves bool           // its tasks save when they are given time to
 }
 
 func (w *world) worker(name, zone string) *worker {
@@ -220,6 +221,7 @@
 			k.rep.Tasks = append(k.rep.Tasks, wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskRunning})
 		case c.Op == wire.OpStop && i >= 0 && k.rep.Tasks[i].State != wire.TaskExited:
 			k.rep.Tasks[i].State, k.rep.Tasks[i].Why = wire.TaskExited, wire.WhyStopped
+			k.rep.Tasks[i].Saved = k.saves && c.GraceS != nil && *c.GraceS > 0
 		case c.Op == wire.OpForget && i >= 0:
 			k.rep.Tasks = append(k.rep.Tasks[:i:i], k.rep.Tasks[i+1:]...)
 		}
--- a/internal/controller/ledger_test.go
+++ b/internal/controller/ledger_test.go
@@ -142,3 +142,57 @@
 		t.Error("the job did not wait for its budget")
 	}
 }
+
+// Attempts end in all the ways that machines make them end, and each is charged once
+// and says how: a drain partway that saves, one that does not, a session that ends, and
+// the attempt that at last completes.
+func TestEachAttemptIsChargedOnceAndSaysHow(t *testing.T) {
+	w := rebooted(t, "ledger = on\n")
+	j := job("job-1", 1)
+	j["stub_s"], j["stamp_s"] = 5.0, 2.0
+	w.until("accepted", func() bool { status, _ := w.call("POST", "/v2/runs", j); return status == 201 || status == 200 })
+	notice := 60.0
+	ends := []struct {
+		how   string
+		saves bool
+		end   func(k *worker)
+	}{
+		{"drained", true, func(k *worker) { k.rep.NoticeS = &notice }},
+		{"drained", false, func(k *worker) { k.rep.NoticeS = &notice }},
+		{"lost", false, func(k *worker) { k.rep.Session++; k.rep.Seq, k.rep.Tasks, k.rep.NoticeS = 0, nil, &notice }},
+		{"failed", false, func(k *worker) {
+			k.rep.Tasks[0].State, k.rep.Tasks[0].Why = wire.TaskExited, wire.WhyError
+			k.rep.NoticeS = &notice
+		}},
+		{"done", false, func(k *worker) { k.finish() }},
+	}
+	for i, e := range ends {
+		k := w.worker(fmt.Sprintf("n-9%05d", i), "a")
+		k.saves = e.saves
+		w.until("it runs", func() bool { k.beat(); w.clock.Advance(tuning.Tick); return k.running() == 1 })
+		w.until("that is seen", func() bool { k.beat(); return w.jobState("job-1") == "running" })
+		w.clock.Advance(3 * time.Second)
+		e.end(k)
+		w.until("its end is charged", func() bool {
+			k.beat()
+			_, out := w.call("GET", ledger.PathTotals+"?team=t", nil)
+			sum, _ := out["sum"].(map[string]any)
+			return sum != nil && ms(sum["attempts"]) == int64(i+1)
+		})
+	}
+	w.until("done", func() bool { return w.jobState("job-1") == "done" })
+	w.until("all charges are told", func() bool {
+		status, out := w.call("GET", "/v2/runs/job-1/charges", nil)
+		charges, _ := out["charges"].([]any)
+		if status != 200 || len(charges) != len(ends) {
+			return false
+		}
+		for i, e := range ends {
+			c := charges[i].(map[string]any)
+			if saved := c["saved"] == true; c["how"] != e.how || saved != e.saves || c["attempt"] != float64(i+1) || c["core_s"].(float64) < 12 {
+				t.Errorf("attempt %d, want %s: %v", i+1, e.how, c)
+			}
+		}
+		return true
+	})
+}
