Metrics of the ledger; a job that is larger than its budget says so

Need: operators watch charges by team, and a job that exceeds a whole budget must say so in its reason. Change: counters of charges, core time and money; the reason names it.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -265,7 +265,7 @@
 	if k.spared(t) {
 		return n, ""
 	}
-	why := ""
+	why, all := "", float64(n)
 	for _, l := range k.linesOf(t) {
 		left := k.stop(l) - l.Used - l.Running - l.Reserved
 		each := k.expected(t).of(l.Unit)
@@ -281,25 +281,28 @@
 			may = 1
 		}
 		if may < n {
-			n, why = may, l.why(each > k.stop(l))
+			n, why = may, l.why(each, all, k.stop(l))
 		}
 	}
 	return n, why
 }
 
-// why says what a budget holds work for.
-func (l *Line) why(large bool) string {
+// why says what a budget holds a job for of whose waiting tasks each is expected to take
+// so much; stop is from where on the budget lets nothing start.
+func (l *Line) why(each, tasks, stop float64) string {
 	s := l.Unit.scale()
-	text := fmt.Sprintf("the budget of %s, %s a %s, is spent or reserved: %.6g used and %.6g reserved of %.6g",
+	text := fmt.Sprintf("the budget of %s (%s, %s) is spent or reserved: %.6g used and %.6g reserved of %.6g",
 		l.Scope, l.Unit, l.Period, (l.Used+l.Running)/s, l.Reserved/s, l.Limit/s)
 	if l.Period == Ever {
-		text = fmt.Sprintf("the budget of %s, %s in all, is spent or reserved: %.6g used and %.6g reserved of %.6g; it goes on when the budget is raised",
-			l.Scope, l.Unit, (l.Used+l.Running)/s, l.Reserved/s, l.Limit/s)
+		text += "; it goes on when the budget is raised"
 	} else {
 		text += "; it goes on from " + l.To.Format("2006-01-02 15:04 MST") + " or when the budget is raised"
 	}
-	if large {
+	switch {
+	case each > stop:
 		text += "; one task alone is expected to take more than the whole budget, and runs when nothing else of it does"
+	case each*tasks > stop:
+		text += "; what waits of this job is expected to take more than the whole budget"
 	}
 	return text
 }
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -81,7 +81,7 @@
 	}
 	k.Charged(Scope{"t", "b"}, "2026-12-01", Use{Core: 9 * 3600 * 1_000_000})
 	k.Sum(now)
-	if n, why := k.Admit(task("b"), 100); n != 0 || !strings.Contains(why, "budget of t,") {
+	if n, why := k.Admit(task("b"), 100); n != 0 || !strings.Contains(why, "budget of t (") || !strings.Contains(why, "more than the whole budget") {
 		t.Errorf("%d may start, since %q", n, why)
 	}
 	// A task's time before the period counts in the period before.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -101,6 +101,9 @@
 	}
 	state := c.settings.Cluster.State
 	cfg := ledger.Config{Clock: c.clock, TxnOps: state.TxnOps, ValueKB: state.ValueKB, Types: c.catalog.Types, Budgets: c.own.Budgets}
+	if c.metrics != nil {
+		cfg.Charged = c.metrics.Charged
+	}
 	reader, err := ledger.NewReader(c.store.Spare())
 	if err != nil {
 		return err
--- a/internal/controller/ledger_test.go
+++ b/internal/controller/ledger_test.go
@@ -82,7 +82,8 @@
 	if text := w.text("http://" + w.addr + ledger.PathTotals + "?team=t&format=csv"); !strings.HasPrefix(text, "day,team,account") || strings.Count(text, "\n") != 3 {
 		t.Errorf("as CSV: %q", text)
 	}
-	if text := w.text("http://" + metrics + "/metrics"); !strings.Contains(text, `poppypass_ends_total{class="l",how="done"} 6`) || !strings.Contains(text, "poppypass_leading 1") {
+	if text := w.text("http://" + metrics + "/metrics"); !strings.Contains(text, `poppypass_ends_total{class="l",how="done"} 6`) || !strings.Contains(text, "poppypass_leading 1") ||
+		!strings.Contains(text, `poppypass_charges_total{how="done",team="t"} 6`) {
 		t.Errorf("metrics: %s", text)
 	}
 	// Accounts are names.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -31,6 +31,8 @@
 	Types func() []wire.MachineType
 	// Budgets gives the operators' budgets as they are now.
 	Budgets func() *budget.Settings
+	// Charged hears of what is charged, for metrics; nil: nobody does.
+	Charged func(team, how string, sum charge.Amounts)
 }
 
 // Ledger is the ledger of one tenure. It implements leader.Slice.
@@ -295,6 +297,9 @@
 	brief := l.brief(p)
 	for i := range parts {
 		l.count(&brief, &parts[i])
+		if l.cfg.Charged != nil {
+			l.cfg.Charged(brief.Team, parts[i].How.String(), brief.Of(&parts[i]))
+		}
 	}
 	l.stats.Charges += len(parts)
 	l.book.Charge(p, parts, now)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"poppypass/internal/charge"
 	"poppypass/internal/tuning"
 )
 
@@ -33,6 +34,10 @@
 	written  prometheus.Counter
 	machines prometheus.Gauge
 	jobs     prometheus.Gauge
+
+	charges     *prometheus.CounterVec
+	coreSeconds *prometheus.CounterVec
+	money       *prometheus.CounterVec
 }
 
 // New makes the metrics of a controller. writeRPS is the state service's limit on
@@ -50,16 +55,19 @@
 		report: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "poppypass_report_seconds", Help: "How long a worker's report waits for the leader's answer.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
 		}),
-		queue:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "poppypass_queue_tasks", Help: "Tasks that wait to be placed."}, []string{"class"}),
-		started:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_starts_total", Help: "Attempts that were placed."}, []string{"class"}),
-		ended:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_ends_total", Help: "Attempts that are proven over."}, []string{"class", "how"}),
-		written:  prometheus.NewCounter(prometheus.CounterOpts{Name: "poppypass_state_changes_total", Help: "Changes that the leader wrote to the state service."}),
-		machines: prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines", Help: "Machines that the leader knows."}),
-		jobs:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_jobs", Help: "Jobs that are not over."}),
+		queue:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "poppypass_queue_tasks", Help: "Tasks that wait to be placed."}, []string{"class"}),
+		started:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_starts_total", Help: "Attempts that were placed."}, []string{"class"}),
+		ended:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_ends_total", Help: "Attempts that are proven over."}, []string{"class", "how"}),
+		written:     prometheus.NewCounter(prometheus.CounterOpts{Name: "poppypass_state_changes_total", Help: "Changes that the leader wrote to the state service."}),
+		machines:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines", Help: "Machines that the leader knows."}),
+		jobs:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_jobs", Help: "Jobs that are not over."}),
+		charges:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charges_total", Help: "Charges that this controller made."}, []string{"team", "how"}),
+		coreSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charged_core_seconds_total", Help: "Core time that this controller charged."}, []string{"team"}),
+		money:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charged_money_total", Help: "Money that this controller charged, in the currency of the cloud's prices."}, []string{"team"}),
 	}
 	limit := prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_state_changes_limit", Help: "Changes a second that the state service allows."})
 	limit.Set(writeRPS)
-	m.registry.MustRegister(m.leading, m.takeOver, m.pass, m.report, m.queue, m.started, m.ended, m.written, m.machines, m.jobs, limit,
+	m.registry.MustRegister(m.leading, m.takeOver, m.pass, m.report, m.queue, m.started, m.ended, m.written, m.machines, m.jobs, limit, m.charges, m.coreSeconds, m.money,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -104,9 +112,11 @@
 	}
 }
 
-// Count adds a counter of a subsystem whose value is asked for when it is read.
-func (m *Metrics) Count(name, help string, value func() float64) {
-	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+// Charged takes in a charge of the ledger.
+func (m *Metrics) Charged(team, how string, sum charge.Amounts) {
+	m.charges.WithLabelValues(team, how).Inc()
+	m.coreSeconds.WithLabelValues(team).Add(float64(sum.Core) / 1e6)
+	m.money.WithLabelValues(team).Add(float64(sum.Money) / 1e6)
 }
 
 // Serve serves the metrics at /metrics until ctx ends.
