Graphs, first part: the model, trigger rules, and files in Starlark with Airflow's words

Need: pipelines drawn as graphs. Change: package dag (steps, checks, circles, critical path, trigger rules, retries) and dagfile (bounded Starlark: steps, time, memory, products, ranges). Nothing uses them yet.

--- /dev/null
+++ b/internal/dag/rules.go
@@ -0,0 +1,145 @@
+package dag
+
+import "slices"
+
+// State is the state of a step, or of one instance of a mapped one, in a run.
+type State uint8
+
+// The states, by Airflow's names.
+const (
+	None           State = iota // it waits for the steps that it follows
+	Scheduled                   // it is ready; what bounds the run lets it wait
+	Queued                      // its job is submitted and no task runs
+	Running                     // its job runs
+	UpForRetry                  // it rests before its next try
+	Success                     // done
+	Failed                      // its tries are used up
+	Skipped                     // it is not needed
+	UpstreamFailed              // it cannot run, since one that it follows failed
+	states         = iota
+)
+
+var stateNames = [states]string{"none", "scheduled", "queued", "running", "up_for_retry", "success", "failed", "skipped", "upstream_failed"}
+
+// String gives the state's name.
+func (s State) String() string {
+	if s < states {
+		return stateNames[s]
+	}
+	return "unknown"
+}
+
+// MarshalText gives the state's name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Final tells whether a step in this state stays in it, unless it is cleared.
+func (s State) Final() bool { return s >= Success && s < states }
+
+// Rule says which ends of the steps before it let a step begin.
+type Rule string
+
+// The trigger rules of Airflow 2. The empty rule is AllSuccess.
+const (
+	AllSuccess              Rule = "all_success"
+	AllFailed               Rule = "all_failed"
+	AllDone                 Rule = "all_done"
+	AllSkipped              Rule = "all_skipped"
+	OneSuccess              Rule = "one_success"
+	OneFailed               Rule = "one_failed"
+	OneDone                 Rule = "one_done"
+	NoneFailed              Rule = "none_failed"
+	NoneFailedMinOneSuccess Rule = "none_failed_min_one_success"
+	NoneSkipped             Rule = "none_skipped"
+	Always                  Rule = "always"
+)
+
+var rules = []string{
+	string(AllSuccess), string(AllFailed), string(AllDone), string(AllSkipped), string(OneSuccess), string(OneFailed), string(OneDone),
+	string(NoneFailed), string(NoneFailedMinOneSuccess), string(NoneSkipped), string(Always),
+}
+
+// Rules names the trigger rules.
+func Rules() []string { return slices.Clone(rules) }
+
+// Known tells whether it is a rule.
+func (r Rule) Known() bool { return r == "" || slices.Contains(rules, string(r)) }
+
+// Ends counts how the steps before a step ended, by instance: a mapped step counts once
+// for each element.
+type Ends struct {
+	All            int // there are
+	Success        int
+	Failed         int
+	Skipped        int
+	UpstreamFailed int
+}
+
+// Add counts one more state.
+func (e *Ends) Add(s State, n int) {
+	e.All += n
+	switch s {
+	case Success:
+		e.Success += n
+	case Failed:
+		e.Failed += n
+	case Skipped:
+		e.Skipped += n
+	case UpstreamFailed:
+		e.UpstreamFailed += n
+	}
+}
+
+// Done is how many have ended.
+func (e *Ends) Done() int { return e.Success + e.Failed + e.Skipped + e.UpstreamFailed }
+
+// Judge says what the ends so far mean for a step that has not begun: Scheduled, it may
+// begin; Skipped or UpstreamFailed, it never will; None, that is still open. Once it
+// says that a step may begin, or never will, further ends do not change that. Which
+// of the two ways of not beginning it is depends on which end comes first, as in Airflow.
+func (r Rule) Judge(e Ends) State {
+	bad := e.Failed + e.UpstreamFailed
+	over := e.Done() == e.All
+	verdict := func(ready, failed, skipped bool) State {
+		switch {
+		case failed:
+			return UpstreamFailed
+		case skipped:
+			return Skipped
+		case ready:
+			return Scheduled
+		}
+		return None
+	}
+	switch r {
+	case AllFailed:
+		return verdict(bad == e.All, false, e.Success+e.Skipped > 0)
+	case AllDone:
+		return verdict(over, false, false)
+	case AllSkipped:
+		return verdict(e.Skipped == e.All, false, e.Success+bad > 0)
+	case OneSuccess:
+		if e.Success > 0 {
+			return Scheduled
+		}
+		return verdict(e.All == 0, over && e.All > 0 && e.Skipped < e.All, over && e.All > 0)
+	case OneFailed:
+		if bad > 0 {
+			return Scheduled
+		}
+		return verdict(false, false, over)
+	case OneDone:
+		if e.Success+e.Failed > 0 {
+			return Scheduled
+		}
+		return verdict(false, false, over)
+	case NoneFailed:
+		return verdict(over, bad > 0, false)
+	case NoneFailedMinOneSuccess:
+		return verdict(over, bad > 0, over && e.All > 0 && e.Success == 0)
+	case NoneSkipped:
+		return verdict(over, false, e.Skipped > 0)
+	case Always:
+		return Scheduled
+	}
+	return verdict(over, bad > 0, e.Skipped > 0)
+}
--- /dev/null
+++ b/internal/dagfile/dagfile_test.go
@@ -0,0 +1,150 @@
+package dagfile
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"poppypass/internal/dag"
+)
+
+const settlement = `
+args = {"owner": "payouts-team", "retries": 2, "retry_delay": timedelta(minutes = 3), "cpus": 2, "memory_gb": 4,
+        "image": "settle", "job_class": "settlement", "email": "nobody"}
+d = DAG("nightly_settlement", schedule = "0 2 * * *", timezone = "America/Guayaquil", start_date = datetime(2026, 12, 1),
+        catchup = True, max_active_runs = 1, params = {"owners": ["a", "b"], "dry": False}, default_args = args)
+collect = JobOperator(task_id = "collect", estimate_s = 60, trigger_rule = TriggerRule.ALL_SUCCESS)
+owners = [JobOperator(task_id = "settle_%d" % i, cpus = 1 + i * 2, retries = 0, retry_exponential_backoff = True) for i in range(3)]
+pay = JobOperator(task_id = "pay", trigger_rule = "none_failed", execution_timeout = 600, pool = "bank")
+join = EmptyOperator(task_id = "join", trigger_rule = "all_done")
+pages = JobOperator.partial(task_id = "pages").expand(items = collect.output)
+marks = JobOperator.partial(task_id = "marks", spot = True).expand(items = [{"gate": g} for g in ["north", "south"]])
+collect >> owners >> pay >> join
+join << [pages, marks]
+chain(collect, marks)
+pay.set_downstream(EmptyOperator(task_id = "end"))
+`
+
+func TestAFileInAirflowsWords(t *testing.T) {
+	graphs, err := Load("nightly.star", []byte(settlement), DefaultLimits())
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := graphs[0]
+	p, err := dag.Check(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	up := func(id string) string { return strings.Join(g.Steps[p.Index[id]].Upstream, " ") }
+	if g.Team != "payouts-team" || g.Start.Format(time.RFC3339) != "2026-12-01T00:00:00-05:00" || !g.Catchup || g.MaxRuns != 1 || string(g.Params["owners"]) != `["a","b"]` {
+		t.Errorf("read as %+v", g)
+	}
+	if up("settle_1") != "collect" || up("pay") != "settle_0 settle_1 settle_2" || up("join") != "pay pages marks" || up("end") != "pay" || up("marks") != "collect" {
+		t.Errorf("edges: %q %q %q %q", up("settle_1"), up("pay"), up("join"), up("end"))
+	}
+	s := g.Steps[p.Index["settle_2"]]
+	if s.Job.CPUs != 5 || s.Job.Image != "settle" || s.Retries != 0 || s.Delay != dag.Duration(3*time.Minute) || !s.Exponential || g.Steps[p.Index["pay"]].Retries != 2 {
+		t.Errorf("a step is read as %+v", s)
+	}
+	if m := g.Steps[p.Index["pages"]].Map; m == nil || m.Over != "collect" || p.Up[p.Index["pages"]][0] != p.Index["collect"] {
+		t.Errorf("mapped over a step: %+v", m)
+	}
+	if m := g.Steps[p.Index["marks"]].Map; m == nil || len(m.List) != 2 || string(m.List[1]) != `{"gate":"south"}` {
+		t.Errorf("mapped over a list: %+v", m)
+	}
+	// The graph is the same after a way through JSON.
+	raw, err := json.Marshal(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var again dag.Graph
+	if err := json.Unmarshal(raw, &again); err != nil {
+		t.Fatal(err)
+	}
+	start := *again.Start
+	again.Start = g.Start
+	if !start.Equal(*g.Start) || !reflect.DeepEqual(&again, g) {
+		t.Errorf("after JSON:\n%+v\n%+v", again, *g)
+	}
+}
+
+func TestBadFilesSayWhereAndWhy(t *testing.T) {
+	limits := DefaultLimits()
+	limits.Steps, limits.Time = 200_000, time.Minute
+	const d = "DAG('g', team = 't')\n"
+	for _, c := range []struct{ name, src, want string }{
+		{"no UTF-8", d + "x = '\xff'", "not UTF-8"},
+		{"too long", strings.Repeat("#", 1<<20+1), "bytes"},
+		{"no graph", "x = 1", "no DAG"},
+		{"syntax", d + "x = (", "f.star:2:6: "},
+		{"unknown name", d + "open('/etc/passwd')", "f.star:2:1: undefined: open"},
+		{"no loading", d + "load('x.star', 'y')", "f.star:2:1"},
+		{"unknown argument", d + "EmptyOperator(task_id = 'a', color = 'red')", "f.star:2:14: EmptyOperator: unexpected keyword argument"},
+		{"missing argument", d + "JobOperator(task_id = 'a')", "missing argument for job_class"},
+		{"no step", d + "EmptyOperator(task_id = 'a') >> 3", "f.star:2:30: a int is no step"},
+		{"two graphs", "a = EmptyOperator(task_id = 'a', dag = DAG('g'))\nEmptyOperator(task_id = 'b', dag = DAG('h')) >> a", "different DAGs"},
+		{"step without a graph", "EmptyOperator(task_id = 'a')", "no DAG yet"},
+		{"date", "DAG('g', start_date = 'soon')", "start_date"},
+		{"zone", "DAG('g', timezone = 'Nowhere')", "timezone"},
+		{"loops for ever", d + "def f():\n  for i in range(100000):\n    for j in range(100000):\n      x = i\nf()", "more than 200000 steps"},
+		{"recursion", d + "def f(): f()\nf()", "called recursively"},
+		{"one long string", d + "x = 'a' * 1000000000", "f.star:2:9: string * 1000000000 is too long"},
+		{"one long list", d + "x = [0]\nx *= 100000000", "too long"},
+		{"hidden in a call", d + "def f(n = 'ab' * 3):\n  return [len(n * (1 << 30))]\nf()", "too long"},
+		{"a range", d + "x = list(range(1 << 40))", "range"},
+		{"deep value", d + "x = []\ny = [x]\nfor i in range(20):\n  y = [y]\nDAG('h', params = {'x': y})", "nested"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := Load("f.star", []byte(c.src), limits); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("want %q: %v", c.want, err)
+			}
+		})
+	}
+}
+
+// A file that allocates without end is ended by the look at the heap: the steps that it takes are few.
+func TestAFileThatAllocatesWithoutEnd(t *testing.T) {
+	limits := DefaultLimits()
+	limits.Memory = 16 << 20
+	src := "DAG('g')\nx = []\nfor i in range(100000):\n  x.append(list(range(100000)))\n"
+	if _, err := Load("f.star", []byte(src), limits); err == nil || !strings.Contains(err.Error(), "16 MB") {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+func TestProductsAreStillProducts(t *testing.T) {
+	src := `
+x = 3
+x *= 4
+y = [2 * 3, "ab" * 2, 2 * [1], 2.5 * 2, 10 * 10 * 10]
+if x != 12 or y != [6, "abab", [1, 1], 5.0, 1000]:
+    fail("x is %d and y is %s" % (x, y))
+DAG("g")
+`
+	if _, err := Load("f.star", []byte(src), DefaultLimits()); err != nil {
+		t.Error(err)
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add([]byte(settlement))
+	f.Add([]byte("DAG('g')\nx = [1] * 3\nx *= 2"))
+	limits := DefaultLimits()
+	limits.Steps, limits.Time = 20_000, time.Second
+	f.Fuzz(func(t *testing.T, src []byte) {
+		graphs, err := Load("f.star", src, limits)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") {
+				t.Errorf("an error of more than one line: %q", err)
+			}
+			return
+		}
+		for _, g := range graphs {
+			if p, err := dag.Check(g); err == nil {
+				p.CriticalPath()
+			}
+		}
+	})
+}
