--- /dev/null
+++ b/internal/dag/runcodec.go
@@ -0,0 +1,147 @@
+package dag
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// A run is stored as CBOR: one byte for the state of each step, in the plan's order of
+// steps, and entries only for what most steps do not have. What follows from these (how
+// the steps before a step ended, what is ready) is worked out anew.
+type storedRun struct {
+	_       struct{} `cbor:",toarray"`
+	Format  int
+	ID      string
+	Stopped bool
+	States  []byte
+	Steps   []storedStep // those with more to tell than their state
+}
+
+const runFormat = 1
+
+type storedStep struct {
+	_          struct{} `cbor:",toarray"`
+	Step       int
+	Generation int
+	Result     []byte
+	States     []byte // of its instances
+	Notes      []storedInstance
+}
+
+type storedInstance struct {
+	_        struct{} `cbor:",toarray"`
+	Index    int
+	Failures int
+	HoldMS   int64 // time of day; 0: none
+	BegunMS  int64
+}
+
+func ms(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+func timeOf(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// Encode gives a run's stored form.
+func (r *Run) Encode() []byte {
+	s := storedRun{Format: runFormat, ID: r.ID, Stopped: r.stopped, States: make([]byte, len(r.nodes))}
+	for i := range r.nodes {
+		n := &r.nodes[i]
+		s.States[i] = byte(n.state)
+		e := storedStep{Step: i, Generation: n.generation, Result: n.result}
+		for k, x := range n.instances {
+			e.States = append(e.States, byte(x.State))
+			if x.Failures > 0 || !x.Hold.IsZero() || !x.Begun.IsZero() {
+				e.Notes = append(e.Notes, storedInstance{Index: k, Failures: x.Failures, HoldMS: ms(x.Hold), BegunMS: ms(x.Begun)})
+			}
+		}
+		// A step with one instance that has nothing to tell has its state.
+		plain := len(n.instances) == 1 && n.instances[0].State == n.state && r.Plan.Steps[i].Map == nil
+		if e.Generation > 0 || len(e.Result) > 0 || len(e.Notes) > 0 || len(n.instances) > 0 && !plain {
+			s.Steps = append(s.Steps, e)
+		}
+	}
+	raw, err := cbor.Marshal(s)
+	if err != nil {
+		panic(fmt.Sprintf("runs are always encodable: %v", err))
+	}
+	return raw
+}
+
+// DecodeRun reads a run of a plan from its stored form.
+func DecodeRun(p *Plan, raw []byte) (*Run, error) {
+	var s storedRun
+	if err := cbor.Unmarshal(raw, &s); err != nil {
+		return nil, fmt.Errorf("stored run of %s is malformed: %w", p.ID, err)
+	}
+	if s.Format != runFormat || len(s.States) != len(p.Steps) {
+		return nil, fmt.Errorf("stored run %s of %s does not fit its graph", s.ID, p.ID)
+	}
+	r := &Run{Plan: p, ID: s.ID, nodes: make([]node, len(p.Steps)), stopped: s.Stopped}
+	state := func(b byte) (State, error) {
+		if int(b) >= states {
+			return None, fmt.Errorf("stored run %s of %s has an unknown state", s.ID, p.ID)
+		}
+		return State(b), nil
+	}
+	for i := range r.nodes {
+		n := &r.nodes[i]
+		var err error
+		if n.state, err = state(s.States[i]); err != nil {
+			return nil, err
+		}
+		// What is on its way has an instance; so has what a job has ended, which counts
+		// the same without it.
+		if n.state != None && !n.state.Final() {
+			n.instances = []Instance{{State: n.state}}
+		}
+		if !n.state.Final() {
+			r.open++
+		}
+	}
+	for _, e := range s.Steps {
+		if e.Step < 0 || e.Step >= len(r.nodes) || len(e.States) > MaxMapped {
+			return nil, fmt.Errorf("stored run %s of %s names an unknown step", s.ID, p.ID)
+		}
+		n := &r.nodes[e.Step]
+		n.generation = e.Generation
+		if len(e.Result) > 0 {
+			n.result = e.Result
+		}
+		if len(e.States) > 0 {
+			n.instances = make([]Instance, len(e.States))
+		}
+		for k, b := range e.States {
+			var err error
+			if n.instances[k].State, err = state(b); err != nil {
+				return nil, err
+			}
+		}
+		for _, x := range e.Notes {
+			if x.Index < 0 || x.Index >= len(n.instances) {
+				return nil, fmt.Errorf("stored run %s of %s names an unknown instance", s.ID, p.ID)
+			}
+			n.instances[x.Index].Failures = x.Failures
+			n.instances[x.Index].Hold, n.instances[x.Index].Begun = timeOf(x.HoldMS), timeOf(x.BegunMS)
+		}
+	}
+	for i := range r.nodes {
+		for k := range r.nodes[i].instances {
+			if !r.nodes[i].instances[k].State.Final() {
+				r.nodes[i].open++
+			}
+		}
+	}
+	r.recount()
+	return r, nil
+}
