--- a/cmd/poppypass/commands.go
+++ b/cmd/poppypass/commands.go
@@ -29,7 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), jobCommand(), ledgerCommand(), budgetCommand())
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), jobCommand(), ledgerCommand(), budgetCommand(), graphCommand())
 	return root
 }
 
--- a/internal/dag/dag.go
+++ b/internal/dag/dag.go
@@ -195,6 +195,9 @@
 	if g.Start != nil && g.End != nil && g.End.Before(*g.Start) {
 		return nil, fault("", "it ends before it starts")
 	}
+	if _, err := ParseSchedule(g.Schedule, g.Zone); err != nil {
+		return nil, fault("", "%v", err)
+	}
 	p := &Plan{Graph: *g, Index: make(map[string]int, len(g.Steps)), Up: make([][]int, len(g.Steps)), Down: make([][]int, len(g.Steps))}
 	for i := range g.Steps {
 		s := &g.Steps[i]
