Budgets: a look at all waiting jobs shares the rest of a budget

Cause: each job was told what its budget allows it alone, so machines were rented for every job of a team whose budget allowed one of them. Change: Slice.Look lowers the counts of all jobs together, in the order of priority and wait; a placement still asks by itself. Result: a test of four jobs that share nine tasks.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -307,6 +307,35 @@
 	return text
 }
 
+// Try begins to consider what could start; release takes it all back.
+func (k *Keeper) Try() (release func()) {
+	type state struct {
+		reserved float64
+		tasks    int
+	}
+	before := make([]state, len(k.lines))
+	for i, l := range k.lines {
+		before[i] = state{l.Reserved, l.tasks}
+	}
+	return func() {
+		for i, l := range k.lines {
+			l.Reserved, l.tasks = before[i].reserved, before[i].tasks
+		}
+	}
+}
+
+// Consider counts n waiting tasks as if they had started.
+func (k *Keeper) Consider(t *Task, n int) {
+	if n <= 0 {
+		return
+	}
+	expected := k.expected(t)
+	for _, l := range k.linesOf(t) {
+		l.tasks += n
+		l.Reserved += float64(n) * expected.of(l.Unit)
+	}
+}
+
 // OverSpent gives the live tasks that are to be stopped now.
 func (k *Keeper) OverSpent() []any {
 	var out []any
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -122,27 +122,33 @@
 
 // items are the jobs with tasks that may be placed now.
 func (l *Loop) items(now time.Time) ([]*placement.Item, map[string]*jobs.Job) {
-	var items []*placement.Item
-	byID := map[string]*jobs.Job{}
+	var waiting []*jobs.Job
+	trials := map[*jobs.Job]bool{}
 	for _, j := range l.book.Jobs {
-		trial := l.onTrial(j, now) // also for what it ends
-		if !j.Open() || j.Waiting() == 0 || now.Before(j.PauseUntil) {
-			continue
+		if l.onTrial(j, now) { // also for what it ends
+			trials[j] = true
+		}
+		if j.Open() && j.Waiting() > 0 && !now.Before(j.PauseUntil) {
+			waiting = append(waiting, j)
 		}
-		waiting, _ := l.admitted(j, now)
-		if waiting <= 0 {
+	}
+	items := make([]*placement.Item, 0, len(waiting))
+	byID := make(map[string]*jobs.Job, len(waiting))
+	for i, n := range l.look(waiting, now) {
+		if n <= 0 {
 			continue
 		}
+		j := waiting[i]
 		_, prompt := l.promptness(j.Class)
 		it := &placement.Item{
-			Job: &j.Job, Since: j.WaitSince, Waiting: waiting, Started: j.Placed + j.Done, Zones: zonesOf(j),
+			Job: &j.Job, Since: j.WaitSince, Waiting: n, Started: j.Placed + j.Done, Zones: zonesOf(j),
 			Prompt: prompt,
 			Avoid: func(machine string) bool {
 				// A job that fails everywhere may go anywhere.
 				return len(j.Avoid) < tuning.BadJobMachines && now.Before(j.Avoid[machine])
 			},
 		}
-		if trial {
+		if trials[j] {
 			if j.Placed > 0 {
 				continue
 			}
--- a/internal/leader/slices.go
+++ b/internal/leader/slices.go
@@ -23,6 +23,9 @@
 	Loaded(book *jobs.Book, now time.Time)
 	// Admit says how many of a job's waiting tasks may start now, and why no more.
 	Admit(j *jobs.Job, now time.Time) (n int, why string)
+	// Look lowers counts, of the waiting tasks of each job that a look at all of them may
+	// consider, to what may start together: each is at most what Admit allows.
+	Look(waiting []*jobs.Job, counts []int, now time.Time)
 	// Placed hears of a decision, on a machine of a type.
 	Placed(p *jobs.Place, spot bool, typ *wire.MachineType, now time.Time)
 	// Ended hears of the proven end of an attempt, before the book does.
@@ -71,6 +74,18 @@
 	return n, why
 }
 
+// look is how many waiting tasks of each job a pass or a plan may consider.
+func (l *Loop) look(waiting []*jobs.Job, now time.Time) []int {
+	counts := make([]int, len(waiting))
+	for i, j := range waiting {
+		counts[i] = j.Waiting()
+	}
+	for _, s := range l.slices {
+		s.Look(waiting, counts, now)
+	}
+	return counts
+}
+
 // stepSlices does what the slices have due.
 func (l *Loop) stepSlices(now time.Time) {
 	if !now.Before(l.nextSlices) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -6,8 +6,10 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -259,15 +261,45 @@
 	if !l.budgets.Any() {
 		return n, ""
 	}
-	t := budget.TaskOf(&j.Job)
+	t := l.waiting(j)
 	if !l.read && !t.Production {
 		return 0, "what its team has used is being read"
 	}
+	return l.budgets.Admit(t, n)
+}
+
+// waiting is a waiting task of a job as budgets see it.
+func (l *Ledger) waiting(j *jobs.Job) *budget.Task {
+	t := budget.TaskOf(&j.Job)
 	types := l.cfg.Types()
 	for i := range types {
 		t.Dearest = max(t.Dearest, Rate(&j.Job, &types[i], false))
 	}
-	return l.budgets.Admit(t, n)
+	return t
+}
+
+// Look lowers the counts of waiting tasks to what the budgets allow together. Otherwise
+// machines were rented for every job of a team whose budget allows one of them. The rest
+// of a budget goes to the jobs in the order in which they are placed.
+func (l *Ledger) Look(waiting []*jobs.Job, counts []int, now time.Time) {
+	if !l.budgets.Any() {
+		return
+	}
+	order := make([]int, len(waiting))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		x, y := waiting[a], waiting[b]
+		return cmp.Or(cmp.Compare(y.Priority.Level(), x.Priority.Level()), x.WaitSince.Compare(y.WaitSince), cmp.Compare(x.ID, y.ID))
+	})
+	release := l.budgets.Try()
+	defer release()
+	for _, i := range order {
+		n, _ := l.Admit(waiting[i], now)
+		counts[i] = min(counts[i], n)
+		l.budgets.Consider(l.waiting(waiting[i]), counts[i])
+	}
 }
 
 // Placed notes on what kind of machine an attempt will run, and reserves what it is
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -371,6 +371,30 @@
 	w.check()
 }
 
+// Guards against machines that are rented for every job of a team whose budget allows
+// a few tasks only: a look at all jobs shares the rest of the budget, in their order.
+func TestJobsShareTheRestOfABudget(t *testing.T) {
+	w := newWorld(t)
+	w.settings = &budget.Settings{}
+	if err := w.settings.Set("budget.t.day.core-hours", "0.05"); err != nil { // 180 core-seconds: 9 tasks
+		t.Fatal(err)
+	}
+	w.lead()
+	var waiting []*jobs.Job
+	for i, priority := range []wire.Priority{wire.PriorityLow, wire.PriorityNormal, wire.PriorityHigh, wire.PriorityProduction} {
+		j := array(fmt.Sprintf("job-%d", i), 4)
+		j.Priority = priority
+		waiting = append(waiting, w.submit(j))
+	}
+	for range 2 { // a look leaves no trace
+		counts := []int{4, 4, 4, 4}
+		w.ledger.Look(waiting, counts, w.now())
+		if !slices.Equal(counts, []int{0, 1, 4, 4}) {
+			t.Fatalf("may consider %v", counts)
+		}
+	}
+}
+
 func TestTheNextPeriodGoesOn(t *testing.T) {
 	w := newWorld(t)
 	w.settings = &budget.Settings{}
