--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,11 +1,11 @@
 package ledger
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,18 +14,13 @@
 	"poppypass/internal/budget"
 	"poppypass/internal/charge"
 	"poppypass/internal/jobs"
+	"poppypass/internal/standin"
+	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
 
-// TestMain has the random histories be the same in every run, unless a seed is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = f.Value.Set("20261201") // a number, so it is taken
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(standin.FixedSeed(m)) }
 
 func array(id string, tasks int) wire.Job {
 	return wire.Job{ID: id, Class: "c", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: tasks, Image: "img", EstimateS: 10}
@@ -510,3 +505,104 @@
 		}
 	}
 }
+
+// Verification finds what is wrong, and says so: a total that was changed, a charge that
+// is there twice, a segment that is missing or damaged.
+func TestVerifyNamesEachDifference(t *testing.T) {
+	w := newWorld(t)
+	for i := range 60 {
+		j := array(fmt.Sprintf("job-%d", i), 1)
+		j.Account = fmt.Sprintf("account %d with a long name, so that there are some pages of totals", i)
+		w.submit(j)
+		p := w.start(j.ID)
+		w.clock.Advance(13 * time.Hour) // so that there are parts
+		w.ledger.Tick(w.now())
+		w.end(w.places[keyOf(p)], wire.WhyDone, false)
+		if i == 30 {
+			w.roll()
+			w.ledger.segment.size = tuning.SegmentBytes // the next roll-up begins another segment
+		}
+	}
+	w.roll()
+	codec := w.ledger.codec
+	verify := func(items map[string]wire.Item) *Finding {
+		t.Helper()
+		state := standin.NewState(w.clock)
+		defer state.Close()
+		store := statestore.New(state.Addr(), 1e6, 1e6)
+		for key, item := range items {
+			if _, err := store.Commit(t.Context(), wire.Txn{Then: []wire.Change{{Put: key, Value: item.Value}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r, err := NewReader(store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f, err := r.Verify(t.Context(), time.UTC)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	if f := verify(w.items); len(f.Faults) != 0 || f.Jobs != 60 || f.Charges < 60 {
+		t.Fatalf("found %+v", f)
+	}
+	segment := w.with(PrefixSegment)[0]
+	for _, c := range []struct {
+		name, want string
+		change     func(map[string]wire.Item)
+	}{
+		{"a total", "total of", func(items map[string]wire.Item) {
+			item := w.with(PrefixPage)[0]
+			rows, err := ReadPage(codec, item)
+			if err != nil {
+				t.Fatal(err)
+			}
+			rows[0].Sum.Money++
+			item.Value = pageValue(codec, rows)
+			items[item.Key] = item
+		}},
+		{"a charge twice", "is charged twice", func(items map[string]wire.Item) {
+			packs, err := ReadSegment(codec, segment)
+			if err != nil {
+				t.Fatal(err)
+			}
+			item := segment
+			item.Value = segmentValue(codec, append(packs, packs[0]))
+			items[item.Key] = item
+		}},
+		{"a part", "do not follow each other", func(items map[string]wire.Item) {
+			packs, err := ReadSegment(codec, segment)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range packs {
+				for k := range packs[i].Charges {
+					if packs[i].Charges[k].Part == 1 {
+						packs[i].Charges[k].Start += 1000
+					}
+				}
+			}
+			item := segment
+			item.Value = segmentValue(codec, packs)
+			items[item.Key] = item
+		}},
+		{"a segment", "is not the one that follows", func(items map[string]wire.Item) { delete(items, segment.Key) }},
+		{"a flipped bit", "damaged", func(items map[string]wire.Item) {
+			item := segment
+			item.Value = slices.Clone(item.Value)
+			at := len(item.Value) / 2
+			if item.Value[at]++; item.Value[at] > 'z' || item.Value[at] < 'A' {
+				item.Value[at] = 'A'
+			}
+			items[item.Key] = item
+		}},
+	} {
+		items := maps.Clone(w.items)
+		c.change(items)
+		if f := verify(items); len(f.Faults) == 0 || !slices.ContainsFunc(f.Faults, func(s string) bool { return strings.Contains(s, c.want) }) {
+			t.Errorf("%s: found %v", c.name, f.Faults)
+		}
+	}
+}
