--- a/internal/dag/run.go
+++ b/internal/dag/run.go
@@ -37,6 +37,7 @@
 	Failures int       // of its job's attempts, since the last clear
 	Hold     time.Time // until then its job rests; zero: it need not
 	Begun    time.Time // when its present try began to run; zero: it does not run
+	Ending   bool      // its job is being cancelled: how that ends is how the instance ends
 }
 
 // node is the state of a step in a run.
@@ -282,7 +283,7 @@
 
 // Running takes in that a task of an instance's job runs.
 func (r *Run) Running(at Ref, now time.Time) {
-	if x := r.instance(at); x != nil && (x.State == Queued || x.State == UpForRetry) {
+	if x := r.instance(at); x != nil && !x.Ending && (x.State == Queued || x.State == UpForRetry) {
 		x.State, x.Begun, x.Hold = Running, now, time.Time{}
 		r.follow(at.Step)
 	}
@@ -292,7 +293,7 @@
 // its tries are used up, is cancelled and the instance has failed.
 func (r *Run) Failure(at Ref, now time.Time, jitter float64) {
 	x := r.instance(at)
-	if x == nil || x.State.Final() || x.State == Scheduled {
+	if x == nil || x.State.Final() || x.State == Scheduled || x.Ending {
 		return
 	}
 	x.Failures++
@@ -306,10 +307,25 @@
 	r.follow(at.Step)
 }
 
-// fail ends an instance as failed; its job, which the core would try for ever, is cancelled.
+// fail has the job of an instance, which the core would try for ever, cancelled. The
+// instance ends with its job: one that completes before its cancellation is stored has
+// succeeded. Otherwise a step could be called failed whose job is done.
 func (r *Run) fail(at Ref) {
+	x := r.instance(at)
+	x.Ending, x.Hold, x.Begun = true, time.Time{}, time.Time{}
 	r.cancels = append(r.cancels, r.JobID(at))
-	r.over(at, Failed)
+}
+
+// Ending gives the instances whose jobs are being cancelled, for a new leader.
+func (r *Run) Ending() (jobs []string) {
+	for i := range r.nodes {
+		for k := range r.nodes[i].instances {
+			if x := &r.nodes[i].instances[k]; x.Ending && !x.State.Final() {
+				jobs = append(jobs, r.JobID(Ref{i, k}))
+			}
+		}
+	}
+	return jobs
 }
 
 // Late fails the instances of a step whose present try has run for longer than it may,
@@ -321,7 +337,7 @@
 	}
 	for k := range r.nodes[step].instances {
 		x := &r.nodes[step].instances[k]
-		if x.State != Running {
+		if x.State != Running || x.Ending {
 			continue
 		}
 		due := x.Begun.Add(limit)
@@ -410,7 +426,7 @@
 	if x == nil || x.State.Final() {
 		return
 	}
-	x.State, x.Hold, x.Begun = s, time.Time{}, time.Time{}
+	x.State, x.Hold, x.Begun, x.Ending = s, time.Time{}, time.Time{}, false
 	n := &r.nodes[at.Step]
 	n.open--
 	for _, j := range r.Plan.Down[at.Step] {
@@ -447,7 +463,8 @@
 	}
 }
 
-// Cancel ends a run: nothing more begins, and all jobs that are not over are cancelled.
+// Cancel ends a run: nothing more begins, and the jobs that are not over are cancelled;
+// the run ends with the last of them.
 func (r *Run) Cancel() {
 	if r.open == 0 {
 		return
@@ -459,18 +476,24 @@
 			continue
 		}
 		for k := range n.instances {
-			if x := &n.instances[k]; !x.State.Final() {
-				if x.State != Scheduled {
-					r.cancels = append(r.cancels, r.JobID(Ref{i, k}))
-				}
-				x.State, x.Hold, x.Begun = Failed, time.Time{}, time.Time{}
+			switch x := &n.instances[k]; {
+			case x.State.Final() || x.Ending:
+			case x.State == Scheduled:
+				x.State = Skipped
+				n.open--
+			default:
+				r.fail(Ref{i, k})
 			}
 		}
-		n.open = 0
-		if n.state = Failed; len(n.instances) == 0 {
+		if n.open == 0 {
 			n.state = Skipped
+			for k := range n.instances {
+				if n.instances[k].State == Failed {
+					n.state = Failed
+				}
+			}
+			r.open--
 		}
-		r.open--
 	}
 	r.recount()
 }
--- a/internal/dag/runcodec.go
+++ b/internal/dag/runcodec.go
@@ -36,6 +36,7 @@
 	Failures int
 	HoldMS   int64 // time of day; 0: none
 	BegunMS  int64
+	Ending   bool
 }
 
 func ms(t time.Time) int64 {
@@ -61,8 +62,8 @@
 		e := storedStep{Step: i, Generation: n.generation, Result: n.result}
 		for k, x := range n.instances {
 			e.States = append(e.States, byte(x.State))
-			if x.Failures > 0 || !x.Hold.IsZero() || !x.Begun.IsZero() {
-				e.Notes = append(e.Notes, storedInstance{Index: k, Failures: x.Failures, HoldMS: ms(x.Hold), BegunMS: ms(x.Begun)})
+			if x.Failures > 0 || !x.Hold.IsZero() || !x.Begun.IsZero() || x.Ending {
+				e.Notes = append(e.Notes, storedInstance{Index: k, Failures: x.Failures, HoldMS: ms(x.Hold), BegunMS: ms(x.Begun), Ending: x.Ending})
 			}
 		}
 		// A step with one instance that has nothing to tell has its state.
@@ -131,7 +132,7 @@
 			if x.Index < 0 || x.Index >= len(n.instances) {
 				return nil, fmt.Errorf("stored run %s of %s names an unknown instance", s.ID, p.ID)
 			}
-			n.instances[x.Index].Failures = x.Failures
+			n.instances[x.Index].Failures, n.instances[x.Index].Ending = x.Failures, x.Ending
 			n.instances[x.Index].Hold, n.instances[x.Index].Begun = timeOf(x.HoldMS), timeOf(x.BegunMS)
 		}
 	}
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -47,6 +47,8 @@
 }
 
 var (
+	// errChanged tells that a record is not as we know it.
+	errChanged    = errors.New("records were changed by another")
 	errTenureOver = errors.New("the tenure is over")
 	// errDeposed tells that the leader key is another's, as after standing still.
 	errDeposed = errors.New("the leader key is another's")
--- a/internal/leader/slices.go
+++ b/internal/leader/slices.go
@@ -17,8 +17,9 @@
 // makes all calls but Read, so a slice needs no lock, and must not wait for anything.
 type Slice interface {
 	// Read reads the slice's own records. It runs beside the loop, once the jobs'
-	// records are in, and is repeated until it succeeds; the loop then calls take.
-	Read(ctx context.Context, store *statestore.Client) (take func(), err error)
+	// records are in, and is repeated until it succeeds; the loop then calls take. What it
+	// must look up in the book meanwhile, ask has the loop do.
+	Read(ctx context.Context, store *statestore.Client, ask func(func()) error) (take func(), err error)
 	// Loaded tells that the book is in.
 	Loaded(book *jobs.Book, now time.Time)
 	// Admit says how many of a job's waiting tasks may start now, and why no more.
@@ -30,6 +31,8 @@
 	Placed(p *jobs.Place, spot bool, typ *wire.MachineType, now time.Time)
 	// Ended hears of the proven end of an attempt, before the book does.
 	Ended(o roster.Outcome, now time.Time)
+	// Over hears that a job came to a final state, which is stored.
+	Over(o jobs.Over, now time.Time)
 	// Tick does what is due, about every SliceTick, and names places that are to be stopped.
 	Tick(now time.Time) []*jobs.Place
 	// Next gives a transaction of the slice's own, on keys that the book does not
@@ -44,6 +47,9 @@
 type Write struct {
 	Txn  wire.Txn
 	Done func(revision uint64)
+	// Conflict is called instead if a condition does not hold, which the slice expects
+	// of some; nil: it expects it of none.
+	Conflict func()
 }
 
 // readSlices has each slice read its records.
@@ -51,7 +57,10 @@
 	for _, s := range l.slices {
 		go func() {
 			for pause := tuning.StateRetry; l.ended.Err() == nil; pause = min(2*pause, tuning.StateRetryMax) {
-				take, err := s.Read(l.ended, l.store)
+				take, err := s.Read(l.ended, l.store, func(fn func()) error {
+					_, err := ask(l.ended, l, func(answer func(bool)) { fn(); answer(true) })
+					return err
+				})
 				if err == nil {
 					l.post(func() { take(); l.changed = true })
 					return
@@ -111,6 +120,9 @@
 			case errors.Is(err, errDeposed) || l.ended.Err() != nil:
 				l.end(err)
 				return
+			case errors.Is(err, errChanged) && w.Conflict != nil:
+				l.post(func() { l.aside = false; w.Conflict() })
+				return
 			case err != nil:
 				// The scheduling goes on; the slice writes no more in this tenure, and the
 				// next leader begins from what is stored.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -85,7 +85,7 @@
 }
 
 // Read reads the totals and the segment that may still grow.
-func (l *Ledger) Read(ctx context.Context, store *statestore.Client) (func(), error) {
+func (l *Ledger) Read(ctx context.Context, store *statestore.Client, _ func(func()) error) (func(), error) {
 	var pages []wire.Item
 	if _, err := store.ListAll(ctx, PrefixPage, func(items []wire.Item) error {
 		pages = append(pages, items...)
@@ -324,6 +324,9 @@
 	}
 }
 
+// Over is nothing to the ledger: charges are of attempts.
+func (l *Ledger) Over(jobs.Over, time.Time) {}
+
 // write has charges written, and counts them.
 func (l *Ledger) write(p *jobs.Place, parts []charge.Charge, now time.Time) {
 	brief := l.brief(p)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -422,6 +422,18 @@
 	PropertiesEvery = 5 * time.Second
 )
 
+// Graphs.
+const (
+	// GraphPart is the size of a part of a stored graph, in bytes: with its base64 form it
+	// fits a value of 16 KiB, and three fit a transaction.
+	GraphPart = 10 << 10
+	// GraphTasks is how many steps of a run are submitted at a time unless the graph says
+	// otherwise, as in Airflow.
+	GraphTasks = 16
+	// MaxKey is the longest key of the state service, in bytes.
+	MaxKey = 200
+)
+
 // Knobs are the settings that operators may change.
 type Knobs struct {
 	// IdleKeep is how long a machine without tasks is kept before it is returned.
