--- a/internal/graphs/graphs.go
+++ b/internal/graphs/graphs.go
@@ -422,7 +422,6 @@
 		return nil
 	}
 	var txn wire.Txn
-	var ids []string
 	for _, at := range refs {
 		j, value, err := jobOf(x.run, at, now.UnixMilli())
 		if err != nil || len(value) > int(g.cfg.ValueKB*1024) {
@@ -431,7 +430,6 @@
 			continue
 		}
 		x.run.Submitted(at)
-		ids = append(ids, j.ID)
 		txn.If = append(txn.If, wire.Condition{Key: jobs.KeyJob(j.ID)}, wire.Condition{Key: jobs.KeyEnd(j.ID)})
 		txn.Then = append(txn.Then, wire.Change{Put: jobs.KeyJob(j.ID), Value: value})
 		// What hears of the job first, its end or this transaction's, must find it.
