Charges: a transaction takes up a record only if the longest that it can be still fits

Cause: read again, a progress record with charges of up to 16 KiB could be added to a transaction that was just under 48 KiB, and four of them with a job's end: past the protocol's 64 KiB. A leader whose write is refused gives up, and so would the next. Change: what a record takes at the most is worked out before it is taken up.

--- a/internal/jobs/writes.go
+++ b/internal/jobs/writes.go
@@ -51,6 +51,16 @@
 	size := 0
 	guarded := map[string]bool{} // jobs whose stored record is a condition already
 	room := func(ops int) bool { return len(w.Txn.Then)+ops <= b.txnOps && size < tuning.CommitBytes }
+	// holds tells whether a chunk has room, by what its record takes at the most: with
+	// charges, records are long enough for one to carry a transaction past its bound.
+	holds := func(refs ...chunkRef) bool {
+		ops, bytes := 0, 0
+		for _, r := range refs {
+			ops += r.ops(b.txnOps)
+			bytes += r.bytes()
+		}
+		return room(ops) && (len(w.Txn.Then) == 0 || size+bytes <= tuning.TxnBytes)
+	}
 	put := func(key string, version uint64, value json.RawMessage) {
 		w.Txn.If = append(w.Txn.If, wire.Condition{Key: key, Version: version})
 		w.Txn.Then = append(w.Txn.Then, wire.Change{Put: key, Value: value})
@@ -133,22 +143,22 @@
 		if j.cancelWanted && j.Done < len(j.Tasks) {
 			return true // its records stay for now
 		}
-		var with []int
+		var with []chunkRef
 		long := false
 		for n := range j.chunks {
 			if c := &j.chunks[n]; c.dirty && len(c.pack.Charges) > 0 {
-				with = append(with, n)
+				with = append(with, chunkRef{j, n})
 				long = long || len(c.pack.Charges) > tuning.SealMax
 			}
 		}
-		if !long && (len(with) <= 1 || room(2+len(with)) && len(with) <= tuning.EndChunks) {
+		if !long && (len(with) == 0 || len(with) <= tuning.EndChunks && room(2+len(with)) && holds(with...)) {
 			return true
 		}
-		for _, n := range with {
-			if !room(2) {
+		for _, ref := range with {
+			if !holds(ref) {
 				break
 			}
-			write(chunkRef{j, n})
+			write(ref)
 		}
 		return false
 	}
@@ -161,7 +171,7 @@
 			end()
 			continue
 		}
-		if !room(b.dirty[0].ops(b.txnOps)) {
+		if !holds(b.dirty[0]) {
 			break
 		}
 		ref := b.dirty[0]
@@ -169,7 +179,7 @@
 		write(ref)
 	}
 	lazy := !b.lazyAt.IsZero() && !now.Before(b.lazyAt)
-	for limit := len(w.Txn.Then) + spare; lazy && len(b.slow) > 0 && room(b.slow[0].ops(b.txnOps)) && len(w.Txn.Then) < limit; {
+	for limit := len(w.Txn.Then) + spare; lazy && len(b.slow) > 0 && holds(b.slow[0]) && len(w.Txn.Then) < limit; {
 		ref := b.slow[0]
 		b.slow = b.slow[1:]
 		write(ref)
@@ -195,6 +205,13 @@
 	return min(most, 1+len(r.job.chunks[r.n].pack.Charges)/(tuning.SealMax+1))
 }
 
+// bytes is what the writing of a chunk takes at the most, in bytes.
+func (r chunkRef) bytes() int {
+	c := &r.job.chunks[r.n]
+	tasks := min(tuning.ChunkTasks, len(r.job.Tasks)-r.n*tuning.ChunkTasks)
+	return tuning.EntryBytes*tasks + tuning.ChargeBytes*len(c.pack.Charges) + tuning.RecordBytes
+}
+
 // sort puts what waits to be written in the order of the jobs' priorities, so
 // that starts of urgent work do not wait behind hundreds of tiny jobs: first
 // cancellations, which users wait for, then starts before ends.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -305,6 +305,44 @@
 	}
 }
 
+// A transaction stays within what the service takes when many jobs with long records end
+// at once. A leader whose write is refused as malformed gives up, and so would the next.
+func TestManyJobsThatEndTogetherFitTheirTransactions(t *testing.T) {
+	w := newWorld(t)
+	w.txnOps = 40
+	w.lead()
+	for i := range 30 {
+		j := array(fmt.Sprintf("job-%d", i), 2*tuning.ChunkTasks)
+		j.Class = strings.Repeat("a long name of a class ", 8)
+		w.submit(j)
+	}
+	for round := range 3 {
+		for i := range 30 {
+			for w.place(fmt.Sprintf("job-%d", i)) != nil {
+			}
+		}
+		w.flush()
+		w.report() // what is gone from its place is no longer looked at
+		w.clock.Advance(time.Second)
+		for _, k := range w.sorted() {
+			w.attempts[k].began = w.now()
+		}
+		w.report()
+		w.clock.Advance(time.Minute)
+		for _, k := range w.sorted() {
+			if w.attempts[k].ended, w.attempts[k].why = w.now(), wire.WhyDone; round < 2 && k.task%8 < 5 {
+				w.attempts[k].why = wire.WhyStopped
+			}
+		}
+		w.report()
+	}
+	w.check() // whose store refuses what is too long
+	t.Logf("the longest transaction has %d bytes", w.longest)
+	if len(w.book.Jobs) != 0 {
+		t.Errorf("%d jobs do not end", len(w.book.Jobs))
+	}
+}
+
 // Guards against an array that starts past its budget at once: each start reserves
 // what it is expected to take, also those of the same pass.
 func TestABudgetRunsOutUnderARunningArray(t *testing.T) {
--- a/internal/ledger/world_test.go
+++ b/internal/ledger/world_test.go
@@ -35,6 +35,7 @@
 	places   map[attempt]*jobs.Place // as the present leader knows them
 	attempts map[attempt]*truth
 	changes  int // put and deleted so far
+	longest  int // bytes of a transaction
 }
 
 type attempt struct {
@@ -79,7 +80,10 @@
 	}
 	w.revision++
 	w.changes += len(txn.Then)
-	size := 0
+	raw := mustJSON(txn)
+	if w.longest = max(w.longest, len(raw)); len(raw) > 64<<10 {
+		w.t.Fatalf("a transaction has %d bytes", len(raw))
+	}
 	for _, c := range txn.Then {
 		if c.Delete != "" {
 			delete(w.items, c.Delete)
@@ -88,12 +92,8 @@
 		if len(c.Value) > 16<<10 {
 			w.t.Fatalf("%s has %d bytes", c.Put, len(c.Value))
 		}
-		size += len(c.Value) + 2*len(c.Put) + 64
 		w.items[c.Put] = wire.Item{Key: c.Put, Value: c.Value, Version: w.revision}
 	}
-	if size > 64<<10 {
-		w.t.Fatalf("a transaction has %d bytes", size)
-	}
 	return w.revision
 }
 
@@ -187,7 +187,7 @@
 	if n, _ := w.ledger.Admit(j, w.now()); i < 0 || n <= 0 {
 		return nil
 	}
-	p := w.book.Place(j, i, "n-1", "a", 1, w.now())
+	p := w.book.Place(j, i, "a-machine-000001", "mombasa-port", 1, w.now())
 	w.ledger.Placed(p, false, &small, w.now())
 	return p
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -154,6 +154,15 @@
 	LazyLeast = 2
 	// CommitBytes bounds a transaction's size in bytes, under the protocol's 64 KiB.
 	CommitBytes = 48 << 10
+	// TxnBytes is what a transaction's changes may take with the longest record that it
+	// still takes up: 64 KiB less its conditions.
+	TxnBytes = 58 << 10
+	// EntryBytes, ChargeBytes and RecordBytes bound what a task's entry, a charge and the
+	// rest take of a progress record and its place in a transaction: names of machines and
+	// zones of some 20 bytes, charges of up to 30 in base64, names of teams and classes.
+	EntryBytes  = 140
+	ChargeBytes = 44
+	RecordBytes = 1200
 	// SealCharges is how many charges may lie in a progress record before they are
 	// moved to one of their own: at about 25 bytes each they take up to 3 KB of it.
 	SealCharges = 96
