One pause, one record encoder, one look-up of a machine type

Change: package pause, wire.Value, wire.TypeNamed; a field and a method that nobody read are gone. Behaviour is the same.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -44,7 +44,6 @@
 	live     map[any]*Task
 	ratio    map[string]float64 // by class: what its tasks took of their owners' estimates
 	rates    map[string]int64   // by class: the last rate of a task of it
-	at       time.Time          // of the sums below
 	lines    []*Line
 	byScope  map[Scope][]*Line
 }
@@ -212,7 +211,6 @@
 
 // Sum works out the state of all budgets anew.
 func (k *Keeper) Sum(now time.Time) {
-	k.at = now
 	where := k.settings.Where()
 	for _, l := range k.lines {
 		l.From, l.To = window(l.Period, now, where)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,11 +6,11 @@
 	"encoding/json"
 	"log/slog"
 	"sync/atomic"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"poppypass/internal/cloud"
+	"poppypass/internal/pause"
 	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -49,7 +49,7 @@
 // stored: machines that are there can then be used, and jobs accepted.
 func (c *Catalog) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := tuning.TypesRefresh
+		rest := tuning.TypesRefresh
 		types, err := c.Cloud.Types(ctx)
 		switch {
 		case err == nil:
@@ -57,19 +57,12 @@
 			c.Save(ctx)
 		default:
 			c.Log.Debug("machine types unreadable", "err", err)
-			pause = tuning.CloudRetry
+			rest = tuning.CloudRetry
 			if c.Types() == nil {
 				c.load(ctx)
 			}
 		}
-		c.sleep(ctx, pause)
-	}
-}
-
-func (c *Catalog) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-c.Clock.After(d):
+		pause.For(ctx, c.Clock, rest)
 	}
 }
 
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -29,7 +29,7 @@
 func (s *store) accept(id string, tasks int) {
 	s.revision++
 	rec := Record{Job: wire.Job{ID: id, Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: tasks, CPUs: 1}, AtMS: t0.UnixMilli()}
-	s.items[KeyJob(id)] = wire.Item{Key: KeyJob(id), Value: mustJSON(rec), Version: s.revision}
+	s.items[KeyJob(id)] = wire.Item{Key: KeyJob(id), Value: wire.Value(rec), Version: s.revision}
 }
 
 func (s *store) apply(txn wire.Txn) uint64 {
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"strings"
@@ -125,11 +124,3 @@
 	}
 	return idx, nil
 }
-
-func mustJSON(v any) json.RawMessage {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		panic(fmt.Sprintf("records are always encodable: %v", err))
-	}
-	return raw
-}
--- a/internal/jobs/writes.go
+++ b/internal/jobs/writes.go
@@ -77,15 +77,15 @@
 		ref := endRef{job: j}
 		if j.cancelWanted && j.Done < len(j.Tasks) {
 			ref.state = wire.StateCancelled
-			put(KeyEnd(j.ID), 0, mustJSON(End{State: wire.StateCancelled, Done: j.Done}))
-			put(KeyJob(j.ID), j.version, mustJSON(Record{Job: j.Job, AtMS: j.atMS, Cancelled: true}))
+			put(KeyEnd(j.ID), 0, wire.Value(End{State: wire.StateCancelled, Done: j.Done}))
+			put(KeyJob(j.ID), j.version, wire.Value(Record{Job: j.Job, AtMS: j.atMS, Cancelled: true}))
 			w.ends = append(w.ends, ref)
 			guarded[j.ID] = true
 			return
 		}
 		if !j.cancelled {
 			ref.state = wire.StateDone
-			put(KeyEnd(j.ID), 0, mustJSON(End{State: wire.StateDone, Done: j.Done}))
+			put(KeyEnd(j.ID), 0, wire.Value(End{State: wire.StateDone, Done: j.Done}))
 		}
 		drop(KeyJob(j.ID), j.version)
 		for n := range j.chunks {
@@ -96,7 +96,7 @@
 			case len(c.pack.Charges) > 0:
 				left := Left{Key: keyRun(j.ID, n), Pack: &c.pack, Version: c.version}
 				if dirty {
-					put(left.Key, c.version, mustJSON(leftRecord{Charges: charge.EncodePack(&c.pack)}))
+					put(left.Key, c.version, wire.Value(leftRecord{Charges: charge.EncodePack(&c.pack)}))
 					left.Version = 0
 				}
 				w.lefts = append(w.lefts, left)
@@ -265,7 +265,7 @@
 	if r.Base = c.base; len(c.pack.Charges)+len(c.pack.Kinds) > 0 {
 		r.Charges = charge.EncodePack(&c.pack)
 	}
-	return mustJSON(r), places
+	return wire.Value(r), places
 }
 
 // Written takes in that a batch is stored at a revision. It returns the places
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"poppypass/internal/config"
+	"poppypass/internal/pause"
 	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -67,9 +68,6 @@
 	}
 }
 
-// WorkerLease is how long a worker goes on without an answer.
-func (k *Keeper) WorkerLease() time.Duration { return k.workerLease }
-
 // life is how long the record outlives its last renewal.
 func (k *Keeper) life() time.Duration { return 2*k.workerLease + tuning.KeepExtra }
 
@@ -108,7 +106,7 @@
 		case r := <-k.requests:
 			// Workers that lose the leader come together: they share a write.
 			if !k.written[r.machine] {
-				k.gather(ctx)
+				pause.For(ctx, k.clock, tuning.KeepGather)
 			}
 			batch := []keepRequest{r}
 			for len(k.requests) > 0 {
@@ -123,14 +121,6 @@
 	}
 }
 
-// gather waits a moment for more requests.
-func (k *Keeper) gather(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-k.clock.After(tuning.KeepGather):
-	}
-}
-
 func (k *Keeper) serve(ctx context.Context, batch []keepRequest) {
 	missing := false
 	for _, r := range batch {
--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -101,10 +101,8 @@
 
 // price is what a machine costs an hour.
 func (l *Loop) price(v *placement.Machine) float64 {
-	for _, t := range l.env.Types() {
-		if t.Name == v.Type && v.Spot {
-			return t.SpotPrice
-		}
+	if t := l.env.typeOf(v.Type); t != nil && v.Spot {
+		return t.SpotPrice
 	}
 	return v.Price
 }
--- a/internal/leader/env.go
+++ b/internal/leader/env.go
@@ -14,6 +14,7 @@
 	"poppypass/internal/cloud"
 	"poppypass/internal/config"
 	"poppypass/internal/jobs"
+	"poppypass/internal/pause"
 	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -63,19 +64,10 @@
 }
 
 func (e *Env) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-e.Clock.After(d):
-	}
+	pause.For(ctx, e.Clock, d)
 }
 
 // typeOf gives a machine type; nil when it is not known.
 func (e *Env) typeOf(name string) *wire.MachineType {
-	types := e.Types()
-	for i := range types {
-		if types[i].Name == name {
-			return &types[i]
-		}
-	}
-	return nil
+	return wire.TypeNamed(e.Types(), name)
 }
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -211,10 +211,8 @@
 }
 
 func (l *Loop) bootTime(typ string, factor float64) time.Duration {
-	for _, t := range l.env.Types() {
-		if t.Name == typ {
-			return time.Duration(t.BootS*factor*float64(time.Second)) + tuning.BootExtra
-		}
+	if t := l.env.typeOf(typ); t != nil {
+		return time.Duration(t.BootS*factor*float64(time.Second)) + tuning.BootExtra
 	}
 	return tuning.BootUnknown
 }
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -186,27 +186,25 @@
 }
 
 func (l *Loop) view(m *roster.Machine) (*placement.Machine, bool) {
-	for _, t := range l.env.Types() {
-		if t.Name != m.Type {
-			continue
-		}
-		v := &placement.Machine{
-			Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Price: t.Price,
-			Total:  placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB},
-			FetchS: fetchTime(m, t),
-		}
-		used := m.Used()
-		v.Free = v.Total
-		v.Free.Sub(placement.Room{CPUs: used.CPUs, GPUs: used.GPUs, MemoryGB: used.MemoryGB}, 1)
-		return v, true
+	t := l.env.typeOf(m.Type)
+	if t == nil {
+		return nil, false
+	}
+	v := &placement.Machine{
+		Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Price: t.Price,
+		Total:  placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB},
+		FetchS: fetchTime(m, t),
 	}
-	return nil, false
+	used := m.Used()
+	v.Free = v.Total
+	v.Free.Sub(placement.Room{CPUs: used.CPUs, GPUs: used.GPUs, MemoryGB: used.MemoryGB}, 1)
+	return v, true
 }
 
 // fetchTime estimates how long a machine takes to get an image: nothing for
 // one that it holds, as far as its tasks show; images fetched at the same time
 // share its rate.
-func fetchTime(m *roster.Machine, t wire.MachineType) func(image string, gb float64) float64 {
+func fetchTime(m *roster.Machine, t *wire.MachineType) func(image string, gb float64) float64 {
 	sharing := 0 // counted when it is first asked for: full machines never are
 	return func(image string, gb float64) float64 {
 		if t.FetchGBPerS <= 0 || m.Holds(image, t.CacheGB) {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -15,6 +15,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"poppypass/internal/pause"
 	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -261,10 +262,7 @@
 }
 
 func (e *Elector) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-e.clock.After(d):
-	}
+	pause.For(ctx, e.clock, d)
 }
 
 func (e *Elector) readHolder(ctx context.Context) (h holder, revision uint64, held bool, err error) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -184,7 +185,7 @@
 	}
 	delete(closed, open.n)
 	l.open, l.closed, l.read = open, closed, true
-	for _, p := range append(valuesOf(closed), open) {
+	for _, p := range append(slices.Collect(maps.Values(closed)), open) {
 		for name, sum := range p.rows {
 			l.budgets.Charged(budget.Scope{Team: name.Team, Account: name.Account}, name.Day, budget.Use{Core: sum.Core, Money: sum.Money})
 		}
@@ -261,7 +262,10 @@
 	if !l.budgets.Any() {
 		return n, ""
 	}
-	t := l.waiting(j)
+	return l.admit(l.waiting(j), n)
+}
+
+func (l *Ledger) admit(t *budget.Task, n int) (int, string) {
 	if !l.read && !t.Production {
 		return 0, "what its team has used is being read"
 	}
@@ -281,7 +285,7 @@
 // Look lowers the counts of waiting tasks to what the budgets allow together. Otherwise
 // machines were rented for every job of a team whose budget allows one of them. The rest
 // of a budget goes to the jobs in the order in which they are placed.
-func (l *Ledger) Look(waiting []*jobs.Job, counts []int, now time.Time) {
+func (l *Ledger) Look(waiting []*jobs.Job, counts []int, _ time.Time) {
 	if !l.budgets.Any() {
 		return
 	}
@@ -296,9 +300,10 @@
 	release := l.budgets.Try()
 	defer release()
 	for _, i := range order {
-		n, _ := l.Admit(waiting[i], now)
+		t := l.waiting(waiting[i])
+		n, _ := l.admit(t, waiting[i].Waiting())
 		counts[i] = min(counts[i], n)
-		l.budgets.Consider(l.waiting(waiting[i]), counts[i])
+		l.budgets.Consider(t, counts[i])
 	}
 }
 
@@ -350,13 +355,7 @@
 
 // rateNow is what an attempt's task would take of its machine's price by now.
 func (l *Ledger) rateNow(p *jobs.Place) int64 {
-	types := l.cfg.Types()
-	for i := range types {
-		if types[i].Name == p.Kind.Type {
-			return Rate(&p.Job.Job, &types[i], p.Kind.Spot)
-		}
-	}
-	return 0
+	return Rate(&p.Job.Job, wire.TypeNamed(l.cfg.Types(), p.Kind.Type), p.Kind.Spot)
 }
 
 // Tick closes days, looks at the budgets and takes what lies apart.
@@ -452,11 +451,3 @@
 	}
 	return w
 }
-
-func valuesOf(m map[int]*page) []*page {
-	out := make([]*page, 0, len(m))
-	for _, p := range m {
-		out = append(out, p)
-	}
-	return out
-}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -520,7 +520,7 @@
 		t.Errorf("%d pages are %d after compaction", before, after)
 	}
 	names := map[RowName]int{}
-	for _, p := range valuesOf(w.ledger.closed) {
+	for _, p := range w.ledger.closed {
 		if len(w.ledger.closed) < tuning.CompactPages {
 			break // so few are left as they are
 		}
@@ -535,7 +535,7 @@
 	w.roll()
 	w.lead()
 	w.check()
-	for _, p := range valuesOf(w.ledger.closed) {
+	for _, p := range w.ledger.closed {
 		for n := range p.rows {
 			if len(n.Day) != len("2026-12") {
 				t.Fatalf("%v is not folded", n)
--- a/internal/ledger/records.go
+++ b/internal/ledger/records.go
@@ -66,14 +66,6 @@
 	Zstd []byte `json:"z"` // of CBOR of []Row
 }
 
-func mustJSON(v any) json.RawMessage {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		panic(fmt.Sprintf("records are always encodable: %v", err))
-	}
-	return raw
-}
-
 // ReadSegment reads a stored segment.
 func ReadSegment(c *charge.Codec, item wire.Item) ([]charge.Pack, error) {
 	var r segmentRecord
@@ -117,11 +109,11 @@
 	for i := range packs {
 		n += len(packs[i].Charges)
 	}
-	return mustJSON(segmentRecord{Charges: n, Zstd: c.Squeeze(packs)})
+	return wire.Value(segmentRecord{Charges: n, Zstd: c.Squeeze(packs)})
 }
 
 func pageValue(c *charge.Codec, rows []Row) json.RawMessage {
-	return mustJSON(pageRecord{Zstd: c.Squeeze(rows)})
+	return wire.Value(pageRecord{Zstd: c.Squeeze(rows)})
 }
 
 // segment is the one that grows.
--- a/internal/ledger/show.go
+++ b/internal/ledger/show.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -215,7 +216,7 @@
 func (l *Ledger) totals(q Query, now time.Time) Totals {
 	l.collect(now) // what lies apart since the last tick counts too
 	t := NewTally(q)
-	for _, p := range append(valuesOf(l.closed), l.open) {
+	for _, p := range append(slices.Collect(maps.Values(l.closed)), l.open) {
 		for n, a := range p.rows {
 			t.Add(n, a)
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,6 +19,7 @@
 	"poppypass/internal/config"
 	"poppypass/internal/leadership"
 	"poppypass/internal/mesh"
+	"poppypass/internal/pause"
 	"poppypass/internal/tuning"
 )
 
@@ -229,10 +230,7 @@
 			})
 		}
 		wg.Wait()
-		select {
-		case <-ctx.Done():
-		case <-p.clock.After(tuning.ReachEvery):
-		}
+		pause.For(ctx, p.clock, tuning.ReachEvery)
 	}
 }
 
--- a/internal/wire/cloud.go
+++ b/internal/wire/cloud.go
@@ -73,3 +73,13 @@
 	Machines []ListedMachine `json:"stalls"`
 	More     bool            `json:"has_next"`
 }
+
+// TypeNamed gives the machine type of a name; nil when there is none.
+func TypeNamed(types []MachineType, name string) *MachineType {
+	for i := range types {
+		if types[i].Name == name {
+			return &types[i]
+		}
+	}
+	return nil
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -1,6 +1,9 @@
 package wire
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"fmt"
+)
 
 // Paths of the state service.
 const (
@@ -75,3 +78,13 @@
 	Revision uint64  `json:"ledger"`
 	Events   []Event `json:"events"`
 }
+
+// Value encodes a record of ours for the state service. It panics on what cannot be
+// encoded, which no record holds.
+func Value(v any) json.RawMessage {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("records are always encodable: %v", err))
+	}
+	return raw
+}
