Budgets: a view has its own copy of its period's bounds

Cause: read again, an answer on budgets pointed into the keeper, which the leader's loop changes while the door encodes it: a race, and at the turn of a period a wrong answer. Change: copies. Result: a test that fails without it.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -404,7 +404,8 @@
 			Limit: l.Limit / s, Used: (l.Used + l.Running) / s, Reserved: l.Reserved / s, State: "open",
 		}
 		if !l.To.IsZero() {
-			v.From, v.To = &l.From, &l.To
+			from, to := l.From, l.To // a view outlives the next Sum
+			v.From, v.To = &from, &to
 		}
 		switch {
 		case l.Used+l.Running >= k.stop(l):
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -96,6 +96,23 @@
 	}
 }
 
+// Guards against an answer that changes while it is written: views are encoded outside
+// the loop that sums up, and once shared the periods' bounds with it.
+func TestAViewIsACopy(t *testing.T) {
+	s := &Settings{}
+	if err := s.Set("budget.t.day.money", "1"); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+	k := NewKeeper()
+	k.Configure(s, now)
+	v := k.Views("t")[0]
+	k.Sum(now.AddDate(0, 0, 1))
+	if v.From.Day() != 1 || v.To.Day() != 2 {
+		t.Errorf("the view became one from %v to %v", v.From, v.To)
+	}
+}
+
 func TestSplitLosesNothing(t *testing.T) {
 	where := time.FixedZone("UTC+3", 3*3600)
 	c := charge.Charge{Start: time.Date(2026, 12, 1, 20, 0, 0, 0, where).UnixMilli(), Run: 50 * 3600_000, Money: 1_000_003, How: charge.Done, Flags: charge.Saved}
