A zone that is cut off is answered by its own member, by a right recorded beforehand

Change: each member keeps a right for its own zone, on a lease of its own, and answers by it for 120 s after the last renewal; a leader concludes from a lease's end only once every member with such a right denies, or the record is gone. Nothing is rented in a zone that is cut off.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,6 +49,7 @@
 	elector *leadership.Elector
 	peers   *peers.Peers
 	keeper  *keeper.Keeper
+	zone    *keeper.Zone
 	users   *users.Door
 	reports *workers.Door
 	ledger  *ledger.Door     // nil: no charges are kept
@@ -72,6 +73,7 @@
 		Cloud: c.cloud, Store: c.store, ValueKB: s.Cluster.State.ValueKB, Clock: clock, Log: log, Guard: c.guard,
 	}
 	c.keeper = keeper.New(s, c.store, clock, log)
+	c.zone = keeper.NewZone(s, c.store, clock, log)
 	teams := map[string]config.Team{}
 	for _, t := range s.Cluster.Teams {
 		teams[t.Name] = t
@@ -79,13 +81,13 @@
 	c.env = &leader.Env{
 		Settings: s, Knobs: own.Knobs(), Clock: clock, Log: log, Store: c.store, Cloud: c.cloud,
 		Workers: httpjson.NewClient(2, 1, tuning.CommandTimeout), Teams: teams, Finals: jobs.NewFinals(tuning.FinalCache),
-		Valid: c.elector.Valid, Types: c.catalog.Types,
+		Valid: c.elector.Valid, Kept: c.kept, Types: c.catalog.Types,
 	}
 	if err := c.join(); err != nil {
 		return nil, err
 	}
 	c.users = users.New(c.env, c.peers, c.leader)
-	c.reports = workers.New(s.Member, clock, c.elector, c.peers, c.keeper, c.leader)
+	c.reports = workers.New(s.Member, clock, c.elector, c.peers, c.keeper, c.zone, c.leader)
 	c.setCloudShare(false)
 	return c, nil
 }
@@ -156,6 +158,7 @@
 	wg.Go(func() { c.catalog.Run(ctx) })
 	wg.Go(func() { c.own.Run(ctx, c.clock, c.log) })
 	wg.Go(func() { c.keeper.Run(ctx) })
+	wg.Go(func() { c.zone.Run(ctx) })
 	wg.Go(func() { c.elector.Run(ctx, c.lead) })
 	if !c.peers.Alone() {
 		wg.Go(func() { c.peers.Run(ctx) })
@@ -214,6 +217,14 @@
 	l.Run()
 }
 
+// kept asks a member, this one or another, which machines it may have answered.
+func (c *Controller) kept(ctx context.Context, member string, names []string) ([]string, bool) {
+	if member == c.settings.Member {
+		return c.zone.Kept(names)
+	}
+	return c.peers.Kept(ctx, member, names)
+}
+
 // leader gives the leader's loop when this member has the right to act now.
 func (c *Controller) leader() *leader.Loop {
 	if l := c.leading.Load(); l != nil && c.elector.Valid(l.Tenure().Term) {
--- a/internal/controller/serve_peers.go
+++ b/internal/controller/serve_peers.go
@@ -24,6 +24,8 @@
 		return c.servePing()
 	case mesh.NotLeading:
 		return yesOrNo(c.elector.NotLeading())
+	case mesh.Kept:
+		return c.serveKept(req.Names)
 	case mesh.Report:
 		return c.reports.AnswerPeer(ctx, req.Payload)
 	case mesh.Show:
@@ -45,6 +47,14 @@
 	return mesh.Response{Status: http.StatusConflict}
 }
 
+// serveKept tells a leader which machines this member may have answered by its zone's right.
+func (c *Controller) serveKept(names []string) mesh.Response {
+	kept, sure := c.zone.Kept(names)
+	r := yesOrNo(sure)
+	r.Names = kept
+	return r
+}
+
 // servePing answers a ping.
 func (c *Controller) servePing() mesh.Response {
 	name, term := c.elector.Holder()
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -319,6 +319,7 @@
 }
 
 // Cancel wants a job cancelled; fn is told the final state once it is stored.
+// That is stored once all its tasks are gone: until then no more are started.
 func (b *Book) Cancel(j *Job, fn func(wire.JobState)) {
 	if j.cancelled {
 		fn(wire.StateCancelled)
@@ -329,14 +330,13 @@
 		return // fn learns how it ends
 	}
 	j.cancelWanted = true
-	b.queueEnd(j)
+	b.checkEnd(j)
 }
 
-// checkEnd queues the end of a job whose tasks are all done, or the dropping
-// of a cancelled one whose tasks are all gone.
+// checkEnd queues the end of a job whose tasks are all done, the cancellation of
+// one that is to be cancelled and whose tasks are all gone, or the dropping of one that was.
 func (b *Book) checkEnd(j *Job) {
-	over := j.Done == len(j.Tasks) || j.cancelled && j.Placed == 0
-	if over && !j.cancelWanted {
+	if j.Done == len(j.Tasks) || (j.cancelled || j.cancelWanted) && j.Placed == 0 {
 		b.queueEnd(j)
 	}
 }
--- a/internal/jobs/writes.go
+++ b/internal/jobs/writes.go
@@ -23,7 +23,7 @@
 
 type endRef struct {
 	job   *Job
-	state wire.JobState // the state that it stores; empty: a cancelled job's records are dropped
+	state wire.JobState // the state that it stores; empty: it was stored before
 }
 
 // Over is a job that came to a final state.
@@ -75,17 +75,12 @@
 		j := b.ends[0]
 		b.ends = b.ends[1:]
 		ref := endRef{job: j}
-		if j.cancelWanted && j.Done < len(j.Tasks) {
-			ref.state = wire.StateCancelled
-			put(KeyEnd(j.ID), 0, wire.Value(End{State: wire.StateCancelled, Done: j.Done}))
-			put(KeyJob(j.ID), j.version, wire.Value(Record{Job: j.Job, AtMS: j.atMS, Cancelled: true}))
-			w.ends = append(w.ends, ref)
-			guarded[j.ID] = true
-			return
-		}
 		if !j.cancelled {
 			ref.state = wire.StateDone
-			put(KeyEnd(j.ID), 0, wire.Value(End{State: wire.StateDone, Done: j.Done}))
+			if j.Done < len(j.Tasks) {
+				ref.state = wire.StateCancelled
+			}
+			put(KeyEnd(j.ID), 0, wire.Value(End{State: ref.state, Done: j.Done}))
 		}
 		drop(KeyJob(j.ID), j.version)
 		for n := range j.chunks {
@@ -140,9 +135,6 @@
 	// settled writes the charges that a job's end would bring along, as far as there is
 	// room, if they are more than have room with it: it then goes with the next batch.
 	settled := func(j *Job) bool {
-		if j.cancelWanted && j.Done < len(j.Tasks) {
-			return true // its records stay for now
-		}
 		var with []chunkRef
 		long := false
 		for n := range j.chunks {
@@ -218,7 +210,7 @@
 func (b *Book) sort() {
 	slices.SortStableFunc(b.ends, func(x, y *Job) int { return cmp.Compare(y.endLevel(), x.endLevel()) })
 	// What is about to be dropped with its job needs no writing.
-	b.dirty = slices.DeleteFunc(b.dirty, func(r chunkRef) bool { return r.job.ending && !r.job.cancelWanted })
+	b.dirty = slices.DeleteFunc(b.dirty, func(r chunkRef) bool { return r.job.ending })
 	slices.SortStableFunc(b.dirty, func(x, y chunkRef) int { return cmp.Compare(y.job.Priority.Level(), x.job.Priority.Level()) })
 }
 
@@ -296,17 +288,9 @@
 	}
 	for _, e := range w.ends {
 		j := e.job
-		j.ending = false
-		if e.state == wire.StateCancelled {
-			j.cancelled, j.cancelWanted, j.version = true, false, revision
-			over = append(over, Over{j, e.state})
-			b.notify(j, e.state)
-			b.checkEnd(j)
-			continue
-		}
-		j.ended = true
+		j.ending, j.ended = false, true
 		delete(b.Jobs, j.ID)
-		if e.state == wire.StateDone {
+		if e.state != "" {
 			over = append(over, Over{j, e.state})
 			b.notify(j, e.state)
 		}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -56,8 +56,10 @@
 	kept    chan bool
 }
 
+// keepRecord names machines, or holds the right for a zone.
 type keepRecord struct {
-	Machines []string `json:"machines"`
+	Machines []string `json:"machines,omitempty"`
+	ZoneRight
 }
 
 // New makes the keeper of a member.
@@ -216,10 +218,10 @@
 	clear(k.written)
 }
 
-// Read reads which machines followers answer.
-func Read(ctx context.Context, store *statestore.Client) (map[string]bool, error) {
-	kept := map[string]bool{}
-	_, err := store.ListAll(ctx, prefixKeep, func(items []wire.Item) error {
+// Read reads which machines followers answer, and the rights for zones that stand.
+func Read(ctx context.Context, store *statestore.Client) (kept map[string]bool, rights []ZoneRight, err error) {
+	kept = map[string]bool{}
+	_, err = store.ListAll(ctx, prefixKeep, func(items []wire.Item) error {
 		for _, item := range items {
 			var r keepRecord
 			if err := json.Unmarshal(item.Value, &r); err != nil {
@@ -228,10 +230,13 @@
 			for _, n := range r.Machines {
 				kept[n] = true
 			}
+			if r.Zone != "" {
+				rights = append(rights, r.ZoneRight)
+			}
 		}
 		return nil
 	})
-	return kept, err
+	return kept, rights, err
 }
 
 func sortedKeys(m map[string]time.Time) []string {
--- /dev/null
+++ b/internal/keeper/zone.go
@@ -0,0 +1,173 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/config"
+	"poppypass/internal/pause"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Zone is a member's right to answer the workers of its own zone in the leader's
+// stead while it reaches neither the leader nor the state service: a zone that is
+// cut off from all else. The answers hold no commands and bear the worker's own
+// token. What makes that safe:
+//
+//   - The right is a record in the state service, on a lease that the member renews
+//     while it is served. It answers for ZoneRight after it sent the last renewal that
+//     succeeded, and the record outlives the workers' leases that begin by then.
+//   - A leader concludes nothing from the end of a lease on a machine of that zone
+//     before it has read these records after that end and, of each that stands, has heard
+//     from its member that it did not answer that machine for a whole lease. A member that
+//     gives no such word may have, until its record is gone.
+//   - A process that was started anew gives no word for its former life: it has none to give
+//     until a lease after its own start, by when all answers of that life are over.
+//
+// Terms and fences play no part in that: the right allows no command, no record and
+// no campaign. It is safe for concurrent use.
+type Zone struct {
+	store  *statestore.Client
+	clock  clockwork.Clock
+	log    *slog.Logger
+	member string
+	zone   string
+	lease  time.Duration // a worker's
+	right  time.Duration // how long the right lasts; 0: workers' leases are too long for one
+	born   time.Time
+
+	mu       sync.Mutex
+	pass     uint64               // the lease of our record; 0: none
+	sent     time.Time            // when the request was sent that gave it its time
+	answered map[string]time.Time // machines that we answered by the right, and when
+}
+
+// ZoneRight is a record of such a right.
+type ZoneRight struct {
+	Zone   string `json:"zone"`
+	Member string `json:"member"`
+}
+
+// NewZone makes the right of a member; Run obtains it.
+func NewZone(s *config.Settings, store *statestore.Client, clock clockwork.Clock, log *slog.Logger) *Zone {
+	z := &Zone{
+		store: store, clock: clock, log: log, member: s.Member, zone: s.Zone,
+		lease: time.Duration(s.Cluster.Workers.LeaseS * float64(time.Second)),
+		born:  clock.Now(), answered: map[string]time.Time{},
+	}
+	z.right = max(0, min(tuning.ZoneRight, tuning.MaxTTL-z.over()-tuning.KeepExtra))
+	return z
+}
+
+// over is how long after an answer the worker's lease has run out on every clock.
+func (z *Zone) over() time.Duration { return Stretched(z.lease) + tuning.LeaseMargin }
+
+// life is how long the record outlives its last renewal.
+func (z *Zone) life() time.Duration { return z.right + z.over() + tuning.KeepExtra }
+
+// Answer asks for the right to answer a machine of a zone now.
+func (z *Zone) Answer(machine, zone string) bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	now := z.clock.Now()
+	if zone == "" || zone != z.zone || z.pass == 0 || now.Sub(z.sent) >= z.right {
+		return false
+	}
+	z.answered[machine] = now
+	return true
+}
+
+// Kept gives those of some machines that this member may have answered by its right
+// within a worker's lease before now. sure is false while it cannot tell: an earlier
+// process of it may have.
+func (z *Zone) Kept(names []string) (kept []string, sure bool) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	now := z.clock.Now()
+	for name, at := range z.answered {
+		if now.Sub(at) > z.over() {
+			delete(z.answered, name)
+		}
+	}
+	for _, name := range names {
+		if _, ok := z.answered[name]; ok {
+			kept = append(kept, name)
+		}
+	}
+	return kept, now.Sub(z.born) > z.over()
+}
+
+// Alone tells whether the state service has not answered for a while, so that we may be
+// the one that is cut off.
+func (z *Zone) Alone() bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.pass != 0 && z.clock.Since(z.sent) > 2*tuning.ZoneRenew
+}
+
+// Run obtains the right and renews it until ctx ends.
+func (z *Zone) Run(ctx context.Context) {
+	if z.zone == "" || z.right <= 0 {
+		return
+	}
+	for ctx.Err() == nil {
+		z.renew(ctx)
+		pause.For(ctx, z.clock, tuning.ZoneRenew)
+	}
+}
+
+// renew renews the record, or makes one where there is none.
+func (z *Zone) renew(ctx context.Context) {
+	z.mu.Lock()
+	pass := z.pass
+	z.mu.Unlock()
+	sent := z.clock.Now()
+	if pass == 0 {
+		z.obtain(ctx)
+		return
+	}
+	err := z.store.Renew(ctx, pass)
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	switch {
+	case err == nil:
+		z.sent = sent
+	case errors.Is(err, statestore.ErrNoLease):
+		z.pass = 0 // the right was over long before
+	}
+}
+
+// obtain makes a record under a key of its own. The right counts from before the lease
+// was asked for, and only once the record is surely stored; one whose storing had no answer is
+// left to its lease's end.
+func (z *Zone) obtain(ctx context.Context) {
+	sent := z.clock.Now()
+	pass, err := z.store.Grant(ctx, z.life())
+	if err != nil {
+		return
+	}
+	value, err := json.Marshal(keepRecord{ZoneRight: ZoneRight{Zone: z.zone, Member: z.member}})
+	if err != nil {
+		return
+	}
+	key := fmt.Sprintf("%s%s/zone-%d", prefixKeep, z.member, pass)
+	if _, err := z.store.Commit(ctx, wire.Txn{
+		If:   []wire.Condition{{Key: key}},
+		Then: []wire.Change{{Put: key, Value: value, Lease: pass}},
+	}); err != nil {
+		z.log.Debug("no right for the zone", "err", err)
+		return
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.pass, z.sent = pass, sent
+}
--- /dev/null
+++ b/internal/keeper/zone_test.go
@@ -0,0 +1,166 @@
+package keeper
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/config"
+	"poppypass/internal/standin"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+)
+
+const zoneLease = 10 * time.Second
+
+type zoneWorld struct {
+	t     *testing.T
+	clock *clockwork.FakeClock
+	state *standin.State
+	*Zone
+}
+
+func newZoneWorld(t *testing.T) *zoneWorld {
+	clock := clockwork.NewFakeClock()
+	w := &zoneWorld{t: t, clock: clock, state: standin.NewState(clock)}
+	t.Cleanup(w.state.Close)
+	w.restart()
+	return w
+}
+
+// restart begins a new life of the member.
+func (w *zoneWorld) restart() {
+	w.Zone = NewZone(&config.Settings{
+		Member: "m1", Zone: "a", Cluster: config.Cluster{Workers: config.Workers{LeaseS: zoneLease.Seconds()}},
+	}, statestore.New(w.state.Addr(), 1e6, 1e6), w.clock, slog.New(slog.DiscardHandler))
+}
+
+// pass lets time pass at the state service, too.
+func (w *zoneWorld) pass(d time.Duration) {
+	w.clock.Advance(d)
+	w.state.Expire()
+}
+
+// concludes tells whether a leader that reads now, after the end of the machine's
+// lease by its own count, concludes that its tasks are gone.
+func (w *zoneWorld) concludes(machine string, reached bool) bool {
+	w.t.Helper()
+	_, rights, err := Read(w.t.Context(), w.store)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if len(rights) == 0 {
+		return true
+	}
+	if !reached {
+		return false
+	}
+	kept, sure := w.Kept([]string{machine})
+	return sure && len(kept) == 0
+}
+
+func TestAZoneIsAnsweredThroughACut(t *testing.T) {
+	w := newZoneWorld(t)
+	if w.Answer("n-1", "a") {
+		t.Error("answers before the right is recorded")
+	}
+	w.renew(t.Context())
+	if !w.Answer("n-1", "a") || w.Answer("n-2", "b") {
+		t.Error("answers another zone's machines, or not its own")
+	}
+	w.state.Refuse(true) // a cut
+	begun := w.clock.Now()
+	for w.Answer("n-1", "a") {
+		w.pass(time.Second)
+		w.renew(t.Context())
+		if alone := w.clock.Since(begun) > 2*tuning.ZoneRenew; w.Alone() != alone {
+			t.Fatalf("alone %v after %v", w.Alone(), w.clock.Since(begun))
+		}
+	}
+	if d := w.clock.Since(begun); d != tuning.ZoneRight {
+		t.Errorf("answers for %v", d)
+	}
+	w.state.Refuse(false)
+	if w.renew(t.Context()); !w.Answer("n-1", "a") || w.Alone() {
+		t.Error("does not answer after the cut")
+	}
+}
+
+// Guards against a member that was started anew and says that it answered nobody: its
+// former life may have, a moment before.
+func TestARestartedMemberGivesNoWordForALease(t *testing.T) {
+	w := newZoneWorld(t)
+	w.renew(t.Context())
+	w.pass(time.Minute)
+	w.Answer("n-1", "a")
+	w.restart()
+	if w.concludes("n-1", true) {
+		t.Error("concluded on the word of one that cannot know")
+	}
+	w.pass(zoneLease + time.Second)
+	if !w.concludes("n-1", true) {
+		t.Error("not concluded though the former life's answers are over")
+	}
+}
+
+// Workers' leases too long for the state service's leave no right.
+func TestNoRightBesideVeryLongLeases(t *testing.T) {
+	w := newZoneWorld(t)
+	w.Zone = NewZone(&config.Settings{
+		Member: "m1", Zone: "a", Cluster: config.Cluster{Workers: config.Workers{LeaseS: tuning.MaxTTL.Seconds()}},
+	}, w.store, w.clock, w.log)
+	w.Run(t.Context()) // which ends at once
+	if w.Answer("n-1", "a") {
+		t.Error("answers without a right")
+	}
+}
+
+// Whatever comes together (cuts and outages of any length, restarts, members that the leader
+// cannot ask), no leader concludes that a machine's tasks are gone within a lease
+// after an answer to it.
+func TestNoConclusionWithinALeaseOfAnAnswer(t *testing.T) {
+	for seed := range uint64(30) {
+		r := rand.New(rand.NewPCG(seed, 21))
+		w := newZoneWorld(t)
+		var last time.Time // when the machine was last answered
+		refused, cut, concluded, answered := false, false, 0, 0 // cut: from the member alone
+		for range 800 {
+			switch n := r.IntN(100); {
+			case n < 1:
+				refused = !refused
+				w.state.Refuse(refused)
+			case n < 2:
+				cut = !cut
+			case n < 3:
+				w.restart()
+			case n < 23:
+				if !cut {
+					w.renew(t.Context())
+				}
+			case n < 80:
+				if last.IsZero() || w.clock.Since(last) < zoneLease {
+					if w.Answer("n-1", "a") {
+						last = w.clock.Now()
+						answered++
+					}
+				}
+			case !refused:
+				// The leader has not answered it for a lease.
+				if w.concludes("n-1", !cut && r.IntN(3) > 0) {
+					concluded++
+					if !last.IsZero() && w.clock.Since(last) < zoneLease {
+						t.Fatalf("seed %d: concluded %v after an answer", seed, w.clock.Since(last))
+					}
+					last = time.Time{} // its next session
+				}
+			}
+			w.pass(time.Duration(r.IntN(4000)) * time.Millisecond)
+		}
+		if concluded == 0 || answered == 0 {
+			t.Errorf("seed %d: %d conclusions, %d answers", seed, concluded, answered)
+		}
+	}
+}
--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -37,7 +37,8 @@
 		}
 	}
 	kept := !slices.ContainsFunc(expected, func(it *placement.Item) bool { return it.Waiting > 0 })
-	if len(short) == 0 && kept {
+	// In a cut the rest of the fleet stands in for the zone that is out of reach.
+	if len(short) == 0 && kept && len(l.cutZones(now)) == 0 {
 		l.drainSurplus(used, now)
 	}
 	l.move(l.draining(), now)
--- a/internal/leader/env.go
+++ b/internal/leader/env.go
@@ -41,6 +41,9 @@
 	Joins []func(log *slog.Logger) (Slice, error)
 	// Valid tells whether this member has the right to act in a term now.
 	Valid func(term uint64) bool
+	// Kept asks a member, this one or another, which of some machines it may have answered by
+	// its zone's right within a lease; sure is false when it cannot tell, or gives no answer.
+	Kept func(ctx context.Context, member string, names []string) (kept []string, sure bool)
 	// Types gives the machine types; nil while none are known.
 	Types func() []wire.MachineType
 }
--- /dev/null
+++ b/internal/leader/expire.go
@@ -0,0 +1,126 @@
+package leader
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"poppypass/internal/keeper"
+	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
+)
+
+// expire ends the sessions of machines that nobody has answered for a lease:
+// not this leader, nor a follower in its stead, which the state service and the members
+// that may answer their zones tell.
+func (l *Loop) expire(now time.Time) {
+	if l.asking || now.Before(l.nextAsk) {
+		return
+	}
+	l.nextAsk = now.Add(tuning.Tick)
+	due := l.roster.Due(now)
+	if len(due) == 0 {
+		return
+	}
+	byZone := map[string][]string{}
+	for _, name := range due {
+		zone := l.roster.Machines[name].Zone
+		byZone[zone] = append(byZone[zone], name)
+	}
+	l.asking = true
+	go func() {
+		kept, err := l.keptMachines(l.ended, byZone)
+		l.post(func() {
+			done := l.env.Clock.Now()
+			l.asking, l.nextAsk = false, done.Add(tuning.KeptEvery)
+			if err != nil {
+				l.log.Debug("kept machines unreadable", "err", err)
+				return
+			}
+			l.settle(l.roster.Expire(now, kept), done)
+		})
+	}()
+}
+
+// keptMachines finds which machines, by zone, others may have answered within a lease
+// before now: those that a record names, and those of which a member with the right for
+// their zone does not say that it did not.
+func (l *Loop) keptMachines(ctx context.Context, byZone map[string][]string) (map[string]bool, error) {
+	kept, rights, err := keeper.Read(ctx, l.store)
+	if err != nil {
+		return nil, err
+	}
+	asked := map[keeper.ZoneRight]bool{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, r := range rights {
+		names := byZone[r.Zone]
+		if len(names) == 0 || asked[r] {
+			continue
+		}
+		asked[r] = true
+		wg.Go(func() {
+			may := l.mayKeep(ctx, r.Member, names)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, n := range may {
+				kept[n] = true
+			}
+		})
+	}
+	wg.Wait()
+	return kept, nil
+}
+
+// mayKeep gives those of some machines of which a member does not say that it did not
+// answer them: all, if it says nothing.
+func (l *Loop) mayKeep(ctx context.Context, member string, names []string) []string {
+	ctx, stop := context.WithTimeout(ctx, tuning.RelayTimeout)
+	defer stop()
+	kept, sure := l.env.Kept(ctx, member, names)
+	if !sure {
+		return names
+	}
+	return kept
+}
+
+// silent tells whether a machine, nil if it is not known, has not reported for a while.
+func (l *Loop) silent(m *roster.Machine, now time.Time) bool {
+	return m == nil || now.Sub(m.Heard) > l.silence()
+}
+
+// silence is for how long a machine that can be reached is silent at the most.
+func (l *Loop) silence() time.Duration {
+	return seconds(tuning.SilentReports * l.env.Settings.Cluster.Workers.ReportS)
+}
+
+// cutZones are the zones most of whose machines fell silent together: they are cut off
+// from us, and what is rented there is of no use for now.
+func (l *Loop) cutZones(now time.Time) map[string]bool {
+	type count struct{ silent, all int }
+	zones := map[string]*count{}
+	for _, m := range l.roster.Machines {
+		if m.Session == 0 {
+			continue // it never reported, nor had it a task
+		}
+		c := zones[m.Zone]
+		if c == nil {
+			c = &count{}
+			zones[m.Zone] = c
+		}
+		c.all++
+		// One that a new leader has not heard yet may only be on its way to it.
+		if l.silent(m, now) && now.Sub(l.begun) > l.silence() {
+			c.silent++
+		}
+	}
+	maps.DeleteFunc(zones, func(_ string, c *count) bool {
+		return c.silent < tuning.SilentMany || float64(c.silent) < tuning.CutShare*float64(c.all)
+	})
+	out := map[string]bool{}
+	for z := range zones {
+		out[z] = true
+	}
+	return out
+}
--- /dev/null
+++ b/internal/leader/expire_test.go
@@ -0,0 +1,194 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/standin"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// twoZones is a leader with n machines in each of two zones, each with a task of a
+// spread service, and a state service with rights of members for the zones.
+func twoZones(t *testing.T, n int, rights ...string) (*Loop, func(d time.Duration)) {
+	l, clock := leaderWith(t)
+	clear(l.roster.Machines)
+	state := standin.NewState(clock)
+	t.Cleanup(state.Close)
+	l.store = statestore.New(state.Addr(), 1e6, 1e6)
+	ctx, end := context.WithCancel(t.Context())
+	t.Cleanup(end)
+	l.ended, l.end = ctx, func(error) { end() }
+	for i, r := range rights {
+		if _, err := l.store.Commit(ctx, wire.Txn{Then: []wire.Change{{Put: fmt.Sprintf("keep/m/%d", i), Value: []byte(r)}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	j := l.waits(t, wire.Job{ID: "job-1", Team: "t", Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 2 * n, CPUs: 1, MemoryGB: 1, Spread: true})
+	for i := range 2 * n {
+		rep := wire.Report{Machine: fmt.Sprintf("n-%d", i), Address: "127.0.0.1:1", Type: "small", Zone: []string{"a", "b"}[i/n], Session: 1, Seq: 1, Token: 1}
+		if _, err := l.roster.Report(&rep, false, clock.Now(), nil); err != nil {
+			t.Fatal(err)
+		}
+		p := l.book.Place(j, i, rep.Machine, rep.Zone, 1, clock.Now())
+		p.Committed, p.State, p.Running = true, wire.TaskRunning, clock.Now()
+		l.roster.Add(p, clock.Now())
+	}
+	return l, func(d time.Duration) { clock.Advance(d) }
+}
+
+// settled has the loop find out what it can conclude now.
+func (l *Loop) settled() {
+	l.nextAsk = time.Time{}
+	for l.expire(l.env.Clock.Now()); l.asking; {
+		(<-l.inbox)()
+	}
+}
+
+// Guards against tasks of a zone that is cut off which are started elsewhere while
+// the member there keeps their workers' leases; and against machines that stay
+// occupied for ever because some member may have answered them.
+func TestTasksOfACutZoneAreKeptUntilItsMembersSayOtherwise(t *testing.T) {
+	const inA, inB = `{"zone":"a","member":"ma"}`, `{"zone":"b","member":"mb"}`
+	for _, c := range []struct {
+		name   string
+		rights []string
+		says   map[string][]string // by member: what it kept; one that is not there is out of reach
+		kept   string              // machines whose tasks live on: n-0 and n-1 are in a, n-2 and n-3 in b
+	}{
+		{"no right stands", nil, nil, "[]"},
+		{"both zones are out of reach", []string{inA, inB}, nil, "[n-0 n-1 n-2 n-3]"},
+		{"one zone is out of reach", []string{inA, inB}, map[string][]string{"ma": nil}, "[n-2 n-3]"},
+		{"all members deny", []string{inA, inB}, map[string][]string{"ma": nil, "mb": nil}, "[]"},
+		{"one machine was answered", []string{inA, inB}, map[string][]string{"ma": {"n-1"}, "mb": nil}, "[n-1]"},
+		{"of two members of a zone one is out of reach", []string{inB, `{"zone":"b","member":"mc"}`}, map[string][]string{"mb": nil}, "[n-2 n-3]"},
+		{"a record names a machine", []string{inA, `{"machines":["n-3"]}`}, map[string][]string{"ma": nil}, "[n-3]"},
+	} {
+		l, pass := twoZones(t, 2, c.rights...)
+		l.env.Kept = func(_ context.Context, member string, names []string) ([]string, bool) {
+			kept, ok := c.says[member]
+			return kept, ok
+		}
+		pass(l.workerLease() + time.Second)
+		l.settled()
+		got := []string{}
+		for i := range 4 {
+			if name := fmt.Sprintf("n-%d", i); len(l.roster.Machines[name].Places) > 0 {
+				got = append(got, name)
+			}
+		}
+		if fmt.Sprint(got) != c.kept {
+			t.Errorf("%s: tasks live on on %v, want %s", c.name, got, c.kept)
+		}
+	}
+}
+
+// Guards against machines rented in a zone that is cut off, and counted as coming while
+// the work waits.
+func TestNothingIsRentedInAZoneThatIsCutOff(t *testing.T) {
+	l, pass := twoZones(t, 10)
+	now := l.env.Clock.Now()
+	l.roster.Know("n-boots", "small", "b", false, now, now)
+	if cut := l.cutZones(now); len(cut) != 0 {
+		t.Errorf("cut off: %v", cut)
+	}
+	pass(l.silence() + time.Second)
+	now = l.env.Clock.Now()
+	for i := range 10 { // zone a, and one of b, go on reporting
+		l.roster.Machines[fmt.Sprintf("n-%d", i)].Heard = now
+	}
+	l.roster.Machines["n-10"].Heard = now
+	cut := l.cutZones(now)
+	if len(cut) != 1 || !cut["b"] {
+		t.Fatalf("cut off: %v", cut)
+	}
+	for _, v := range l.comingMachines(cut, now) {
+		if v.Zone == "b" {
+			t.Error("what boots there counts as coming")
+		}
+	}
+	l.waits(t, wire.Job{ID: "job-2", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityHigh, Tasks: 40, CPUs: 4, MemoryGB: 1})
+	l.rent(now)
+	zones := map[string]int{}
+	for _, w := range l.fleet.asked {
+		zones[w.Zone] += w.Count
+	}
+	if zones["a"] == 0 || zones["b"] != 0 {
+		t.Errorf("rents %v", zones)
+	}
+	l.begun = now // a new leader has heard nobody yet
+	if cut := l.cutZones(now); len(cut) != 0 {
+		t.Errorf("a new leader finds %v cut off", cut)
+	}
+}
+
+// A cancellation is told once the tasks are gone. While one is out of reach the user is
+// told at once to come back.
+func TestACancellationWaitsForTasksOutOfReach(t *testing.T) {
+	l, pass := twoZones(t, 1)
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(worker.Close)
+	l.env.Workers = worker.Client()
+	l.loaded = true
+	pass(l.silence() + time.Second)
+	now := l.env.Clock.Now()
+	l.roster.Machines["n-0"].Heard = now // n-1 is silent
+	cancel := func() (wire.JobState, error) {
+		type result struct {
+			state wire.JobState
+			err   error
+		}
+		out := make(chan result, 1)
+		go func() { s, _, err := l.Cancel(t.Context(), "job-1"); out <- result{s, err} }()
+		for {
+			select {
+			case fn := <-l.inbox:
+				fn()
+			case r := <-out:
+				return r.state, r.err
+			}
+		}
+	}
+	if _, err := cancel(); err != errOutOfReach {
+		t.Fatalf("told %v while a task may run", err)
+	}
+	j := l.book.Jobs["job-1"]
+	if j.Open() || j.Tasks[0].Place.Stop == nil || j.Tasks[1].Place.Stop == nil {
+		t.Error("its tasks are not to stop")
+	}
+	rep := wire.Report{Machine: "n-0", Address: "127.0.0.1:1", Type: "small", Zone: "a", Session: 1, Seq: 2, Token: 1,
+		Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}}}
+	stops, err := l.take(&rep, false)
+	if err != nil || len(stops) != 1 || stops[0].Op != wire.OpStop {
+		t.Fatalf("commands %v, %v", stops, err)
+	}
+	rep.Seq, rep.Tasks[0].State, rep.Tasks[0].Why = 3, wire.TaskExited, wire.WhyStopped
+	if _, err := l.take(&rep, false); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := cancel(); err != errOutOfReach {
+		t.Fatalf("told %v while the other may run", err)
+	}
+	pass(tuning.SilentRelease + l.workerLease())
+	l.settled()
+	if j.Placed != 0 {
+		t.Fatal("the other is not found gone")
+	}
+	w := l.book.Take(l.env.Clock.Now(), 100)
+	if w == nil || w.Txn.Then[0].Put != jobs.KeyEnd("job-1") {
+		t.Fatalf("stored: %+v", w)
+	}
+	l.book.Written(w, 9)
+	if l.book.Jobs["job-1"] != nil {
+		t.Error("the job is not over")
+	}
+}
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -134,11 +134,12 @@
 	if len(l.fleet.asked) >= tuning.RentAtOnce {
 		return
 	}
+	cut := l.cutZones(now)
 	in := fleet.Input{
 		Now: now, Teams: l.teams(), Types: l.env.Types(),
-		Refused: func(o fleet.Option) bool { return now.Before(l.fleet.refused[o]) },
+		Refused: func(o fleet.Option) bool { return cut[o.Zone] || now.Before(l.fleet.refused[o]) },
 		Room:    l.env.Knobs.MaxMachines - len(l.roster.Machines), Count: map[fleet.Option]int{},
-		Booting: l.comingMachines(now),
+		Booting: l.comingMachines(cut, now),
 	}
 	items, _ := l.items(now)
 	for _, it := range items {
@@ -182,11 +183,12 @@
 	}
 }
 
-// comingMachines are those that boot in good time and those asked for.
-func (l *Loop) comingMachines(now time.Time) []*placement.Machine {
+// comingMachines are those that boot in good time and those asked for, but for zones that
+// are cut off: nobody hears when they are up.
+func (l *Loop) comingMachines(cut map[string]bool, now time.Time) []*placement.Machine {
 	var out []*placement.Machine
 	for _, m := range l.roster.Machines {
-		if m.Heard.IsZero() && !m.Returning && m.Session == 0 && now.Sub(m.Rented) < l.bootTime(m.Type, tuning.BootFactor) {
+		if m.Heard.IsZero() && !cut[m.Zone] && !m.Returning && m.Session == 0 && now.Sub(m.Rented) < l.bootTime(m.Type, tuning.BootFactor) {
 			if v, ok := l.view(m); ok {
 				out = append(out, v)
 			}
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"poppypass/internal/jobs"
-	"poppypass/internal/keeper"
 	"poppypass/internal/leadership"
 	"poppypass/internal/roster"
 	"poppypass/internal/statestore"
@@ -137,7 +137,14 @@
 	ch := make(chan T, 1)
 	var zero T
 	select {
-	case l.inbox <- func() { fn(func(v T) { ch <- v }) }:
+	case l.inbox <- func() {
+		fn(func(v T) {
+			select {
+			case ch <- v:
+			default: // it had its answer
+			}
+		})
+	}:
 	case <-ctx.Done():
 		return zero, ctx.Err()
 	case <-l.ended.Done():
@@ -184,31 +191,6 @@
 	return now.Add(tuning.RestFactor * now.Sub(begun))
 }
 
-// expire ends the sessions of machines that nobody has answered for a lease:
-// not this leader, nor a follower in its stead, which the state service tells.
-func (l *Loop) expire(now time.Time) {
-	if l.asking || now.Before(l.nextAsk) {
-		return
-	}
-	l.nextAsk = now.Add(tuning.Tick)
-	if len(l.roster.Due(now)) == 0 {
-		return
-	}
-	l.asking = true
-	go func() {
-		kept, err := keeper.Read(l.ended, l.store)
-		l.post(func() {
-			done := l.env.Clock.Now()
-			l.asking, l.nextAsk = false, done.Add(tuning.KeptEvery)
-			if err != nil {
-				l.log.Debug("kept machines unreadable", "err", err)
-				return
-			}
-			l.settle(l.roster.Expire(now, kept), done)
-		})
-	}()
-}
-
 // Status answers a user from memory; ok is false when the job is not known
 // here or the right to act ended meanwhile.
 func (l *Loop) Status(ctx context.Context, id string) (wire.JobStatus, bool) {
@@ -226,12 +208,19 @@
 	return r.s, err == nil && r.ok && l.env.Valid(l.tenure.Term)
 }
 
+// errOutOfReach tells that a task of a cancelled job is where nobody reaches it now.
+var errOutOfReach = errors.New("a task runs out of reach")
+
 // Cancel cancels a job and gives its final state once that is stored; known
-// is false when the job is not known here.
+// is false when the job is not known here. Nothing more of it is started, its tasks are
+// stopped, and the cancellation is stored once all are proven gone: a task in a zone that is
+// cut off may live on for longer than a user who was told may wait for its end. While one
+// is out of reach the answer is errOutOfReach; its end is then asked for again.
 func (l *Loop) Cancel(ctx context.Context, id string) (state wire.JobState, known bool, err error) {
 	type result struct {
 		state wire.JobState
 		known bool
+		err   error
 	}
 	ctx, stop := context.WithTimeout(ctx, tuning.CancelWait)
 	defer stop()
@@ -241,7 +230,15 @@
 			answer(result{})
 			return
 		}
-		l.book.Cancel(j, func(s wire.JobState) { answer(result{s, true}) })
+		l.book.Cancel(j, func(s wire.JobState) { answer(result{state: s, known: true}) })
+		places := l.stopAll(j)
+		l.direct(places)
+		if now := l.env.Clock.Now(); slices.ContainsFunc(places, func(p *jobs.Place) bool { return l.silent(l.roster.Machines[p.Machine], now) }) {
+			answer(result{known: true, err: errOutOfReach})
+		}
 	})
+	if err == nil {
+		err = r.err
+	}
 	return r.state, r.known, err
 }
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -171,11 +171,10 @@
 
 // openMachines are the machines that may get tasks now.
 func (l *Loop) openMachines(now time.Time) []*placement.Machine {
-	silent := time.Duration(tuning.SilentReports * l.env.Settings.Cluster.Workers.ReportS * float64(time.Second))
 	var out []*placement.Machine
 	for _, m := range l.roster.Machines {
 		if !m.Alive() || m.Returning || m.Draining || m.Bad || m.HasStrays() || !m.Notice.IsZero() ||
-			now.Sub(m.Heard) > silent || now.Before(m.NoRoom) {
+			l.silent(m, now) || now.Before(m.NoRoom) {
 			continue
 		}
 		if v, ok := l.view(m); ok {
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -234,9 +234,6 @@
 			s.Over(o, l.env.Clock.Now())
 		}
 		l.log.Debug("job over", "job", o.Job.ID, "state", o.State)
-		if o.State == wire.StateCancelled {
-			start = append(start, l.stopAll(o.Job)...)
-		}
 		l.changed = true
 	}
 	l.direct(start)
--- a/internal/mesh/fb/Request.go
+++ b/internal/mesh/fb/Request.go
@@ -111,8 +111,25 @@
 	return rcv._tab.MutateUint64Slot(12, n)
 }
 
+func (rcv *Request) Names(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *Request) NamesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func RequestStart(builder *flatbuffers.Builder) {
-	builder.StartObject(5)
+	builder.StartObject(6)
 }
 func RequestAddSeq(builder *flatbuffers.Builder, seq uint64) {
 	builder.PrependUint64Slot(0, seq, 0)
@@ -132,6 +149,12 @@
 func RequestAddNumber(builder *flatbuffers.Builder, number uint64) {
 	builder.PrependUint64Slot(4, number, 0)
 }
+func RequestAddNames(builder *flatbuffers.Builder, names flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(names), 0)
+}
+func RequestStartNamesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func RequestEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/mesh/fb/Response.go
+++ b/internal/mesh/fb/Response.go
@@ -143,8 +143,25 @@
 	return rcv._tab.MutateUint64Slot(18, n)
 }
 
+func (rcv *Response) Names(j int) []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.ByteVector(a + flatbuffers.UOffsetT(j*4))
+	}
+	return nil
+}
+
+func (rcv *Response) NamesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(20))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func ResponseStart(builder *flatbuffers.Builder) {
-	builder.StartObject(8)
+	builder.StartObject(9)
 }
 func ResponseAddSeq(builder *flatbuffers.Builder, seq uint64) {
 	builder.PrependUint64Slot(0, seq, 0)
@@ -173,6 +190,12 @@
 func ResponseAddTerm(builder *flatbuffers.Builder, term uint64) {
 	builder.PrependUint64Slot(7, term, 0)
 }
+func ResponseAddNames(builder *flatbuffers.Builder, names flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(8, flatbuffers.UOffsetT(names), 0)
+}
+func ResponseStartNamesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func ResponseEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/mesh/fb/Verb.go
+++ b/internal/mesh/fb/Verb.go
@@ -17,6 +17,7 @@
 	VerbVouch      Verb = 7
 	VerbYield      Verb = 8
 	VerbShow       Verb = 9
+	VerbKept       Verb = 10
 )
 
 var EnumNamesVerb = map[Verb]string{
@@ -30,6 +31,7 @@
 	VerbVouch:      "Vouch",
 	VerbYield:      "Yield",
 	VerbShow:       "Show",
+	VerbKept:       "Kept",
 }
 
 var EnumValuesVerb = map[string]Verb{
@@ -43,6 +45,7 @@
 	"Vouch":      VerbVouch,
 	"Yield":      VerbYield,
 	"Show":       VerbShow,
+	"Kept":       VerbKept,
 }
 
 func (v Verb) String() string {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,7 @@
 	Vouch      = Verb(fb.VerbVouch)      // that no leader of a term, or an earlier one, can count on it any more
 	Yield      = Verb(fb.VerbYield)      // to end the lease of a leader that gave up its right
 	Show       = Verb(fb.VerbShow)       // what a subsystem of the leader knows, by a path
+	Kept       = Verb(fb.VerbKept)       // which of some machines a member may have kept by its zone's right
 	Ping       = Verb(fb.VerbPing)       // whether a member can be reached, and who leads by its knowledge
 )
 
@@ -48,8 +50,9 @@
 type Request struct {
 	Verb    Verb
 	Job     string
-	Payload []byte // what a worker or user sent, relayed as it came
-	Number  uint64 // the term that a promise or voucher is about, or the lease to end
+	Payload []byte   // what a worker or user sent, relayed as it came
+	Number  uint64   // the term that a promise or voucher is about, or the lease to end
+	Names   []string // the machines that are asked about
 }
 
 // Response is its answer; Status is an HTTP status.
@@ -59,6 +62,7 @@
 	Payload []byte // the body for the one who asked
 	Leader  string // answers a ping: who leads, and in which term
 	Term    uint64
+	Names   []string // those of the machines asked about that the member may have kept
 }
 
 // Handler answers a request.
@@ -89,12 +93,14 @@
 	b := flatbuffers.NewBuilder(128 + len(r.Payload))
 	job := b.CreateString(r.Job)
 	payload := b.CreateByteVector(r.Payload)
+	names := stringVector(b, r.Names, fb.RequestStartNamesVector)
 	fb.RequestStart(b)
 	fb.RequestAddSeq(b, seq)
 	fb.RequestAddVerb(b, fb.Verb(r.Verb))
 	fb.RequestAddJob(b, job)
 	fb.RequestAddPayload(b, payload)
 	fb.RequestAddNumber(b, r.Number)
+	fb.RequestAddNames(b, names)
 	b.Finish(fb.RequestEnd(b))
 	return frame(b)
 }
@@ -104,6 +110,7 @@
 	payload := b.CreateByteVector(r.Payload)
 	state := b.CreateString(string(r.Job.State))
 	leader := b.CreateString(r.Leader)
+	names := stringVector(b, r.Names, fb.ResponseStartNamesVector)
 	fb.ResponseStart(b)
 	fb.ResponseAddSeq(b, seq)
 	fb.ResponseAddStatus(b, uint16(r.Status))
@@ -113,10 +120,36 @@
 	fb.ResponseAddPayload(b, payload)
 	fb.ResponseAddLeader(b, leader)
 	fb.ResponseAddTerm(b, r.Term)
+	fb.ResponseAddNames(b, names)
 	b.Finish(fb.ResponseEnd(b))
 	return frame(b)
 }
 
+// stringVector writes names; 0, which is no vector, if there are none.
+func stringVector(b *flatbuffers.Builder, names []string, start func(*flatbuffers.Builder, int) flatbuffers.UOffsetT) flatbuffers.UOffsetT {
+	if len(names) == 0 {
+		return 0
+	}
+	at := make([]flatbuffers.UOffsetT, len(names))
+	for i, n := range names {
+		at[i] = b.CreateString(n)
+	}
+	start(b, len(at))
+	for _, o := range slices.Backward(at) {
+		b.PrependUOffsetT(o)
+	}
+	return b.EndVector(len(at))
+}
+
+// namesOf reads names.
+func namesOf(n int, name func(int) []byte) []string {
+	var out []string
+	for i := range n {
+		out = append(out, string(name(i)))
+	}
+	return out
+}
+
 // guard turns a panic of the FlatBuffers accessors, which do not verify what
 // they read, into an error: a peer's malformed bytes must not end a controller.
 func guard(fn func()) (err error) {
@@ -132,7 +165,7 @@
 func decodeRequest(buf []byte) (seq uint64, r Request, err error) {
 	err = guard(func() {
 		m := fb.GetRootAsRequest(buf, 0)
-		seq, r = m.Seq(), Request{Verb: Verb(m.Verb()), Job: string(m.Job()), Payload: m.PayloadBytes(), Number: m.Number()}
+		seq, r = m.Seq(), Request{Verb: Verb(m.Verb()), Job: string(m.Job()), Payload: m.PayloadBytes(), Number: m.Number(), Names: namesOf(m.NamesLength(), m.Names)}
 	})
 	return seq, r, err
 }
@@ -143,7 +176,7 @@
 		seq = m.Seq()
 		r = Response{Status: int(m.Status()), Job: wire.JobStatus{
 			State: wire.JobState(m.State()), Done: int(m.Done()), Running: int(m.Running()),
-		}, Payload: m.PayloadBytes(), Leader: string(m.Leader()), Term: m.Term()}
+		}, Payload: m.PayloadBytes(), Leader: string(m.Leader()), Term: m.Term(), Names: namesOf(m.NamesLength(), m.Names)}
 	})
 	return seq, r, err
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -163,6 +163,19 @@
 	return len(p.endpoint) == 0 || p.anyOf(ctx, mesh.Request{Verb: mesh.Vouch, Number: term})
 }
 
+// Kept asks a member which of some machines it may have answered by its zone's right
+// within a worker's lease; sure is false when it cannot tell or does not answer.
+func (p *Peers) Kept(ctx context.Context, name string, names []string) (kept []string, sure bool) {
+	for part := range slices.Chunk(names, tuning.KeptNames) {
+		r, err := p.Call(ctx, name, mesh.Request{Verb: mesh.Kept, Names: part})
+		if err != nil || r.Status != http.StatusOK {
+			return nil, false
+		}
+		kept = append(kept, r.Names...)
+	}
+	return kept, true
+}
+
 // Yield has the other members end the lease of this one, which gave up its right.
 func (p *Peers) Yield(ctx context.Context, lease uint64) {
 	p.anyOf(ctx, mesh.Request{Verb: mesh.Yield, Number: lease})
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -233,6 +233,16 @@
 	// miss a starved process.
 	ReachEvery  = 1 * time.Second
 	ReachMissed = 2
+	// ZoneRight is how long a member that reaches neither the leader nor the state service
+	// goes on answering the workers of its own zone: cuts of a zone last about a minute. If the
+	// member ends with its zone, machines that the cloud does not list as failed count for as long.
+	ZoneRight = 120 * time.Second
+	// ZoneRenew is how often that right is renewed: a cut finds it at most so much shorter.
+	ZoneRenew = 5 * time.Second
+	// MaxTTL is the longest lease that the state service grants.
+	MaxTTL = 600 * time.Second
+	// KeptNames is how many machines one question about them names: it must fit MeshFrame.
+	KeptNames = 400
 	// WorkerTry is how long a worker takes for a controller that does not answer:
 	// 4 s for the answer, 1 s until the next.
 	WorkerTry = 5 * time.Second
@@ -360,6 +370,9 @@
 	SilentReleaseMany = 90 * time.Second
 	SilentMany        = 3
 	SilentManyShare   = 0.05
+	// CutShare is the share of a zone's machines that must have fallen silent together for
+	// the zone to count as cut off: fewer are machines' own troubles.
+	CutShare = 0.6
 	// ForgetReleased is how long the name of a returned machine is remembered, against late messages.
 	ForgetReleased = 15 * time.Minute
 	// UnlistedLists is how many lists in a row must lack a silent machine before it counts as taken.
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -26,6 +26,13 @@
 	Keep(ctx context.Context, machine string) bool
 }
 
+// ZoneKeeper gives it without the state service, for machines of the own zone.
+type ZoneKeeper interface {
+	Answer(machine, zone string) bool
+	// Alone tells that the state service does not answer us either.
+	Alone() bool
+}
+
 // Door answers workers. It is safe for concurrent use.
 type Door struct {
 	member    string
@@ -33,14 +40,15 @@
 	elector   *leadership.Elector
 	peers     *peers.Peers
 	keeper    Keeper
+	zone      ZoneKeeper
 	leader    func() *leader.Loop
 	redirects redirects
 }
 
 // New makes the door of a member. current gives the leader's loop while this
 // member has the right to act, nil otherwise.
-func New(member string, clock clockwork.Clock, e *leadership.Elector, p *peers.Peers, k Keeper, current func() *leader.Loop) *Door {
-	return &Door{member: member, clock: clock, elector: e, peers: p, keeper: k, leader: current, redirects: newRedirects()}
+func New(member string, clock clockwork.Clock, e *leadership.Elector, p *peers.Peers, k Keeper, z ZoneKeeper, current func() *leader.Loop) *Door {
+	return &Door{member: member, clock: clock, elector: e, peers: p, keeper: k, zone: z, leader: current, redirects: newRedirects()}
 }
 
 // ServeReport takes a worker's report. A leader within its right answers it.
@@ -127,7 +135,9 @@
 	// A cut between us and the leader is probably one between those two, too.
 	// With five controllers, two of which can be reached, a worker that was
 	// sent on took 30 s to come back, and its lease of 18 s was over.
-	if (!cut || d.peers.MayProbe()) && d.redirects.probe(rep.Machine, d.clock.Now()) {
+	// If the state service does not answer us either, it is we who are cut off, and our
+	// zone's workers with us.
+	if (!cut || d.peers.MayProbe() && !d.zone.Alone()) && d.redirects.probe(rep.Machine, d.clock.Now()) {
 		return a, false
 	}
 	return d.keep(ctx, rep)
@@ -143,7 +153,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.KeepWait)
 	defer cancel()
-	if !d.keeper.Keep(ctx, rep.Machine) {
+	if !d.zone.Answer(rep.Machine, rep.Zone) && !d.keeper.Keep(ctx, rep.Machine) {
 		return a, false
 	}
 	return wire.ReportAnswer{Token: rep.Token, Commands: []wire.Command{}}, true
