--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -129,20 +129,32 @@
 	return int(min(share, 1) * tuning.FillSteps)
 }
 
+// response is how long an array has waited for each CPU second of the work that it waits for:
+// who waits long for little goes first (highest response ratio next), so that a backlog
+// makes few jobs late rather than all. It is endless for others: a replica's absence is an outage.
+func response(it *Item, now time.Time) float64 {
+	work := it.Job.CPUs * float64(it.Waiting) * it.Job.EstimateS
+	if it.Job.Kind != wire.KindArray || work <= 0 {
+		return math.Inf(1)
+	}
+	return now.Sub(it.Since).Seconds() / work
+}
+
 // Sort puts items in the order in which they are placed: by priority, then
-// those that had least of their fill, then by the time waited, then by name so
-// that the order is always the same.
+// those that had least of their fill, then by the time waited for the work, then by the time
+// waited, then by name so that the order is always the same.
 func Sort(items []*Item, teams map[string]*Team, now time.Time) {
 	type key struct {
 		*Item
 		level, full int
+		response    float64
 	}
 	keys := make([]key, len(items))
 	for i, it := range items {
-		keys[i] = key{it, Level(it, teams, now), had(it, teams)}
+		keys[i] = key{it, Level(it, teams, now), had(it, teams), response(it, now)}
 	}
 	slices.SortStableFunc(keys, func(a, b key) int {
-		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.full, b.full), a.Since.Compare(b.Since), cmp.Compare(a.Job.ID, b.Job.ID))
+		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.full, b.full), cmp.Compare(b.response, a.response), a.Since.Compare(b.Since), cmp.Compare(a.Job.ID, b.Job.ID))
 	})
 	for i, k := range keys {
 		items[i] = k.Item
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -109,6 +109,27 @@
 	}
 }
 
+// Guards against a backlog that makes every job late: of arrays that waited as long the
+// one with the least work goes first, until the others have waited long for theirs.
+func TestTheLongestWaitForItsWorkGoesFirst(t *testing.T) {
+	array := func(run float64) func(*wire.Job) {
+		return func(j *wire.Job) { j.Kind, j.EstimateS = wire.KindArray, run }
+	}
+	for _, c := range []struct {
+		items []*Item
+		want  string
+	}{
+		{[]*Item{item("a", wire.PriorityNormal, 9*time.Second, 3, 4, array(40)), item("b", wire.PriorityNormal, 8*time.Second, 1, 4, array(40))}, "b:m a:m"},
+		{[]*Item{item("a", wire.PriorityNormal, 30*time.Second, 3, 4, array(40)), item("b", wire.PriorityNormal, 8*time.Second, 1, 4, array(40))}, "a:m a:m"},
+		{[]*Item{item("a", wire.PriorityNormal, 9*time.Second, 2, 4, array(80)), item("b", wire.PriorityNormal, 8*time.Second, 2, 4, array(40))}, "b:m b:m"},
+		{[]*Item{item("a", wire.PriorityNormal, 9*time.Second, 2, 4, array(40)), item("b", wire.PriorityNormal, 0, 1, 4)}, "b:m a:m"},
+	} {
+		if got := run(c.items, []*Machine{machine("m", "a", false, 8)}, 100); got != c.want {
+			t.Errorf("%q, want %q", got, c.want)
+		}
+	}
+}
+
 func TestTheSoonestStartWins(t *testing.T) {
 	m, n := machine("m", "a", false, 16), machine("n", "a", false, 4)
 	m.FetchS = func(string, float64) float64 { return 7 }
