Nothing is placed on a machine that did not answer a command since its last report

Cause: machines that hang or died count as heard for two and a half reports, 12.5 s at fleet size, and got new tasks meanwhile. Change: one that did not answer a direct command is doubtful until it reports; no direct commands go to silent machines.

--- a/internal/leader/expire.go
+++ b/internal/leader/expire.go
@@ -90,6 +90,10 @@
 	return m == nil || now.Sub(m.Heard) > l.silence()
 }
 
+// doubtful tells whether a machine that still counts as heard did not answer a command since:
+// it may hang, or be cut off, or dead, and what is placed on it would wait for that to end.
+func doubtful(m *roster.Machine) bool { return m.Unanswered.After(m.Heard) }
+
 // silence is for how long a machine that can be reached is silent at the most.
 func (l *Loop) silence() time.Duration {
 	return seconds(tuning.SilentReports * l.env.Settings.Cluster.Workers.ReportS)
--- a/internal/leader/expire_test.go
+++ b/internal/leader/expire_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -192,3 +193,36 @@
 		t.Error("the job is not over")
 	}
 }
+
+// Guards against work that is placed on machines that hang or died a moment ago: they count
+// as heard for two and a half reports, and what is started there waits for as long as they hang.
+func TestNothingIsPlacedOnAMachineThatDidNotAnswer(t *testing.T) {
+	l, pass := twoZones(t, 1)
+	open := func() string {
+		var names []string
+		for _, v := range l.openMachines(l.env.Clock.Now()) {
+			names = append(names, v.Name)
+		}
+		slices.Sort(names)
+		return fmt.Sprint(names)
+	}
+	if got := open(); got != "[n-0 n-1]" {
+		t.Fatalf("open: %s", got)
+	}
+	pass(time.Second)
+	l.env.Valid = func(uint64) bool { return true }
+	l.send("n-0", "127.0.0.1:1", &wire.DirectCommands{Session: 1}) // nobody is there
+	for len(l.inbox) > 0 {
+		(<-l.inbox)()
+	}
+	if got := open(); got != "[n-1]" {
+		t.Errorf("open after a command without an answer: %s", got)
+	}
+	pass(time.Second)
+	if _, err := l.take(&wire.Report{Machine: "n-0", Type: "small", Zone: "a", Session: 1, Seq: 2, Token: 1}, false); err != nil {
+		t.Fatal(err)
+	}
+	if got := open(); got != "[n-0 n-1]" {
+		t.Errorf("open after its next report: %s", got)
+	}
+}
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -174,7 +174,7 @@
 	var out []*placement.Machine
 	for _, m := range l.roster.Machines {
 		if !m.Alive() || m.Returning || m.Draining || m.Bad || m.HasStrays() || !m.Notice.IsZero() ||
-			l.silent(m, now) || now.Before(m.NoRoom) {
+			l.silent(m, now) || doubtful(m) || now.Before(m.NoRoom) {
 			continue
 		}
 		if v, ok := l.view(m); ok {
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -31,8 +31,12 @@
 // wait for their next reports. The reports' answers repeat it.
 func (l *Loop) direct(places []*jobs.Place) {
 	byMachine := map[string][]*jobs.Place{}
+	now := l.env.Clock.Now()
 	for _, p := range places {
-		byMachine[p.Machine] = append(byMachine[p.Machine], p)
+		// One that is silent would keep a connection waiting.
+		if !l.silent(l.roster.Machines[p.Machine], now) {
+			byMachine[p.Machine] = append(byMachine[p.Machine], p)
+		}
 	}
 	for name, places := range byMachine {
 		addr, req := l.roster.Direct(name, places)
@@ -44,6 +48,7 @@
 }
 
 func (l *Loop) send(name, addr string, req *wire.DirectCommands) {
+	begun := l.env.Clock.Now()
 	ctx, cancel := context.WithTimeout(l.ended, tuning.CommandTimeout)
 	defer cancel()
 	if l.env.Sending != nil {
@@ -74,6 +79,11 @@
 		return
 	}
 	l.log.Debug("direct commands unanswered", "machine", name, "status", status, "err", err)
+	l.post(func() {
+		if m := l.roster.Machines[name]; m != nil && m.Unanswered.Before(begun) {
+			m.Unanswered = begun
+		}
+	})
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		// No connection, so nothing was sent that could arrive later.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -55,17 +55,18 @@
 	strays  map[Key]bool // reported tasks that no record places here
 	sent    map[Key]int  // starts sent by direct commands that had no answer (yet)
 
-	images    map[string]*imageUse // images that its tasks had it fetch
-	IdleSince time.Time
-	Added     time.Time // when we learned of it
-	Rented    time.Time // when it was rented, as far as known
-	Draining  bool      // it gets no more tasks while the others suffice, and is returned once empty
-	Returning bool      // it gets no more tasks and is being deleted
-	Bad       bool      // tasks of several jobs failed on it
-	NoRoom    time.Time // it refused a task for room; not asked before
-	Up        bool      // the cloud lists it as running
-	Unlisted  int       // lists in a row that lacked it, since it was last listed or heard
-	errorsOf  map[string]bool
+	images     map[string]*imageUse // images that its tasks had it fetch
+	IdleSince  time.Time
+	Added      time.Time // when we learned of it
+	Rented     time.Time // when it was rented, as far as known
+	Draining   bool      // it gets no more tasks while the others suffice, and is returned once empty
+	Returning  bool      // it gets no more tasks and is being deleted
+	Bad        bool      // tasks of several jobs failed on it
+	Unanswered time.Time // when a command to it was sent that had no answer
+	NoRoom     time.Time // it refused a task for room; not asked before
+	Up         bool      // the cloud lists it as running
+	Unlisted   int       // lists in a row that lacked it, since it was last listed or heard
+	errorsOf   map[string]bool
 }
 
 // Alive tells whether the machine's present session can run tasks.
