Memory, caches and watches at size; a table of cuts with scripted members and workers

Need: what a process has no memory for is to be refused, not ended by the kernel. Change: above 85 % of the machine's memory submissions get 503 and when to come back, also at members whose leader says so in its pings; final states are cached by memory; a watch whose answer is too long to read has the keys read again rather than being asked for ever.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -25,6 +25,7 @@
 	"poppypass/internal/leader"
 	"poppypass/internal/leadership"
 	"poppypass/internal/ledger"
+	"poppypass/internal/memory"
 	"poppypass/internal/mesh"
 	"poppypass/internal/metrics"
 	"poppypass/internal/peers"
@@ -82,8 +83,9 @@
 	c.env = &leader.Env{
 		Settings: s, Knobs: own.Knobs(), Clock: clock, Log: log, Store: c.store, Cloud: c.cloud,
 		Workers: httpjson.NewClient(2, 1, int(float64(fds)*tuning.IdleShare), tuning.CommandTimeout),
-		Sending: make(chan struct{}, max(tuning.SendLeast, int(float64(fds)*tuning.SendShare))), Teams: teams, Finals: jobs.NewFinals(tuning.FinalCache),
+		Sending: make(chan struct{}, max(tuning.SendLeast, int(float64(fds)*tuning.SendShare))), Teams: teams, Finals: jobs.NewFinals(max(tuning.FinalCache, int(s.Cluster.Limits.RAMMB*tuning.FinalsOfMB))),
 		Valid: c.elector.Valid, Kept: c.kept, Types: c.catalog.Types,
+		Full: memory.New(s.Cluster.Limits.RAMMB, clock).Full,
 	}
 	if err := c.join(); err != nil {
 		return nil, err
--- a/internal/controller/serve_peers.go
+++ b/internal/controller/serve_peers.go
@@ -55,10 +55,14 @@
 	return r
 }
 
-// servePing answers a ping.
+// servePing answers a ping, and tells whether this member has no memory for more jobs.
 func (c *Controller) servePing() mesh.Response {
 	name, term := c.elector.Holder()
-	return mesh.Response{Status: http.StatusOK, Leader: name, Term: term}
+	status := http.StatusOK
+	if c.env.Full() {
+		status = http.StatusInsufficientStorage
+	}
+	return mesh.Response{Status: status, Leader: name, Term: term}
 }
 
 func yesOrNo(yes bool) mesh.Response {
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -18,6 +18,9 @@
 	"poppypass/internal/wire"
 )
 
+// ErrTooLarge tells that an answer was longer than tuning.MaxResponse.
+var ErrTooLarge = errors.New("the answer is too large")
+
 // NewClient makes a client that keeps a few connections open to each host, and at the most
 // allIdle that nothing is asked on; 0: any number.
 func NewClient(maxConns, idleConns, allIdle int, dial time.Duration) *http.Client {
@@ -61,7 +64,7 @@
 		return 0, fmt.Errorf("read answer: %w", err)
 	}
 	if len(raw) > tuning.MaxResponse {
-		return 0, errors.New("the answer is too large")
+		return 0, ErrTooLarge
 	}
 	if out := decode(resp.StatusCode); out != nil {
 		if err := json.Unmarshal(raw, out); err != nil {
--- a/internal/keeper/zone.go
+++ b/internal/keeper/zone.go
@@ -120,13 +120,13 @@
 		return
 	}
 	for ctx.Err() == nil {
-		z.renew(ctx)
+		z.Renew(ctx)
 		pause.For(ctx, z.clock, tuning.ZoneRenew)
 	}
 }
 
-// renew renews the record, or makes one where there is none.
-func (z *Zone) renew(ctx context.Context) {
+// Renew renews the record once, or makes one where there is none.
+func (z *Zone) Renew(ctx context.Context) {
 	z.mu.Lock()
 	pass := z.pass
 	z.mu.Unlock()
--- a/internal/keeper/zone_test.go
+++ b/internal/keeper/zone_test.go
@@ -67,7 +67,7 @@
 	if w.Answer("n-1", "a") {
 		t.Error("answers before the right is recorded")
 	}
-	w.renew(t.Context())
+	w.Renew(t.Context())
 	if !w.Answer("n-1", "a") || w.Answer("n-2", "b") {
 		t.Error("answers another zone's machines, or not its own")
 	}
@@ -75,7 +75,7 @@
 	begun := w.clock.Now()
 	for w.Answer("n-1", "a") {
 		w.pass(time.Second)
-		w.renew(t.Context())
+		w.Renew(t.Context())
 		if alone := w.clock.Since(begun) > 2*tuning.ZoneRenew; w.Alone() != alone {
 			t.Fatalf("alone %v after %v", w.Alone(), w.clock.Since(begun))
 		}
@@ -84,7 +84,7 @@
 		t.Errorf("answers for %v", d)
 	}
 	w.state.Refuse(false)
-	if w.renew(t.Context()); !w.Answer("n-1", "a") || w.Alone() {
+	if w.Renew(t.Context()); !w.Answer("n-1", "a") || w.Alone() {
 		t.Error("does not answer after the cut")
 	}
 }
@@ -93,7 +93,7 @@
 // former life may have, a moment before.
 func TestARestartedMemberGivesNoWordForALease(t *testing.T) {
 	w := newZoneWorld(t)
-	w.renew(t.Context())
+	w.Renew(t.Context())
 	w.pass(time.Minute)
 	w.Answer("n-1", "a")
 	w.restart()
@@ -138,7 +138,7 @@
 				w.restart()
 			case n < 23:
 				if !cut {
-					w.renew(t.Context())
+					w.Renew(t.Context())
 				}
 			case n < 80:
 				if last.IsZero() || w.clock.Since(last) < zoneLease {
--- /dev/null
+++ b/internal/leader/cut_test.go
@@ -0,0 +1,224 @@
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/config"
+	"poppypass/internal/keeper"
+	"poppypass/internal/standin"
+	"poppypass/internal/statestore"
+	"poppypass/internal/wire"
+)
+
+// cutWorld is a leader, a member in each of two zones that has its zone's right, and a
+// worker in each zone with a task. Each second the workers report to whom they reach, and
+// the leader concludes what it can.
+type cutWorld struct {
+	t     *testing.T
+	clock *clockwork.FakeClock
+	state *standin.State
+	l     *Loop
+
+	cut     map[string]bool // zones that reach nothing outside
+	down    map[string]bool // members, by zone, that do not run
+	lost    map[string]bool // zones whose workers reach their own member alone
+	inside  string          // the zone in which the leader is; it is no zone's member
+	members map[string]*keeper.Zone
+	workers map[string]*cutWorker
+}
+
+type cutWorker struct {
+	rep   wire.Report
+	seen  time.Time // when its last answered report was sent
+	hangs bool
+	died  time.Time // when its lease ended; zero: it lives
+	found time.Time // when the leader concluded that it died
+}
+
+const cutLease = 10 * time.Second
+
+func newCutWorld(t *testing.T) *cutWorld {
+	w := &cutWorld{
+		t: t, cut: map[string]bool{}, lost: map[string]bool{}, down: map[string]bool{}, inside: "a",
+		members: map[string]*keeper.Zone{}, workers: map[string]*cutWorker{},
+	}
+	w.l, w.clock = leaderWith(t)
+	clear(w.l.roster.Machines)
+	w.state = standin.NewState(w.clock)
+	t.Cleanup(w.state.Close)
+	for _, zone := range []string{"a", "b"} {
+		w.boot(zone)
+		w.workers[zone] = &cutWorker{seen: w.clock.Now(), rep: wire.Report{
+			Machine: "n-" + zone, Address: "127.0.0.1:1", Type: "small", Zone: zone, Session: 1, Seq: 1, Token: 1,
+			Tasks: []wire.TaskReport{{Task: "job-1/" + map[string]string{"a": "0", "b": "1"}[zone], Attempt: 1, State: wire.TaskRunning}},
+		}}
+	}
+	j := w.l.waits(t, wire.Job{ID: "job-1", Team: "t", Kind: wire.KindService, Priority: wire.PriorityProduction, Tasks: 2, CPUs: 1, MemoryGB: 1})
+	for i, zone := range []string{"a", "b"} {
+		p := w.l.book.Place(j, i, "n-"+zone, zone, 1, w.clock.Now())
+		p.Committed = true
+		w.l.roster.Add(p, w.clock.Now())
+	}
+	w.lead()
+	return w
+}
+
+// boot starts a zone's member; it renews its right through a state service that a cut or
+// an outage takes away.
+func (w *cutWorld) boot(zone string) {
+	w.members[zone] = keeper.NewZone(&config.Settings{
+		Member: "m" + zone, Zone: zone, Cluster: config.Cluster{Workers: config.Workers{LeaseS: cutLease.Seconds()}},
+	}, statestore.New(w.state.Addr(), 1e6, 1e6), w.clock, slog.New(slog.DiscardHandler))
+	w.down[zone] = false
+}
+
+// lead has the loop see the state service, and ask the members that it reaches.
+func (w *cutWorld) lead() {
+	w.l.store = statestore.New(w.state.Addr(), 1e6, 1e6)
+	w.l.env.Kept = func(_ context.Context, member string, names []string) ([]string, bool) {
+		zone := member[1:]
+		if w.down[zone] || !w.reaches(zone) {
+			return nil, false
+		}
+		return w.members[zone].Kept(names)
+	}
+}
+
+// reaches tells whether the leader reaches a zone.
+func (w *cutWorld) reaches(zone string) bool {
+	return w.inside == zone || !w.cut[zone] && !w.cut[w.inside]
+}
+
+// newLeader begins a tenure in a zone, from the places that are recorded.
+func (w *cutWorld) newLeader(zone string) {
+	w.inside = zone
+	old := w.l
+	w.l, _ = leaderWith(w.t)
+	clear(w.l.roster.Machines)
+	w.l.env.Clock, w.l.tenure.Term = w.clock, old.tenure.Term+1
+	w.l.begun = w.clock.Now()
+	w.lead()
+	w.l.book = old.book
+	for _, j := range old.book.Jobs {
+		for i := range j.Tasks {
+			if p := j.Tasks[i].Place; p != nil {
+				w.l.roster.Inherit(p, w.l.begun)
+			}
+		}
+	}
+}
+
+// second lets one pass. lead tells whether there is a leader with the right to act.
+func (w *cutWorld) second(lead bool) {
+	now := w.clock.Now()
+	for zone, k := range w.workers {
+		if !k.hangs && k.died.IsZero() && now.Sub(k.seen) > cutLease {
+			k.died = now
+		}
+		if k.hangs || !k.died.IsZero() {
+			if k.died.IsZero() && now.Sub(k.seen) > cutLease {
+				k.died = now // it will find out
+			}
+			continue
+		}
+		k.rep.Seq++
+		answered := false
+		if lead && w.reaches(zone) && !w.lost[zone] {
+			_, err := w.l.take(&k.rep, false)
+			answered = err == nil
+		} else if !w.down[zone] {
+			answered = w.members[zone].Answer(k.rep.Machine, zone)
+		}
+		if answered {
+			k.seen = now
+		}
+	}
+	if lead && !w.cut[w.inside] {
+		w.l.settled()
+	}
+	for zone, k := range w.workers {
+		j := w.l.book.Jobs["job-1"]
+		if p := j.Tasks[int(zone[0]-'a')].Place; p == nil && k.found.IsZero() {
+			k.found = now
+			if k.died.IsZero() {
+				w.t.Fatalf("zone %s: concluded after %v without an answer, while the task may run", zone, now.Sub(k.seen))
+			}
+		}
+	}
+	for zone, m := range w.members {
+		if !w.down[zone] && !w.cut[zone] {
+			m.Renew(w.t.Context())
+		}
+	}
+	w.clock.Advance(time.Second)
+	w.state.Expire()
+}
+
+// Zones are cut off at each phase of a leader's life; workers live through what is
+// shorter than the right, and what is lost is found out in time, never too soon.
+func TestCutsOfZones(t *testing.T) {
+	const short, long = 60, 200 // seconds; the right is 120
+	type events map[int]func(w *cutWorld)
+	cut := func(zone string, on bool) func(w *cutWorld) { return func(w *cutWorld) { w.cut[zone] = on } }
+	for _, c := range []struct {
+		name    string
+		events  events
+		noLead  [2]int // seconds in which nobody leads
+		lives   string // the zones whose tasks live
+		latest  int    // how many seconds after the death of a task it must be known
+		foundBy int    // and no later than this second; 0: any
+	}{
+		{"the zone outside the leader's, shorter than the right", events{10: cut("b", true), 10 + short: cut("b", false)}, [2]int{}, "ab", 0, 0},
+		{"longer than the right", events{10: cut("b", true), 10 + long: cut("b", false)}, [2]int{}, "a", 15, 160},
+		{"the leader's zone; another leads in the other", events{10: cut("a", true), 14: func(w *cutWorld) { w.newLeader("b") }, 10 + short: cut("a", false)}, [2]int{10, 14}, "ab", 0, 0},
+		{"a new leader in the cut", events{10: cut("b", true), 20: func(w *cutWorld) { w.newLeader("a") }, 10 + short: cut("b", false)}, [2]int{16, 20}, "ab", 0, 0},
+		{"a new leader just before it", events{8: func(w *cutWorld) { w.newLeader("a") }, 9: cut("b", true), 9 + short: cut("b", false)}, [2]int{4, 8}, "ab", 0, 0},
+		{"a new leader just after it", events{10: cut("b", true), 10 + short: cut("b", false), 14 + short: func(w *cutWorld) { w.newLeader("a") }}, [2]int{10 + short, 14 + short}, "ab", 0, 0},
+		{"both zones, one after the other", events{10: cut("b", true), 20: cut("a", true), 10 + short: cut("b", false), 20 + short: cut("a", false), 21 + short: func(w *cutWorld) { w.newLeader("b") }}, [2]int{20, 21 + short}, "ab", 0, 0},
+		{"an outage of the state service in it", events{10: cut("b", true), 20: func(w *cutWorld) { w.state.Refuse(true) }, 50: func(w *cutWorld) { w.state.Refuse(false) }, 10 + short: cut("b", false)}, [2]int{}, "ab", 0, 0},
+		{"nobody leads in an outage", events{10: func(w *cutWorld) { w.state.Refuse(true) }, 60: func(w *cutWorld) { w.state.Refuse(false) }, 65: func(w *cutWorld) { w.newLeader("b") }}, [2]int{12, 65}, "ab", 0, 0},
+		{"the zone's member ends in it, and cannot know its right", events{10: cut("b", true), 20: func(w *cutWorld) { w.down["b"] = true }, 28: func(w *cutWorld) { w.boot("b") }, 10 + short: cut("b", false)}, [2]int{}, "a", 45, 0},
+		{"workers reach their zone's member alone", events{10: func(w *cutWorld) { w.lost["b"] = true }, 70: func(w *cutWorld) { w.lost["b"] = false }}, [2]int{}, "ab", 0, 0},
+		{"the same, and it is started anew", events{10: func(w *cutWorld) { w.lost["b"] = true }, 40: func(w *cutWorld) { w.down["b"] = true }, 42: func(w *cutWorld) { w.boot("b") }, 70: func(w *cutWorld) { w.lost["b"] = false }}, [2]int{}, "ab", 0, 0},
+		{"a machine dies; its zone's member denies", events{10: func(w *cutWorld) { w.workers["b"].hangs = true }}, [2]int{}, "a", 2, 23},
+		{"a machine dies as its zone's member is started anew", events{10: func(w *cutWorld) { w.workers["b"].hangs, w.down["b"] = true, true }, 18: func(w *cutWorld) { w.boot("b") }}, [2]int{}, "a", 15, 32},
+		{"a machine hangs past its lease in a cut", events{10: cut("b", true), 15: func(w *cutWorld) { w.workers["b"].hangs = true }, 10 + short: cut("b", false)}, [2]int{}, "a", 60, 10 + short + 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newCutWorld(t)
+			for _, m := range w.members {
+				m.Renew(t.Context())
+			}
+			begun := w.clock.Now()
+			for s := range 2*long + 60 {
+				if fn := c.events[s]; fn != nil {
+					fn(w)
+				}
+				w.second(s < c.noLead[0] || s >= c.noLead[1])
+			}
+			lives := ""
+			for _, zone := range []string{"a", "b"} {
+				k := w.workers[zone]
+				if k.died.IsZero() {
+					lives += zone
+					continue
+				}
+				late := k.found.Sub(k.died)
+				if k.found.IsZero() || late > time.Duration(c.latest)*time.Second {
+					t.Errorf("zone %s: known %v after its end", zone, late)
+				}
+				if by := k.found.Sub(begun); c.foundBy > 0 && by > time.Duration(c.foundBy)*time.Second {
+					t.Errorf("zone %s: known at %v", zone, by)
+				}
+			}
+			if lives != c.lives {
+				t.Errorf("tasks live in zones %q, want %q", lives, c.lives)
+			}
+		})
+	}
+}
--- a/internal/leader/env.go
+++ b/internal/leader/env.go
@@ -45,6 +45,8 @@
 	// Kept asks a member, this one or another, which of some machines it may have answered by
 	// its zone's right within a lease; sure is false when it cannot tell, or gives no answer.
 	Kept func(ctx context.Context, member string, names []string) (kept []string, sure bool)
+	// Full tells that this process has no memory for more jobs; nil: it always has.
+	Full func() bool
 	// Types gives the machine types; nil while none are known.
 	Types func() []wire.MachineType
 }
--- /dev/null
+++ b/internal/memory/memory_test.go
@@ -0,0 +1,35 @@
+package memory
+
+import (
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/tuning"
+)
+
+func TestFullNearTheLimit(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	g := New(100, clock)
+	var holds uint64
+	g.read = func() uint64 { return holds }
+	for _, c := range []struct {
+		mb   uint64
+		full bool
+	}{{10, false}, {84, false}, {86, true}, {120, true}, {50, false}} {
+		holds = c.mb << 20
+		clock.Advance(tuning.MemoryEvery)
+		if g.Full() != c.full {
+			t.Errorf("%d of 100 MiB: full %v", c.mb, !c.full)
+		}
+	}
+	if holds = 99 << 20; g.Full() {
+		t.Error("looks again at once")
+	}
+	if New(0, clock).Full() {
+		t.Error("full without a limit")
+	}
+	if n := held(); n < 1<<20 || n > 1<<40 {
+		t.Errorf("this process holds %d bytes", n)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -33,6 +34,7 @@
 	log      *slog.Logger
 	elector  *leadership.Elector
 	reach    reach
+	full     atomic.Bool // the leader has no memory for more jobs
 }
 
 // New makes the peers that the settings name. Follow must be called before
@@ -195,6 +197,9 @@
 // Note takes in how a ping of the leader went: missed tells that nothing came back.
 func (p *Peers) Note(leader string, missed bool) { p.reach.note(leader, missed) }
 
+// Full tells whether the leader said, when it was last asked, that it has no memory for more jobs.
+func (p *Peers) Full() bool { return p.full.Load() }
+
 // Cut tells whether the leader has not answered for a while: it is cut off.
 func (p *Peers) Cut(leader string) bool { return p.reach.cut(leader) }
 
@@ -230,6 +235,9 @@
 func (p *Peers) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		leader := p.elector.Leader()
+		if !p.Known(leader) {
+			p.full.Store(false)
+		}
 		var wg sync.WaitGroup
 		for name, addr := range p.endpoint {
 			wg.Go(func() {
@@ -239,6 +247,7 @@
 				}
 				if name == leader {
 					p.Note(leader, Unanswered(err))
+					p.full.Store(err == nil && r.Status == http.StatusInsufficientStorage)
 				}
 			})
 		}
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -303,6 +303,9 @@
 	}
 	status, err := c.call(ctx, c.watches, wait+tuning.WatchGrace, http.MethodGet, wire.PathWatch+"?"+q.Encode(), nil, httpjson.On(&r))
 	switch {
+	case errors.Is(err, httpjson.ErrTooLarge):
+		// It would be too large again: a watch is answered with all changes since.
+		return r, fmt.Errorf("%w: %w", ErrCompacted, err)
 	case err != nil:
 		return r, err
 	case status == http.StatusGone:
--- a/internal/statestore/statestore_test.go
+++ b/internal/statestore/statestore_test.go
@@ -70,6 +70,12 @@
 			t.Errorf("status %d: no error", status)
 		}
 	}
+	// Guards against a watch that is asked again for ever: the changes since are more than are
+	// read at once, and would be more the next time.
+	huge := `{"ledger":1,"events":[` + strings.Repeat(" ", tuning.MaxResponse) + `]}`
+	if _, err := answering(t, 200, huge).Watch(t.Context(), "a", 1, time.Second); !errors.Is(err, ErrCompacted) {
+		t.Errorf("changes too many to read: %v", err)
+	}
 	if _, err := answering(t, 410, ``).Watch(t.Context(), "a", 1, time.Second); !errors.Is(err, ErrCompacted) {
 		t.Errorf("watch: %v", err)
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -143,8 +143,10 @@
 	IdleShare = 0.15
 	SendShare = 0.1
 	SendLeast = 16
-	// FinalCache is how many final states of jobs are kept in memory.
+	// FinalCache is how many final states of jobs are kept in memory at the least, and
+	// FinalsOfMB how many for each MiB that the machine has: at some 200 bytes a hundredth of it.
 	FinalCache = 4096
+	FinalsOfMB = 50
 )
 
 // Jobs and their records.
@@ -404,6 +406,10 @@
 	Inbox = 1024
 	// MemoryShare is the share of the machine's memory that the Go runtime aims to stay under.
 	MemoryShare = 0.65
+	// MemoryFull is the share above which no more jobs are accepted: the runtime holds more than
+	// it aims at only if what lives needs it. MemoryEvery is how often that is looked at.
+	MemoryFull  = 0.85
+	MemoryEvery = 250 * time.Millisecond
 	// ProcessMB is what of that a leader takes beside its machines, in MiB: the program, its
 	// libraries, and a book of some thousand jobs.
 	ProcessMB = 24
--- a/internal/users/submissions.go
+++ b/internal/users/submissions.go
@@ -118,6 +118,9 @@
 		return refused(http.StatusServiceUnavailable, "the machine types are not known yet")
 	}
 	reason := d.impossible(job, types)
+	if reason == "" && (d.peers.Full() || d.full != nil && d.full()) {
+		return refused(http.StatusServiceUnavailable, "there is no memory for more jobs now; submit it again")
+	}
 	if reason == "" {
 		value, err := json.Marshal(jobs.Record{Job: *job, AtMS: d.clock.Now().UnixMilli()})
 		if err != nil || float64(len(value)) > d.settings.Cluster.State.ValueKB*1024 {
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -32,7 +32,8 @@
 	types    func() []wire.MachineType
 	leader   func() *leader.Loop
 	polls    *poller
-	accounts bool // charges are kept: jobs may name an account
+	full     func() bool // this process has no memory for more jobs; nil: it always has
+	accounts bool        // charges are kept: jobs may name an account
 }
 
 // New makes the door. current gives the leader's loop while this member has
@@ -40,7 +41,7 @@
 func New(env *leader.Env, p *peers.Peers, current func() *leader.Loop) *Door {
 	d := &Door{
 		settings: env.Settings, clock: env.Clock, log: env.Log, store: env.Store, peers: p,
-		teams: env.Teams, finals: env.Finals, types: env.Types, leader: current, accounts: env.Accounts,
+		teams: env.Teams, finals: env.Finals, types: env.Types, leader: current, full: env.Full, accounts: env.Accounts,
 	}
 	d.polls = newPoller(d)
 	return d
--- a/internal/users/users_test.go
+++ b/internal/users/users_test.go
@@ -1,11 +1,13 @@
 package users
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -17,6 +19,7 @@
 	"poppypass/internal/leadership"
 	"poppypass/internal/mesh"
 	"poppypass/internal/peers"
+	"poppypass/internal/standin"
 	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -106,3 +109,25 @@
 		t.Errorf("answered %d", status)
 	}
 }
+
+// Guards against a controller that is ended by the kernel with all that it does: what it
+// has no memory for is refused at once, with when to come back.
+func TestWithoutMemoryASubmissionIsRefusedAtOnce(t *testing.T) {
+	state := standin.NewState(clockwork.NewFakeClock())
+	t.Cleanup(state.Close)
+	d, _ := doorWith(t, state.Addr())
+	full := true
+	d.full = func() bool { return full }
+	submit := func() *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		d.ServeSubmit(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, wire.PathJobs, bytes.NewReader(body)))
+		return w
+	}
+	if w := submit(); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" || len(state.Applied()) != 0 {
+		t.Errorf("answered %d, come back after %q, %d written", w.Code, w.Header().Get("Retry-After"), len(state.Applied()))
+	}
+	full = false
+	if w := submit(); w.Code != http.StatusCreated {
+		t.Errorf("with memory: %d", w.Code)
+	}
+}
