--- a/internal/lab/billing/main.go
+++ b/internal/lab/billing/main.go
@@ -14,7 +14,6 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -72,15 +71,6 @@
 	}
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func (l *lab) settings(i int) string {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "member = \"m%d\"\nbind = %q\nmesh_addr = %q\n", i, l.users[i], l.mesh[i])
@@ -134,7 +124,7 @@
 	l.cloud = standin.NewCloud(24, wire.MachineType{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.8, SpotPrice: 0.3, BootS: 1, Zones: []string{"a", "b"}})
 	for range members {
 		for _, addrs := range []*[]string{&l.users, &l.mesh} {
-			addr, err := freeAddr()
+			addr, err := standin.Loopback()
 			if err != nil {
 				return err
 			}
