Idle machines beyond the square root of the fleet are returned sooner

Cause: at fleet size a quarter of the CPUs idled while the load fell: each machine for 30 s, hundreds a minute. Change: of those beyond what is expected, the last to become idle are kept for the whole time, as many as the square root of the fleet; the rest go after a quarter of it, but not before the least charge of 60 s is used up.

--- a/internal/leader/rent_test.go
+++ b/internal/leader/rent_test.go
@@ -151,3 +151,47 @@
 		t.Error("calls the cloud though the tenure is over")
 	}
 }
+
+// Guards against hundreds of machines that each idle for half a minute while the load falls:
+// beyond the square root of the fleet, what idles is returned soon, unless it is paid for anyway.
+func TestIdleMachinesBeyondChanceAreReturnedSoon(t *testing.T) {
+	l, clock := leaderWith(t)
+	clear(l.roster.Machines)
+	for i := range 100 {
+		rep := wire.Report{Machine: fmt.Sprintf("n-%03d", i), Address: "127.0.0.1:1", Type: "small", Zone: "a", Session: 1, Seq: 1}
+		if _, err := l.roster.Report(&rep, false, clock.Now(), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	returned := func() (n int) {
+		l.fleet.deleting = false
+		l.returnMachines(clock.Now())
+		for _, m := range l.roster.Machines {
+			n += btoi(m.Returning)
+		}
+		return n
+	}
+	idle := func() {
+		for _, m := range l.roster.Machines {
+			m.Heard, m.IdleSince = clock.Now(), clock.Now()
+		}
+	}
+	soon := time.Duration(float64(l.env.Knobs.IdleKeep)*tuning.IdleSurplus) + time.Second
+	clock.Advance(soon)
+	if n := returned(); n != 0 {
+		t.Errorf("%d returned that are paid for", n)
+	}
+	clock.Advance(tuning.LeastCharge)
+	idle()
+	if n := returned(); n != 0 {
+		t.Errorf("%d returned at once", n)
+	}
+	clock.Advance(soon)
+	if n := returned(); n != 90 {
+		t.Errorf("%d of 100 returned, 10 are to stay", n)
+	}
+	clock.Advance(l.env.Knobs.IdleKeep)
+	if n := returned(); n != 100 {
+		t.Errorf("%d returned in the end", n)
+	}
+}
