--- a/internal/leader/returns.go
+++ b/internal/leader/returns.go
@@ -2,14 +2,12 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
 	"poppypass/internal/fleet"
 	"poppypass/internal/keeper"
 	"poppypass/internal/placement"
-	"poppypass/internal/roster"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
@@ -54,7 +52,6 @@
 	var names []string
 	needed := l.needed(now)
 	release := l.silentRelease()
-	surplus := l.surplus(needed, now)
 	for _, m := range l.roster.Machines {
 		if m.Returning || len(m.Places) > 0 {
 			continue
@@ -79,7 +76,7 @@
 		case m.Draining:
 			why = "surplus"
 		case needed[m.Name]:
-		case now.Sub(m.IdleSince) > l.env.Knobs.IdleKeep || surplus[m.Name]:
+		case now.Sub(m.IdleSince) > l.env.Knobs.IdleKeep:
 			why = "idle"
 		}
 		if why == "" || len(names) >= wire.MaxDelete {
@@ -92,29 +89,6 @@
 	l.deleteMachines(names)
 }
 
-// surplus are idle machines, beside those that are needed, that are more than chance asks
-// for: what comes and ends varies by about the square root of what there is, and so many, the last
-// that became idle, are kept for the whole time. When the load falls, hundreds of machines a minute
-// would each idle for half of one. A machine that was rented a moment ago is paid for already.
-func (l *Loop) surplus(needed map[string]bool, now time.Time) map[string]bool {
-	var idle []*roster.Machine
-	for _, m := range l.roster.Machines {
-		if m.Alive() && len(m.Places) == 0 && !needed[m.Name] {
-			idle = append(idle, m)
-		}
-	}
-	slices.SortFunc(idle, func(a, b *roster.Machine) int {
-		return cmp.Or(a.IdleSince.Compare(b.IdleSince), cmp.Compare(a.Name, b.Name))
-	})
-	out := map[string]bool{}
-	keep := int(math.Ceil(math.Sqrt(float64(len(l.roster.Machines)))))
-	for _, m := range idle[:max(0, len(idle)-keep)] {
-		soon := time.Duration(float64(l.env.Knobs.IdleKeep) * tuning.IdleSurplus)
-		out[m.Name] = now.Sub(m.IdleSince) > soon && now.Sub(m.Rented) >= tuning.LeastCharge
-	}
-	return out
-}
-
 // silentRelease is how long machines may be silent after their leases before
 // they are returned. Many silent together are cut off, not dead, and are of
 // use again once the cut ends; the dead among them the cloud lists as failed.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -365,11 +365,6 @@
 	MoveBudgetMax = 10 * time.Second
 	// ListEvery is how often the cloud's list is read.
 	ListEvery = 5 * time.Second
-	// IdleSurplus is the share of the time for which idle machines are kept after which those
-	// are returned that are more than chance asks for.
-	IdleSurplus = 0.25
-	// LeastCharge is how long a machine is charged for at the least.
-	LeastCharge = 60 * time.Second
 	// RefusedFor is how long a type, zone and kind is not asked again after "no capacity".
 	RefusedFor = 10 * time.Second
 	// BootFactor times the nominal boot time is when a machine counts as
