--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -148,8 +148,8 @@
 	}
 	defer peers.Close()
 	open := newSockets(c.settings.Cluster.Limits.FDLimit)
-	if n := open.limit(); n > 0 {
-		users = netutil.LimitListener(users, n)
+	if open.most > 0 {
+		users = netutil.LimitListener(users, open.most)
 	}
 	srv := &http.Server{
 		Handler: open.takeTurns(c.routes()), ConnState: open.count, ReadHeaderTimeout: tuning.HeaderTimeout, ReadTimeout: tuning.BodyTimeout,
--- a/internal/controller/sockets.go
+++ b/internal/controller/sockets.go
@@ -13,7 +13,7 @@
 // limit an answer closes its connection, rather than have those that come next wait
 // for one that never ends.
 type sockets struct {
-	most int // 0: no limit is known
+	most int // how many may be open; 0: no limit is known
 	open atomic.Int64
 }
 
@@ -21,9 +21,6 @@
 	return &sockets{most: int(float64(fdLimit) * tuning.ConnShare)}
 }
 
-// limit is how many connections may be open.
-func (s *sockets) limit() int { return s.most }
-
 // count follows a connection's life, as http.Server.ConnState.
 func (s *sockets) count(_ net.Conn, state http.ConnState) {
 	switch state {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -166,7 +166,7 @@
 		k.lease, k.sent = lease, sent
 	}
 	begin := len(k.on) == 0
-	for _, name := range sortedKeys(k.names) {
+	for _, name := range slices.Sorted(maps.Keys(k.names)) {
 		if k.on[name] == nil {
 			k.add(name)
 		}
@@ -247,7 +247,7 @@
 		k.abandon()
 		return
 	}
-	over := Stretched(k.workerLease) + tuning.LeaseMargin
+	over := runOut(k.workerLease)
 	for name, at := range k.names {
 		if k.clock.Since(at) > over {
 			k.remove(name)
@@ -261,6 +261,9 @@
 	}
 }
 
+// runOut is how long after an answer a worker's lease has run out on every clock.
+func runOut(lease time.Duration) time.Duration { return Stretched(lease) + tuning.LeaseMargin }
+
 // Stretched is a time that is over on every clock when it is over on ours.
 func Stretched(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + tuning.ClockDrift))
@@ -294,12 +297,3 @@
 	})
 	return kept, rights, err
 }
-
-func sortedKeys(m map[string]time.Time) []string {
-	names := make([]string, 0, len(m))
-	for n := range m {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/internal/keeper/zone.go
+++ b/internal/keeper/zone.go
@@ -68,8 +68,7 @@
 	return z
 }
 
-// over is how long after an answer the worker's lease has run out on every clock.
-func (z *Zone) over() time.Duration { return Stretched(z.lease) + tuning.LeaseMargin }
+func (z *Zone) over() time.Duration { return runOut(z.lease) }
 
 // life is how long the record outlives its last renewal.
 func (z *Zone) life() time.Duration { return z.right + z.over() + tuning.KeepExtra }
--- a/internal/leader/expire.go
+++ b/internal/leader/expire.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -119,12 +118,11 @@
 			c.silent++
 		}
 	}
-	maps.DeleteFunc(zones, func(_ string, c *count) bool {
-		return c.silent < tuning.SilentMany || float64(c.silent) < tuning.CutShare*float64(c.all)
-	})
-	out := map[string]bool{}
-	for z := range zones {
-		out[z] = true
+	cut := map[string]bool{}
+	for z, c := range zones {
+		if c.silent >= tuning.SilentMany && float64(c.silent) >= tuning.CutShare*float64(c.all) {
+			cut[z] = true
+		}
 	}
-	return out
+	return cut
 }
