--- a/internal/config/properties.go
+++ b/internal/config/properties.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/url"
 	"slices"
 	"strings"
 	"time"
@@ -19,6 +20,9 @@
 	keyLedger      = "ledger"
 	keyLedgerZone  = "ledger.zone"
 	keyMetrics     = "metrics.addr"
+	keyGraphs      = "graphs"
+	keyDescribe    = "graphs.descriptions"
+	keyPool        = "graphs.pool."
 )
 
 // Own are the operators' own settings.
@@ -30,11 +34,20 @@
 	Budgets *budget.Settings
 	// MetricsAddr is where metrics are served; empty: nowhere.
 	MetricsAddr string
+	// Graphs tells that graphs of jobs are served.
+	Graphs bool
+	// Descriptions is the URL at which steps are described; empty: only clients do that.
+	Descriptions string
+	// Pools holds how many slots each team's pools have.
+	Pools map[Pool]int
 }
 
+// Pool names a team's pool.
+type Pool struct{ Team, Name string }
+
 // LoadProperties reads the operators' settings; an empty path gives the defaults.
 func LoadProperties(path string) (*Own, error) {
-	own := &Own{Knobs: tuning.Defaults(), Budgets: &budget.Settings{}}
+	own := &Own{Knobs: tuning.Defaults(), Budgets: &budget.Settings{}, Pools: map[Pool]int{}}
 	if path == "" {
 		return own, nil
 	}
@@ -48,6 +61,9 @@
 			return nil, fmt.Errorf("properties %s: %w", path, err)
 		}
 	}
+	if !own.Graphs && (len(own.Pools) > 0 || own.Descriptions != "") {
+		return nil, fmt.Errorf("properties %s: there are settings of graphs, but %s is not on", path, keyGraphs)
+	}
 	if !own.Ledger && len(own.Budgets.Budgets) > 0 {
 		return nil, fmt.Errorf("properties %s: there are budgets, but %s is not on", path, keyLedger)
 	}
@@ -85,7 +101,26 @@
 			return err
 		}
 		o.MetricsAddr = value
+	case keyGraphs:
+		if value != "on" && value != "off" {
+			return fmt.Errorf("%s: %q is neither on nor off", key, value)
+		}
+		o.Graphs = value == "on"
+	case keyDescribe:
+		if u, err := url.Parse(value); err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return fmt.Errorf("%s: %q is no URL such as http://10.0.0.7:8000/steps", key, value)
+		}
+		o.Descriptions = value
 	default:
+		if rest, ok := strings.CutPrefix(key, keyPool); ok {
+			team, name, _ := strings.Cut(rest, ".")
+			n := p.GetInt(key, -1)
+			if team == "" || name == "" || n < 1 {
+				return fmt.Errorf("%s: a pool is %sTEAM.NAME, and a count of slots above 0", key, keyPool)
+			}
+			o.Pools[Pool{team, name}] = n
+			return nil
+		}
 		if strings.HasPrefix(key, budget.Prefix) {
 			return o.Budgets.Set(key, value)
 		}
@@ -96,13 +131,23 @@
 
 // Check says what does not fit the platform's settings, in one line.
 func (o *Own) Check(s *Settings) error {
+	for pool := range o.Pools {
+		if !s.hasTeam(pool.Team) {
+			return fmt.Errorf("%s%s.%s: no team has that name", keyPool, pool.Team, pool.Name)
+		}
+	}
+	if o.Graphs && s.Cluster.State.ValueKB < tuning.GraphValueKB {
+		return fmt.Errorf("%s: field cluster.state.value_kb is under %d, the least that runs of graphs take", keyGraphs, tuning.GraphValueKB)
+	}
 	if !o.Ledger {
 		return nil
 	}
 	if s.Cluster.State.ValueKB < tuning.LedgerValueKB {
 		return fmt.Errorf("%s: field cluster.state.value_kb is under %d, the least that progress records with charges take", keyLedger, tuning.LedgerValueKB)
 	}
-	return o.Budgets.Check(func(team string) bool {
-		return slices.ContainsFunc(s.Cluster.Teams, func(t Team) bool { return t.Name == team })
-	})
+	return o.Budgets.Check(s.hasTeam)
+}
+
+func (s *Settings) hasTeam(name string) bool {
+	return slices.ContainsFunc(s.Cluster.Teams, func(t Team) bool { return t.Name == name })
 }
--- a/internal/config/watch.go
+++ b/internal/config/watch.go
@@ -38,6 +38,15 @@
 // Ledger tells whether charges are kept.
 func (w *Watched) Ledger() bool { return w.own.Ledger }
 
+// Graphs tells whether graphs are served, and where their steps are described, if anywhere.
+func (w *Watched) Graphs() (on bool, descriptions string) { return w.own.Graphs, w.own.Descriptions }
+
+// Pool gives the slots of a team's pool, as they were when the process started.
+func (w *Watched) Pool(team, name string) (slots int, ok bool) {
+	slots, ok = w.own.Pools[Pool{team, name}]
+	return slots, ok
+}
+
 // MetricsAddr is where metrics are served; empty: nowhere.
 func (w *Watched) MetricsAddr() string { return w.own.MetricsAddr }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,9 +17,11 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/net/netutil"
 
+	"poppypass/internal/airflow"
 	"poppypass/internal/catalog"
 	"poppypass/internal/cloud"
 	"poppypass/internal/config"
+	"poppypass/internal/graphs"
 	"poppypass/internal/httpjson"
 	"poppypass/internal/jobs"
 	"poppypass/internal/keeper"
@@ -54,6 +57,7 @@
 	users   *users.Door
 	reports *workers.Door
 	ledger  *ledger.Door     // nil: no charges are kept
+	graphs  *airflow.Door    // nil: no graphs are served
 	metrics *metrics.Metrics // nil: they are served nowhere
 
 	leading atomic.Pointer[leader.Loop] // the leader's loop, while this member leads
@@ -102,6 +106,9 @@
 		c.metrics = metrics.New(c.settings.Cluster.State.WriteRPS)
 		c.env.Observer = c.metrics
 	}
+	if on, descriptions := c.own.Graphs(); on {
+		c.joinGraphs(descriptions)
+	}
 	if !c.own.Ledger() {
 		return nil
 	}
@@ -120,6 +127,24 @@
 	return nil
 }
 
+// joinGraphs has graphs served.
+func (c *Controller) joinGraphs(descriptions string) {
+	cluster := c.settings.Cluster
+	cfg := graphs.Config{
+		Clock: c.clock, TxnOps: cluster.State.TxnOps, ValueKB: cluster.State.ValueKB, Bytes: int(cluster.Limits.RAMMB * tuning.GraphShare * (1 << 20)),
+		Impossible: func(j *wire.Job) string { return c.users.Impossible(j) }, Jitter: rand.Float64, Pools: c.own.Pool,
+	}
+	if descriptions != "" {
+		cfg.Source = &graphs.HTTPSource{URL: descriptions, Client: httpjson.NewClient(1, 1, 1, tuning.DescribeTimeout)}
+	}
+	c.graphs = &airflow.Door{
+		Reader: graphs.NewReader(c.store.Spare()), Clock: c.clock, Log: c.log,
+		Do:  func(ctx context.Context, cmd leader.Command) (int, json.RawMessage) { return c.users.Do(ctx, cmd) },
+		Ask: func(ctx context.Context, uri string) (int, json.RawMessage) { return c.users.Ask(ctx, uri) },
+	}
+	c.env.Joins = append(c.env.Joins, func(log *slog.Logger) (leader.Slice, error) { return graphs.New(cfg, log) })
+}
+
 // memberShare is what one member may use of a limit that all share, when the
 // leader's work may use a share of it.
 func (c *Controller) memberShare(leader float64) float64 {
@@ -201,6 +226,9 @@
 	if c.ledger != nil {
 		c.ledger.Routes(mux)
 	}
+	if c.graphs != nil {
+		c.graphs.Routes(mux)
+	}
 	return mux
 }
 
--- a/internal/controller/serve_peers.go
+++ b/internal/controller/serve_peers.go
@@ -11,7 +11,11 @@
 
 // servePeer answers another member.
 func (c *Controller) servePeer(ctx context.Context, req mesh.Request) mesh.Response {
-	ctx, cancel := context.WithTimeout(ctx, tuning.RelayTimeout)
+	wait := tuning.RelayTimeout
+	if req.Verb == mesh.Do {
+		wait = tuning.CommandWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	switch req.Verb {
 	case mesh.Promise:
@@ -30,6 +34,8 @@
 		return c.reports.AnswerPeer(ctx, req.Payload)
 	case mesh.Show:
 		return c.users.AnswerShow(ctx, string(req.Payload))
+	case mesh.Do:
+		return c.users.AnswerDo(ctx, req.Payload)
 	case mesh.Submit:
 		return c.users.AnswerSubmission(ctx, req.Payload)
 	}
--- a/internal/dag/dag.go
+++ b/internal/dag/dag.go
@@ -180,7 +180,7 @@
 	fault := func(step, format string, args ...any) error {
 		return &Error{Graph: g.ID, Step: step, Text: fmt.Sprintf(format, args...)}
 	}
-	if !validName(g.ID) {
+	if !ValidName(g.ID) {
 		return nil, fault("", "dag_id is not a name of letters, digits, dashes, dots and underscores")
 	}
 	if g.Team == "" || len(g.Team) > MaxName {
@@ -201,7 +201,7 @@
 	p := &Plan{Graph: *g, Index: make(map[string]int, len(g.Steps)), Up: make([][]int, len(g.Steps)), Down: make([][]int, len(g.Steps))}
 	for i := range g.Steps {
 		s := &g.Steps[i]
-		if !validName(s.ID) {
+		if !ValidName(s.ID) {
 			return nil, fault(s.ID, "task_id is not a name of letters, digits, dashes, dots and underscores")
 		}
 		if _, twice := p.Index[s.ID]; twice {
@@ -264,6 +264,8 @@
 		return fmt.Errorf("kind %q is unknown; it can be job, branch or empty", s.Kind)
 	}
 	switch {
+	case s.Job != nil && s.Job.Kind != "" && s.Job.Kind != "array":
+		return errors.New("its job is not an array: nothing else comes to an end")
 	case s.Kind == KindBranch && s.Map != nil:
 		return errors.New("a branch is not mapped")
 	case !s.Rule.Known():
@@ -280,7 +282,8 @@
 	return nil
 }
 
-func validName(s string) bool {
+// ValidName tells whether a text is a name: 1 to MaxName letters, digits, dashes, dots and underscores.
+func ValidName(s string) bool {
 	if s == "" || len(s) > MaxName {
 		return false
 	}
--- a/internal/dag/run.go
+++ b/internal/dag/run.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"math/big"
 	"slices"
@@ -66,6 +65,7 @@
 	ready   readyHeap
 	seq     int      // of the newest that became ready
 	cancels []string // jobs that are to be cancelled
+	orphans []string // jobs of earlier generations that are not over
 	stopped bool     // it was cancelled: nothing more begins
 }
 
@@ -96,6 +96,45 @@
 	return fmt.Sprintf("job-%032d", n)
 }
 
+// Generation is how often a step was cleared.
+func (r *Run) Generation(step int) int { return r.nodes[step].generation }
+
+// Result is what a step left for those that follow; nil: nothing yet.
+func (r *Run) Result(step int) json.RawMessage { return r.nodes[step].result }
+
+// Push takes in what a step leaves for those that follow, before its job is done. The
+// newest counts.
+func (r *Run) Push(step int, result json.RawMessage) error {
+	n, s := &r.nodes[step], &r.Plan.Steps[step]
+	switch {
+	case s.Map != nil || s.Kind == KindEmpty:
+		return fmt.Errorf("step %s is mapped or empty, and leaves no result", s.ID)
+	case n.state.Final() || len(n.instances) == 0 || n.instances[0].State == Scheduled:
+		return fmt.Errorf("step %s does not run", s.ID)
+	case len(result) > MaxResult:
+		return fmt.Errorf("the result of %s has %d bytes; up to %d are allowed", s.ID, len(result), MaxResult)
+	case !json.Valid(result):
+		return fmt.Errorf("the result of %s is not JSON", s.ID)
+	}
+	n.result = slices.Clone(result)
+	return nil
+}
+
+// Holds tells whether an instance is ready, and its job has this id: it was neither
+// cleared nor cancelled since that was worked out.
+func (r *Run) Holds(at Ref, id string) bool {
+	x := r.instance(at)
+	return x != nil && x.State == Scheduled && !r.stopped && r.JobID(at) == id
+}
+
+// Orphans gives the jobs of earlier generations that are not over.
+func (r *Run) Orphans() []string { return r.orphans }
+
+// Parted takes in that a job of an earlier generation is over.
+func (r *Run) Parted(id string) {
+	r.orphans = slices.DeleteFunc(r.orphans, func(o string) bool { return o == id })
+}
+
 // State gives a step's state, and its instances.
 func (r *Run) State(step int) (State, []Instance) {
 	return r.nodes[step].state, r.nodes[step].instances
@@ -281,6 +320,15 @@
 	}
 }
 
+// Withdrawn takes in that an instance's job could not be stored.
+func (r *Run) Withdrawn(at Ref) {
+	if x := r.instance(at); x != nil && x.State == Queued {
+		x.State = Scheduled
+		r.follow(at.Step)
+		r.enqueue(at)
+	}
+}
+
 // Running takes in that a task of an instance's job runs.
 func (r *Run) Running(at Ref, now time.Time) {
 	if x := r.instance(at); x != nil && !x.Ending && (x.State == Queued || x.State == UpForRetry) {
@@ -316,8 +364,9 @@
 	r.cancels = append(r.cancels, r.JobID(at))
 }
 
-// Ending gives the instances whose jobs are being cancelled, for a new leader.
+// Ending gives the jobs that are being cancelled, for a new leader.
 func (r *Run) Ending() (jobs []string) {
+	jobs = slices.Clone(r.orphans)
 	for i := range r.nodes {
 		for k := range r.nodes[i].instances {
 			if x := &r.nodes[i].instances[k]; x.Ending && !x.State.Final() {
@@ -328,48 +377,26 @@
 	return jobs
 }
 
-// Late fails the instances of a step whose present try has run for longer than it may,
-// and gives when to look again; zero: no instance of it runs.
-func (r *Run) Late(step int, now time.Time) (next time.Time) {
-	limit := time.Duration(r.Plan.Steps[step].Timeout)
-	if limit == 0 {
-		return next
-	}
-	for k := range r.nodes[step].instances {
-		x := &r.nodes[step].instances[k]
-		if x.State != Running || x.Ending {
-			continue
-		}
-		due := x.Begun.Add(limit)
-		if !now.Before(due) {
-			r.fail(Ref{step, k})
-			continue
-		}
-		if next.IsZero() || due.Before(next) {
-			next = due
-		}
+// Late fails an instance whose present try has run for longer than it may, and tells
+// whether that is so.
+func (r *Run) Late(at Ref, now time.Time) bool {
+	x, limit := r.instance(at), time.Duration(r.Plan.Steps[at.Step].Timeout)
+	if x == nil || limit == 0 || x.State != Running || x.Ending || now.Before(x.Begun.Add(limit)) {
+		return false
 	}
-	return next
+	r.fail(at)
+	return true
 }
 
-// Done takes in that an instance's job is done. result is what it left for those that follow.
-// An error says that the result is not what the step's kind asks for; the instance has
-// failed then.
-func (r *Run) Done(at Ref, result json.RawMessage) error {
+// Done takes in that an instance's job is done. An error says that what it left (Push) is
+// not what the step's kind asks for; the instance has failed then.
+func (r *Run) Done(at Ref) error {
 	x := r.instance(at)
 	if x == nil || x.State.Final() {
 		return nil
 	}
-	s := &r.Plan.Steps[at.Step]
-	if len(result) > MaxResult {
-		r.over(at, Failed)
-		return fmt.Errorf("the result of %s has %d bytes; up to %d are allowed", s.ID, len(result), MaxResult)
-	}
-	if s.Map == nil {
-		r.nodes[at.Step].result = slices.Clone(result)
-	}
-	if s.Kind == KindBranch {
-		if err := r.branch(at.Step, result); err != nil {
+	if r.Plan.Steps[at.Step].Kind == KindBranch {
+		if err := r.branch(at.Step, r.nodes[at.Step].result); err != nil {
 			r.over(at, Failed)
 			return err
 		}
@@ -498,20 +525,31 @@
 	r.recount()
 }
 
-// Clear has steps run again, and with below all that follow them: each gets a new
-// generation, so its jobs have new ids. Jobs of theirs that are not over are cancelled.
-func (r *Run) Clear(steps []int, below bool) error {
-	if len(steps) == 0 {
-		return errors.New("no step is named")
+// Chosen gives the steps that a clear would have run again: those named, or all if none is,
+// of these only what has failed if that is wanted, and with below all that follow them. They
+// come in the plan's order.
+func (r *Run) Chosen(names []string, below, onlyFailed bool) ([]int, error) {
+	var queue []int
+	for _, name := range names {
+		i, ok := r.Plan.Index[name]
+		if !ok {
+			return nil, fmt.Errorf("there is no step %q", name)
+		}
+		queue = append(queue, i)
+	}
+	if len(names) == 0 {
+		queue = slices.Clone(r.Plan.Order)
+	}
+	if onlyFailed {
+		queue = slices.DeleteFunc(queue, func(i int) bool {
+			s := r.nodes[i].state
+			return s != Failed && s != UpstreamFailed
+		})
 	}
 	chosen := map[int]bool{}
-	queue := slices.Clone(steps)
 	for len(queue) > 0 {
 		i := queue[0]
 		queue = queue[1:]
-		if i < 0 || i >= len(r.nodes) {
-			return errors.New("no such step")
-		}
 		if chosen[i] {
 			continue
 		}
@@ -520,16 +558,30 @@
 			queue = append(queue, r.Plan.Down[i]...)
 		}
 	}
-	for i := range chosen {
+	var out []int
+	for _, i := range r.Plan.Order {
+		if chosen[i] {
+			out = append(out, i)
+		}
+	}
+	return out, nil
+}
+
+// Clear has steps run again: each gets a new generation, so its jobs have new ids. Jobs of
+// theirs that are not over are cancelled.
+func (r *Run) Clear(steps []int) {
+	chosen := map[int]bool{}
+	for _, i := range steps {
+		chosen[i] = true
 		n := &r.nodes[i]
 		for k := range n.instances {
 			if s := n.instances[k].State; !s.Final() && s != Scheduled {
-				r.cancels = append(r.cancels, r.JobID(Ref{i, k}))
+				id := r.JobID(Ref{i, k})
+				r.cancels, r.orphans = append(r.cancels, id), append(r.orphans, id)
 			}
 		}
 	}
 	r.reset(chosen)
-	return nil
 }
 
 // reset begins steps anew.
--- a/internal/dag/run_test.go
+++ b/internal/dag/run_test.go
@@ -46,6 +46,25 @@
 	return refs
 }
 
+// done has a step leave a result and end.
+func (r *Run) done(at Ref, result json.RawMessage) error {
+	if result != nil && r.Plan.Steps[at.Step].Map == nil {
+		if err := r.Push(at.Step, result); err != nil {
+			return err
+		}
+	}
+	return r.Done(at)
+}
+
+// clear has a step and what follows it go again.
+func (r *Run) clear(t interface{ Fatal(...any) }, id string) {
+	steps, err := r.Chosen([]string{id}, true, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Clear(steps)
+}
+
 func (r *Run) at(id string) Ref { return Ref{Step: r.Plan.Index[id]} }
 
 // A middle step fails and is repeated while later ones wait; then its tries are used up.
@@ -55,7 +74,7 @@
 	p := plan(t, step("first"), flaky, step("last", "middle"), cleanup)
 	r := NewRun(p, "run")
 	r.start(noon)
-	if err := r.Done(r.at("first"), nil); err != nil {
+	if err := r.Done(r.at("first")); err != nil {
 		t.Fatal(err)
 	}
 	r.start(noon)
@@ -73,15 +92,13 @@
 		t.Errorf("states %v", got)
 	}
 	r.start(noon)
-	_ = r.Done(r.at("cleanup"), nil) // it has no result
+	_ = r.Done(r.at("cleanup")) // it has no result
 	if r.RunState() != RunSuccess {
 		t.Errorf("the run is %v: its only last step is done", r.RunState())
 	}
 	// A clear is a new generation, with new jobs, from there on.
 	before := r.JobID(r.at("middle"))
-	if err := r.Clear([]int{1}, true); err != nil {
-		t.Fatal(err)
-	}
+	r.clear(t, "middle")
 	if got := r.states(); got["first"] != "success" || got["middle"] != "scheduled" || got["last"] != "none" || got["cleanup"] != "none" || r.RunState() != RunRunning {
 		t.Errorf("after the clear: %v", got)
 	}
@@ -98,16 +115,16 @@
 	p := plan(t, pick, step("left", "pick"), step("right", "pick"), join, mapped, last)
 	r := NewRun(p, "run")
 	r.start(noon)
-	if err := r.Done(r.at("pick"), json.RawMessage(`"left"`)); err != nil {
+	if err := r.done(r.at("pick"), json.RawMessage(`"left"`)); err != nil {
 		t.Fatal(err)
 	}
 	r.start(noon)
-	_ = r.Done(r.at("left"), nil) // it has no result
+	_ = r.Done(r.at("left")) // it has no result
 	if got := r.states(); got["right"] != "skipped" || got["join"] != "scheduled" {
 		t.Fatalf("after the branch: %v", got)
 	}
 	r.start(noon)
-	if err := r.Done(r.at("join"), json.RawMessage(`[1,2,{"x":3}]`)); err != nil {
+	if err := r.done(r.at("join"), json.RawMessage(`[1,2,{"x":3}]`)); err != nil {
 		t.Fatal(err)
 	}
 	refs := r.start(noon)
@@ -121,24 +138,27 @@
 	if len(ids) != 3 {
 		t.Error("instances share a job")
 	}
-	_ = r.Done(refs[0], nil) // it has no result
-	if due := r.Late(p.Index["mapped"], noon.Add(time.Minute)); !due.Equal(noon.Add(time.Hour)) {
-		t.Errorf("look again at %v", due)
+	_ = r.Done(refs[0]) // it has no result
+	for k, at := range refs {
+		if r.Late(at, noon.Add(time.Minute)) {
+			t.Error("late after a minute")
+		}
+		if late := r.Late(at, noon.Add(time.Hour)); late != (k > 0) || r.Late(at, noon.Add(time.Hour)) {
+			t.Errorf("instance %d after an hour: late is %v", k, late)
+		}
 	}
-	r.Late(p.Index["mapped"], noon.Add(time.Hour))
-	r.Late(p.Index["mapped"], noon.Add(time.Hour))
 	if n := len(r.Cancels()); n != 2 || len(r.Ending()) != 2 {
 		t.Errorf("%d jobs are cancelled", n)
 	}
 	r.Gone(refs[1])
-	_ = r.Done(refs[2], nil) // it was done before its cancellation was stored
+	_ = r.Done(refs[2]) // it was done before its cancellation was stored
 	if got := r.states(); got["mapped"] != "failed" || got["last"] != "scheduled" {
 		t.Errorf("after the timeout: %v", got)
 	}
 	// A branch that picks what does not follow it has failed.
 	r = NewRun(p, "other")
 	r.start(noon)
-	if err := r.Done(r.at("pick"), json.RawMessage(`["join"]`)); err == nil || r.states()["pick"] != "failed" {
+	if err := r.done(r.at("pick"), json.RawMessage(`["join"]`)); err == nil || r.states()["pick"] != "failed" {
 		t.Errorf("picked what does not follow: %v", err)
 	}
 }
@@ -219,9 +239,7 @@
 			switch event := rapid.IntRange(0, 9).Draw(t, "event"); {
 			case event == 0:
 				i := rapid.IntRange(0, n-1).Draw(t, "clear")
-				if err := r.Clear([]int{i}, true); err != nil {
-					t.Fatal(err)
-				}
+				r.clear(t, p.Steps[i].ID)
 				for j := range n {
 					cleared[j] = r.nodes[j].state != before[j]
 				}
@@ -261,7 +279,7 @@
 						}
 						result, _ = json.Marshal(pick) // names
 					}
-					if err := r.Done(at, result); err != nil && p.Steps[at.Step].Kind != KindBranch {
+					if err := r.done(at, result); err != nil && p.Steps[at.Step].Kind != KindBranch {
 						t.Fatal(err)
 					}
 				}
@@ -289,7 +307,7 @@
 		// Whatever happened, the run comes to its end.
 		for range 4 * n * 4 {
 			for _, at := range append(under, r.start(now)...) {
-				_ = r.Done(at, json.RawMessage(`[]`)) // of a branch too: it picks nothing
+				_ = r.done(at, json.RawMessage(`[]`)) // of a branch too: it picks nothing
 			}
 			under = nil
 			for i := range r.nodes {
@@ -317,7 +335,7 @@
 		r := NewRun(p, "run")
 		for refs := r.start(noon); len(refs) > 0; refs = r.start(noon) {
 			for _, at := range refs {
-				_ = r.Done(at, nil) // it has no result
+				_ = r.Done(at) // it has no result
 			}
 		}
 		if r.RunState() != RunSuccess {
--- a/internal/dag/runcodec.go
+++ b/internal/dag/runcodec.go
@@ -17,6 +17,7 @@
 	Stopped bool
 	States  []byte
 	Steps   []storedStep // those with more to tell than their state
+	Orphans []string
 }
 
 const runFormat = 1
@@ -55,7 +56,7 @@
 
 // Encode gives a run's stored form.
 func (r *Run) Encode() []byte {
-	s := storedRun{Format: runFormat, ID: r.ID, Stopped: r.stopped, States: make([]byte, len(r.nodes))}
+	s := storedRun{Format: runFormat, ID: r.ID, Stopped: r.stopped, States: make([]byte, len(r.nodes)), Orphans: r.orphans}
 	for i := range r.nodes {
 		n := &r.nodes[i]
 		s.States[i] = byte(n.state)
@@ -88,7 +89,7 @@
 	if s.Format != runFormat || len(s.States) != len(p.Steps) {
 		return nil, fmt.Errorf("stored run %s of %s does not fit its graph", s.ID, p.ID)
 	}
-	r := &Run{Plan: p, ID: s.ID, nodes: make([]node, len(p.Steps)), stopped: s.Stopped}
+	r := &Run{Plan: p, ID: s.ID, nodes: make([]node, len(p.Steps)), stopped: s.Stopped, orphans: s.Orphans}
 	state := func(b byte) (State, error) {
 		if int(b) >= states {
 			return None, fmt.Errorf("stored run %s of %s has an unknown state", s.ID, p.ID)
--- a/internal/dag/schedule.go
+++ b/internal/dag/schedule.go
@@ -170,6 +170,38 @@
 	return out
 }
 
+// NextDue gives the interval that the next run stands for, as Due has it; ok is false if none
+// comes.
+func (p *Plan) NextDue(s *Schedule, last, now time.Time) (next Interval, ok bool) {
+	if s == nil || p.Start == nil {
+		return next, false
+	}
+	if due := p.Due(s, last, now, 1); len(due) > 0 {
+		return due[0], true
+	}
+	if s.once {
+		return Interval{*p.Start, *p.Start}, last.IsZero()
+	}
+	begin := last
+	if begin.IsZero() {
+		begin = s.Next(p.Start.Add(-time.Second))
+	}
+	if !p.Catchup && !begin.IsZero() {
+		if near := s.Next(now.Add(-s.reach(now))); near.After(begin) {
+			begin = near
+		}
+	}
+	for end := s.Next(begin); !begin.IsZero() && !end.IsZero(); begin, end = end, s.Next(end) {
+		if p.End != nil && begin.After(*p.End) {
+			break
+		}
+		if end.After(now) {
+			return Interval{begin, end}, true
+		}
+	}
+	return next, false
+}
+
 // reach is a time back from which the newest whole interval can be found.
 func (s *Schedule) reach(now time.Time) time.Duration {
 	first := s.Next(now)
--- /dev/null
+++ b/internal/graphs/describe.go
@@ -0,0 +1,191 @@
+package graphs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"poppypass/internal/httpjson"
+	"poppypass/internal/tuning"
+)
+
+// Source makes the descriptions of steps' jobs known to workers, before the jobs are
+// submitted: in the protocol whoever submits a job uploads what a worker is to run for it.
+// It is asked again for a step whose submission is not known to have come about, and must take that.
+type Source interface {
+	// Describe describes jobs. ErrRefused tells that one of them never can be; after any other
+	// error it is asked again.
+	Describe(ctx context.Context, steps []Description) error
+}
+
+// ErrRefused is the error of a Source for what it will never describe.
+var ErrRefused = errors.New("the step cannot be described")
+
+// Description is what there is to know of a step whose job is to be described.
+type Description struct {
+	Job        string                     `json:"job"` // its id
+	Team       string                     `json:"team"`
+	Graph      string                     `json:"dag_id"`
+	Run        string                     `json:"dag_run_id"`
+	Step       string                     `json:"task_id"`
+	Index      int                        `json:"map_index"` // -1: the step is not mapped
+	Element    json.RawMessage            `json:"element,omitempty"`
+	Generation int                        `json:"generation"` // how often it was cleared
+	Image      string                     `json:"image"`
+	Logical    time.Time                  `json:"logical_date"`
+	From       *time.Time                 `json:"data_interval_start,omitempty"`
+	To         *time.Time                 `json:"data_interval_end,omitempty"`
+	Params     map[string]json.RawMessage `json:"params,omitempty"`  // the graph's, with the run's conf over them
+	Results    map[string]json.RawMessage `json:"results,omitempty"` // of the steps that it follows
+}
+
+// describe makes the description of a pick.
+func (p pick) describe() Description {
+	r, m := p.run.run, &p.run.meta
+	s := &r.Plan.Steps[p.at.Step]
+	d := Description{
+		Job: p.id, Team: r.Plan.Team, Graph: r.Plan.ID, Run: r.ID, Step: s.ID, Index: -1, Generation: r.Generation(p.at.Step),
+		Image: s.Job.Image, Logical: time.UnixMilli(m.LogicalMS).UTC(), Params: map[string]json.RawMessage{}, Results: map[string]json.RawMessage{},
+	}
+	if s.Map != nil {
+		d.Index, d.Element = p.at.Index, r.Element(p.at)
+	}
+	if m.ToMS != 0 {
+		from, to := time.UnixMilli(m.FromMS).UTC(), time.UnixMilli(m.ToMS).UTC()
+		d.From, d.To = &from, &to
+	}
+	for k, v := range r.Plan.Params {
+		d.Params[k] = v
+	}
+	var conf map[string]json.RawMessage
+	if len(m.Conf) > 0 && json.Unmarshal(m.Conf, &conf) == nil {
+		for k, v := range conf {
+			d.Params[k] = v
+		}
+	}
+	for _, j := range r.Plan.Up[p.at.Step] {
+		if result := r.Result(j); result != nil {
+			d.Results[r.Plan.Steps[j].ID] = result
+		}
+	}
+	return d
+}
+
+// describer has steps described, one call at a time.
+type describer struct {
+	queue []pick
+	busy  bool
+	pause time.Duration // after a call that failed
+}
+
+// describe has the next steps described.
+func (g *Graphs) describe() {
+	d := &g.source
+	if d.busy || len(d.queue) == 0 {
+		return
+	}
+	var batch []pick
+	var texts []Description
+	for len(d.queue) > 0 && len(batch) < tuning.DescribeBatch {
+		p := d.queue[0]
+		d.queue = d.queue[1:]
+		if !p.run.run.Holds(p.at, p.id) {
+			g.release(p.run, p.at.Step) // cleared or cancelled meanwhile
+			continue
+		}
+		batch, texts = append(batch, p), append(texts, p.describe())
+	}
+	if len(batch) == 0 {
+		return
+	}
+	d.busy = true
+	pause := d.pause
+	go func() {
+		if pause > 0 {
+			select {
+			case <-g.cfg.Clock.After(pause):
+			case <-g.ended.Done():
+				return
+			}
+		}
+		refused, err := describeAll(g.ended, g.cfg.Source, texts)
+		_ = g.ask(func() { g.described(batch, refused, err) }) // fails when the tenure is over
+	}()
+}
+
+// describeAll describes steps, and gives those that were refused, by index: a batch that
+// is refused is halved until it is known which.
+func describeAll(ctx context.Context, s Source, texts []Description) (refused map[int]error, err error) {
+	refused = map[int]error{}
+	var try func(from, to int) error
+	try = func(from, to int) error {
+		call, cancel := context.WithTimeout(ctx, tuning.DescribeTimeout)
+		err := s.Describe(call, texts[from:to])
+		cancel()
+		switch {
+		case !errors.Is(err, ErrRefused):
+			return err
+		case to-from == 1:
+			refused[from] = err
+			return nil
+		}
+		middle := (from + to) / 2
+		if err := try(from, middle); err != nil {
+			return err
+		}
+		return try(middle, to)
+	}
+	return refused, try(0, len(texts))
+}
+
+// described takes in what became of a call.
+func (g *Graphs) described(batch []pick, refused map[int]error, err error) {
+	d := &g.source
+	d.busy = false
+	if err != nil {
+		d.pause = min(max(2*d.pause, tuning.DescribeRetry), tuning.DescribeRetryMax)
+		d.queue = append(batch, d.queue...)
+		g.log.Warn("steps cannot be described now", "steps", len(batch), "again_in", d.pause, "err", err)
+		g.describe()
+		return
+	}
+	d.pause = 0
+	for i, p := range batch {
+		if why := refused[i]; why != nil {
+			g.log.Error("a step has failed", "graph", p.run.graph.rec.ID, "run", p.run.run.ID, "step", p.run.run.Plan.Steps[p.at.Step].ID, "err", why)
+			g.release(p.run, p.at.Step)
+			if p.run.run.Holds(p.at, p.id) {
+				p.run.run.Gone(p.at)
+				g.dirty(p.run)
+			}
+			continue
+		}
+		p.run.picked = append(p.run.picked, p)
+		g.touch(p.run)
+	}
+	g.describe()
+}
+
+// HTTPSource describes steps by a POST of a JSON array to an operator's URL: 2xx says that
+// workers find them, 4xx but 408 and 429 that they never will.
+type HTTPSource struct {
+	URL    string
+	Client *http.Client
+}
+
+// Describe implements Source.
+func (s *HTTPSource) Describe(ctx context.Context, steps []Description) error {
+	status, err := httpjson.Call(ctx, s.Client, http.MethodPost, s.URL, steps, func(int) any { return nil })
+	switch {
+	case err != nil:
+		return err
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
+		return fmt.Errorf("%w: the source answered %d", ErrRefused, status)
+	}
+	return fmt.Errorf("the source answered %d", status)
+}
--- a/internal/graphs/graphs.go
+++ b/internal/graphs/graphs.go
@@ -6,15 +6,16 @@
 // stores its job, guarded on both. So a step is submitted or it is ready, whoever leads
 // next, and its job's id is the same for all. What became of the job is in its own
 // records, which a new leader compares with the runs before it goes on.
+//
+// Only the leader writes graphs and runs; any member stores definitions, which are named by
+// what they say, and reads all of it (Reader).
 package graphs
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"log/slog"
-	"slices"
+	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -34,59 +35,64 @@
 	Clock   clockwork.Clock
 	TxnOps  int     // changes in one transaction
 	ValueKB float64 // the longest value of the state service, in KiB
-	// Impossible says why a job can never run, or nothing.
+	Bytes   int     // that graphs and live runs may take in memory; 0: any number
+	// Impossible says why a job can never run, or nothing. It is safe for concurrent use.
 	Impossible func(*wire.Job) string
 	// Jitter gives a share from 0 to 1, by which rests before retries differ.
 	Jitter func() float64
+	// Source makes the descriptions of steps known to workers; nil: only clients do.
+	Source Source
+	// Pools gives the slots of a team's pool. It is safe for concurrent use.
+	Pools func(team, name string) (slots int, ok bool)
 }
 
-// Graphs are the live runs of one tenure. It implements leader.Slice.
+// Graphs are the graphs and live runs of one tenure. It implements leader.Slice and
+// leader.Doer.
 type Graphs struct {
 	cfg   Config
 	log   *slog.Logger
 	codec *charge.Codec
 	book  *jobs.Book
 
-	read   bool
-	plans  map[string]*dag.Plan // by hash; those that are stored whole
-	runs   map[string]*live     // by key
-	order  []*live              // in the order in which they began here
-	byJob  map[string]where     // steps whose jobs are not over
-	births []*birth
-}
+	ended context.Context    // of the tenure
+	ask   func(func()) error // has the loop do something
+	store *statestore.Client
+	read  bool
 
-// live is a run that is not over.
-type live struct {
-	run     *dag.Run
-	key     string
-	def     string
-	version uint64
-	dirty   bool // it is not stored as it is
-	active  int  // instances that are submitted and not over
+	defs   map[string]*def    // by hash
+	graphs map[string]*graph  // by key
+	runs   map[string]*live   // those that are not over, by key
+	byJob  map[string]where   // steps whose jobs are not over
+	young  map[string]where   // those of them that were not seen to run
+	timed  map[string]where   // those that run, and may not for ever
+	pools  map[poolKey]*pool  //
+	todo   []*live            // runs with something to store or to submit
+	drops  []drop             // records that are to go
+	bytes  int                // that graphs and runs take
+	care   time.Time          // when definitions are looked at next
+	source describer          //
+	fetch  bool               // a definition is being read
+	late   map[*live]struct{} // runs with something that may wait to be stored
+
+	cancels map[string]struct{} // jobs that are to be cancelled
 }
 
+// where is a step's job that is not over.
 type where struct {
-	run *live
-	at  dag.Ref
+	run        *live
+	at         dag.Ref
+	generation int
 }
 
-// birth is a run that is to be stored: first its graph's parts, then itself.
-type birth struct {
-	plan  *dag.Plan
-	hash  string
-	parts []json.RawMessage
-	next  int
-	run   *dag.Run
-	key   string
-	tell  func(error)
+// current tells whether it is the job of the present generation of its step.
+func (w where) current() bool {
+	return w.at.Step >= 0 && w.generation == w.run.run.Generation(w.at.Step)
 }
 
-var (
-	// ErrExists tells that a run of that name is known.
-	ErrExists = errors.New("the run exists already")
-	// ErrNotReady tells that the runs are still being read.
-	ErrNotReady = errors.New("the runs are being read; come back in a second")
-)
+func (w where) instance() *dag.Instance {
+	_, instances := w.run.run.State(w.at.Step)
+	return &instances[w.at.Index]
+}
 
 // New makes the graphs of a tenure.
 func New(cfg Config, log *slog.Logger) (*Graphs, error) {
@@ -95,143 +101,8 @@
 		return nil, err
 	}
 	return &Graphs{
-		cfg: cfg, log: log, codec: codec, plans: map[string]*dag.Plan{}, runs: map[string]*live{}, byJob: map[string]where{},
-	}, nil
-}
-
-// Begin stores a run of a graph, and has it go. tell is told once it is stored, or why
-// it is not.
-func (g *Graphs) Begin(p *dag.Plan, id string, now time.Time, tell func(error)) {
-	if !g.read {
-		tell(ErrNotReady)
-		return
-	}
-	key := keyRun(p.Team, p.ID, id)
-	if len(key) > tuning.MaxKey {
-		tell(errors.New("the names of graph and run are too long together"))
-		return
-	}
-	r := dag.NewRun(p, id)
-	for i := range p.Steps {
-		if p.Steps[i].Job == nil {
-			continue
-		}
-		j, _, err := jobOf(r, dag.Ref{Step: i}, now.UnixMilli())
-		if err == nil && g.cfg.Impossible != nil {
-			if why := g.cfg.Impossible(&j); why != "" {
-				err = errors.New(why)
-			}
-		}
-		if err != nil {
-			tell(fmt.Errorf("step %s: %w", p.Steps[i].ID, err))
-			return
-		}
-	}
-	hash, values, err := parts(g.codec, &p.Graph)
-	if err != nil {
-		tell(err)
-		return
-	}
-	if g.plans[hash] != nil {
-		values = nil // it is stored already
-	}
-	g.births = append(g.births, &birth{plan: p, hash: hash, parts: values, run: r, key: key, tell: tell})
-}
-
-// Read reads the runs that are not over, and what became of their jobs meanwhile.
-func (g *Graphs) Read(ctx context.Context, store *statestore.Client, ask func(func()) error) (func(), error) {
-	list := func(prefix string) (out []wire.Item, err error) {
-		_, err = store.ListAll(ctx, prefix, func(items []wire.Item) error {
-			out = append(out, items...)
-			return nil
-		})
-		return out, err
-	}
-	defs, err := list(PrefixDef)
-	if err != nil {
-		return nil, err
-	}
-	stored, err := list(PrefixRun)
-	if err != nil {
-		return nil, err
-	}
-	plans, err := assemble(g.codec, defs)
-	if err != nil {
-		return nil, err
-	}
-	runs := map[string]*live{}
-	var order []*live
-	var open []where
-	for _, item := range stored {
-		var rec runRecord
-		if json.Unmarshal(item.Value, &rec) == nil && rec.Over {
-			continue
-		}
-		r, def, err := decodeRun(g.codec, item, plans)
-		if err != nil {
-			// One run that cannot be read must not hold up all others.
-			g.log.Error("a run is unreadable and rests", "err", err)
-			continue
-		}
-		x := &live{run: r, key: item.Key, def: def, version: item.Version}
-		runs[x.key] = x
-		order = append(order, x)
-		for i := range r.Plan.Steps {
-			_, instances := r.State(i)
-			for k := range instances {
-				if s := instances[k].State; s == dag.Queued || s == dag.Running || s == dag.UpForRetry {
-					open = append(open, where{x, dag.Ref{Step: i, Index: k}})
-				}
-			}
-		}
-	}
-	ids := make([]string, len(open))
-	for i, w := range open {
-		ids[i] = w.run.run.JobID(w.at)
-	}
-	// From here on the loop hears what becomes of these jobs. One that is not live any more
-	// has ended: its end is stored for ever.
-	var ended []string
-	if err := ask(func() {
-		g.plans, g.runs, g.order, g.byJob = plans, runs, order, map[string]where{}
-		for i, w := range open {
-			g.byJob[ids[i]] = w
-			w.run.active++
-			if j := g.book.Jobs[ids[i]]; j == nil || j.Cancelled() {
-				ended = append(ended, ids[i])
-			}
-		}
-	}); err != nil {
-		return nil, err
-	}
-	states := map[string]wire.JobState{}
-	for _, id := range ended {
-		item, ok, err := store.Get(ctx, jobs.KeyEnd(id))
-		if err != nil {
-			return nil, err
-		}
-		var e jobs.End
-		if ok {
-			if err := json.Unmarshal(item.Value, &e); err != nil {
-				return nil, fmt.Errorf("record %s: %w", item.Key, err)
-			}
-			states[id] = e.State
-		}
-	}
-	return func() {
-		for id, state := range states {
-			g.over(id, state)
-		}
-		for _, x := range order {
-			// What a former leader was about to cancel.
-			for _, id := range x.run.Ending() {
-				if j := g.book.Jobs[id]; j != nil {
-					g.book.Cancel(j, func(wire.JobState) {})
-				}
-			}
-		}
-		g.read = true
-		g.log.Info("graphs loaded", "runs", len(runs), "steps", len(open))
+		cfg: cfg, log: log, codec: codec, defs: map[string]*def{}, graphs: map[string]*graph{}, runs: map[string]*live{},
+		byJob: map[string]where{}, young: map[string]where{}, timed: map[string]where{}, pools: map[poolKey]*pool{}, late: map[*live]struct{}{}, cancels: map[string]struct{}{},
 	}, nil
 }
 
@@ -241,15 +112,15 @@
 // Admit has a step's job rest before its next try.
 func (g *Graphs) Admit(j *jobs.Job, now time.Time) (int, string) {
 	w, ok := g.byJob[j.ID]
-	if !ok {
+	if !ok || !w.current() {
 		return j.Waiting(), ""
 	}
-	_, instances := w.run.run.State(w.at.Step)
-	if instances[w.at.Index].Ending {
+	x := w.instance()
+	if x.Ending {
 		return 0, "the step's tries are used up, or its time is over"
 	}
-	if hold := instances[w.at.Index].Hold; now.Before(hold) {
-		return 0, "the step rests before its next try, until " + hold.UTC().Format(time.RFC3339)
+	if now.Before(x.Hold) {
+		return 0, "the step rests before its next try, until " + x.Hold.UTC().Format(time.RFC3339)
 	}
 	return j.Waiting(), ""
 }
@@ -271,189 +142,220 @@
 
 // Ended counts a step's failed attempts.
 func (g *Graphs) Ended(o roster.Outcome, now time.Time) {
-	w, ok := g.byJob[o.Place.Job.ID]
-	if !ok || o.Why != wire.WhyError || o.Place.Job.Cancelled() {
+	id := o.Place.Job.ID
+	w, ok := g.byJob[id]
+	if !ok || !w.current() || o.Why != wire.WhyError || o.Place.Job.Cancelled() {
 		return
 	}
+	w.run.ended(w.at, now, dag.Failed)
 	w.run.run.Failure(w.at, now, g.cfg.Jitter())
-	w.run.dirty = true
+	delete(g.timed, id)
+	g.young[id] = w
+	g.dirty(w.run)
 	g.cancel(w.run)
 }
 
 // Over takes in what became of a step's job.
-func (g *Graphs) Over(o jobs.Over, _ time.Time) { g.over(o.Job.ID, o.State) }
+func (g *Graphs) Over(o jobs.Over, now time.Time) { g.over(o.Job.ID, o.State, now) }
 
-func (g *Graphs) over(id string, state wire.JobState) {
+func (g *Graphs) over(id string, state wire.JobState, now time.Time) {
 	w, ok := g.byJob[id]
 	if !ok {
 		return
 	}
+	x := w.run
+	if early, pending := x.pending[id]; pending {
+		// The transaction that stores the job has no answer yet: whether this job is ours
+		// is known with that.
+		if early == "" {
+			x.pending[id] = state
+		}
+		return
+	}
 	delete(g.byJob, id)
-	w.run.active--
-	w.run.dirty = true
+	delete(g.young, id)
+	delete(g.timed, id)
+	if w.at.Step >= 0 {
+		g.release(x, w.at.Step)
+	} else {
+		x.active--
+	}
+	g.dirty(x)
+	if !w.current() {
+		x.run.Parted(id)
+		return
+	}
+	end := dag.Success
 	if state != wire.StateDone {
-		w.run.run.Gone(w.at)
-	} else if err := w.run.run.Done(w.at, nil); err != nil {
-		g.log.Info("a step has failed", "graph", w.run.run.Plan.ID, "run", w.run.run.ID, "err", err)
+		end = dag.Failed
+		x.run.Gone(w.at)
+	} else if err := x.run.Done(w.at); err != nil {
+		end = dag.Failed
+		g.log.Info("a step has failed", "graph", x.graph.rec.ID, "run", x.run.ID, "err", err)
+	}
+	x.ended(w.at, now, end)
+	g.cancel(x)
+	if x.graph.past {
+		// The same step of the runs behind it may wait for this.
+		for _, e := range x.graph.history {
+			if e.live != nil && len(e.live.waits) > 0 {
+				g.touch(e.live)
+			}
+		}
 	}
-	g.cancel(w.run)
 }
 
-// cancel cancels the jobs that a run has no use for any more, and tells whether there
-// were any.
-func (g *Graphs) cancel(x *live) bool {
-	ids := x.run.Cancels()
-	for _, id := range ids {
-		if j := g.book.Jobs[id]; j != nil {
+// cancel cancels the jobs that a run has no use for any more.
+func (g *Graphs) cancel(x *live) {
+	for _, id := range x.run.Cancels() {
+		g.cancels[id] = struct{}{}
+	}
+	g.cancelNow()
+}
+
+// cancelNow cancels the jobs that the book knows by now: it hears of one that was just
+// stored a moment later.
+func (g *Graphs) cancelNow() {
+	for id := range g.cancels {
+		if _, ok := g.byJob[id]; !ok {
+			delete(g.cancels, id) // it is over
+		} else if j := g.book.Jobs[id]; j != nil {
+			delete(g.cancels, id)
 			g.book.Cancel(j, func(wire.JobState) {})
 		}
 	}
-	return len(ids) > 0
 }
 
-// Cancel cancels a run; ok is false if it is not live.
-func (g *Graphs) Cancel(team, graph, run string) (ok bool) {
-	x := g.runs[keyRun(team, graph, run)]
-	if x == nil {
-		return false
-	}
-	x.run.Cancel()
+// dirty has a run stored.
+func (g *Graphs) dirty(x *live) {
 	x.dirty = true
-	g.cancel(x)
-	return true
+	g.touch(x)
 }
 
-// Tick looks which steps run, and for how long.
+// touch has it looked at what a run can submit.
+func (g *Graphs) touch(x *live) {
+	if !x.queued && !x.gone {
+		x.queued = true
+		g.todo = append(g.todo, x)
+	}
+}
+
+// Tick looks which steps run, and for how long, which runs are due, and what may go.
 func (g *Graphs) Tick(now time.Time) []*jobs.Place {
 	if !g.read {
 		return nil
 	}
-	late := map[*live]map[int]bool{}
-	for id, w := range g.byJob {
-		r := w.run.run
-		_, instances := r.State(w.at.Step)
-		if j := g.book.Jobs[id]; j != nil && !now.Before(instances[w.at.Index].Hold) && j.Status().Running > 0 {
-			r.Running(w.at, now)
+	for id, w := range g.young {
+		j := g.book.Jobs[id]
+		if j == nil || j.Placed == 0 || !w.current() || now.Before(w.instance().Hold) || j.Status().Running == 0 {
+			continue
 		}
-		if r.Plan.Steps[w.at.Step].Timeout > 0 {
-			if late[w.run] == nil {
-				late[w.run] = map[int]bool{}
-			}
-			late[w.run][w.at.Step] = true
+		w.run.run.Running(w.at, now)
+		w.run.begun(w.at, now)
+		g.later(w.run, now)
+		delete(g.young, id)
+		if w.run.run.Plan.Steps[w.at.Step].Timeout > 0 {
+			g.timed[id] = w
 		}
 	}
-	for x, steps := range late {
-		for i := range steps {
-			x.run.Late(i, now)
+	for _, w := range g.timed {
+		if w.current() && w.run.run.Late(w.at, now) {
+			g.dirty(w.run)
+			g.cancel(w.run)
 		}
-		x.dirty = g.cancel(x) || x.dirty
 	}
+	for x := range g.late {
+		if now.Sub(x.lateAt) >= tuning.GraphLag {
+			delete(g.late, x)
+			g.dirty(x)
+		}
+	}
+	g.cancelNow()
+	g.schedule(now)
+	if !now.Before(g.care) {
+		g.care = now.Add(tuning.GraphCare)
+		g.tidy(now)
+	}
+	g.describe()
 	return nil
 }
 
-// Next gives the next transaction of the graphs: a new run, steps to submit, or a run
-// whose state has changed.
-func (g *Graphs) Next(now time.Time, room int) *leader.Write {
-	if most := min(room, g.cfg.TxnOps); g.read && most >= 2 {
-		if len(g.births) > 0 {
-			return g.bear(most)
-		}
-		for i, x := range g.order {
-			if x.run.Ready() > 0 || x.dirty {
-				if w := g.submit(x, most, now); w != nil {
-					// The next look begins behind it: a run of 10,000 ready steps must not
-					// hold up the others.
-					g.order = append(append(slices.Clone(g.order[:i]), g.order[i+1:]...), x)
-					return w
-				}
-			}
-		}
+// later has a run stored within a while, or with what is stored of it before.
+func (g *Graphs) later(x *live, now time.Time) {
+	if _, ok := g.late[x]; !ok {
+		x.lateAt = now
+		g.late[x] = struct{}{}
 	}
-	return nil
 }
 
-// bear stores a new run.
-func (g *Graphs) bear(most int) *leader.Write {
-	b := g.births[0]
-	var txn wire.Txn
-	if b.next < len(b.parts) {
-		size, end := 0, b.next
-		for end < len(b.parts) && end-b.next < most && size+len(b.parts[end]) < tuning.CommitBytes {
-			txn.Then = append(txn.Then, wire.Change{Put: keyPart(b.hash, end), Value: b.parts[end]})
-			size += len(b.parts[end])
-			end++
-		}
-		// They are named by what they say, so writing one again changes nothing.
-		return &leader.Write{Txn: txn, Done: func(uint64) {
-			b.next = end
-			if end == len(b.parts) {
-				g.plans[b.hash] = b.plan
-			}
-		}}
+// Next gives the next transaction of the graphs: graphs, runs with the jobs of steps that
+// are ready, and records that are to go, as many as it takes.
+func (g *Graphs) Next(now time.Time, room int) *leader.Write {
+	b := &batch{most: min(room, g.cfg.TxnOps), value: int(g.cfg.ValueKB * 1024)}
+	if !g.read || b.most < 2 {
+		return nil
 	}
-	value, err := runValue(g.codec, b.hash, b.run)
-	if err != nil {
-		g.births = g.births[1:]
-		b.tell(err)
+	g.storeGraphs(b)
+	g.storeRuns(b, now)
+	g.dropRecords(b)
+	g.describe()
+	if len(b.txn.Then) == 0 {
 		return nil
 	}
-	txn.If = []wire.Condition{{Key: b.key}}
-	txn.Then = []wire.Change{{Put: b.key, Value: value}}
-	return &leader.Write{Txn: txn, Done: func(revision uint64) {
-		g.births = g.births[1:]
-		x := &live{run: b.run, key: b.key, def: b.hash, version: revision}
-		g.runs[b.key] = x
-		g.order = append(g.order, x)
-		b.tell(nil)
+	return &leader.Write{Txn: b.txn, Done: func(revision uint64) {
+		for _, fn := range b.done {
+			fn(revision)
+		}
 	}, Conflict: func() {
-		g.births = g.births[1:]
-		b.tell(ErrExists)
+		for _, fn := range b.undo {
+			fn()
+		}
 	}}
 }
 
-// submit stores the jobs of steps that are ready, and the run's state with them.
-func (g *Graphs) submit(x *live, most int, now time.Time) *leader.Write {
-	limit := x.run.Plan.MaxTasks
-	if limit == 0 {
-		limit = tuning.GraphTasks
+// batch gathers one transaction.
+type batch struct {
+	txn   wire.Txn
+	most  int // changes
+	value int // bytes of the longest value
+	size  int // bytes of what is in it
+	done  []func(revision uint64)
+	undo  []func() // if a condition did not hold
+}
+
+// fits tells whether some more changes of some bytes can go with it.
+func (b *batch) fits(changes, bytes int) bool {
+	return len(b.txn.Then)+changes <= b.most && (b.size == 0 || b.size+bytes <= tuning.CommitBytes)
+}
+
+func (b *batch) put(key string, version uint64, value []byte) {
+	b.txn.If = append(b.txn.If, wire.Condition{Key: key, Version: version})
+	b.txn.Then = append(b.txn.Then, wire.Change{Put: key, Value: value})
+	b.size += len(value) + 2*len(key)
+}
+
+// PathPools asks for a team's pools, as PoolViews.
+const PathPools = "/graphs/pools"
+
+// Show answers what only the leader knows; the rest is answered from what is stored (Reader).
+func (g *Graphs) Show(uri string, _ time.Time) (int, any, bool) {
+	u, err := url.Parse(uri)
+	if err != nil || u.Path != PathPools {
+		return 0, nil, false
 	}
-	refs := x.run.Next(min(most-1, max(0, limit-x.active)))
-	if len(refs) == 0 && !x.dirty {
-		return nil
+	if !g.read {
+		return http.StatusServiceUnavailable, wire.Error{Error: "the graphs are being read"}, true
 	}
-	var txn wire.Txn
-	for _, at := range refs {
-		j, value, err := jobOf(x.run, at, now.UnixMilli())
-		if err != nil || len(value) > int(g.cfg.ValueKB*1024) {
-			g.log.Error("a step cannot be submitted", "job", j.ID, "err", err)
-			x.run.Gone(at)
+	out := []PoolView{}
+	for key, p := range g.pools {
+		if key.team != u.Query().Get("team") {
 			continue
 		}
-		x.run.Submitted(at)
-		txn.If = append(txn.If, wire.Condition{Key: jobs.KeyJob(j.ID)}, wire.Condition{Key: jobs.KeyEnd(j.ID)})
-		txn.Then = append(txn.Then, wire.Change{Put: jobs.KeyJob(j.ID), Value: value})
-		// What hears of the job first, its end or this transaction's, must find it.
-		g.byJob[j.ID] = where{x, at}
-		x.active++
-	}
-	value, err := runValue(g.codec, x.def, x.run)
-	if err != nil || len(value) > int(g.cfg.ValueKB*1024) {
-		g.log.Error("a run has become too large and is cancelled", "run", x.key, "bytes", len(value), "err", err)
-		x.run.Cancel()
-		g.cancel(x)
-		return nil
-	}
-	txn.If = append(txn.If, wire.Condition{Key: x.key, Version: x.version})
-	txn.Then = append(txn.Then, wire.Change{Put: x.key, Value: value})
-	x.dirty = false
-	return &leader.Write{Txn: txn, Done: func(revision uint64) {
-		x.version = revision
-		if x.run.RunState() != dag.RunRunning && x.active == 0 && !x.dirty {
-			delete(g.runs, x.key)
-			g.order = slices.DeleteFunc(g.order, func(y *live) bool { return y == x })
+		v := PoolView{Name: key.name, Slots: p.slots, Used: p.used}
+		for _, x := range p.line.runs {
+			v.Waits += len(x.held[p])
 		}
-	}}
+		out = append(out, v)
+	}
+	return http.StatusOK, out, true
 }
-
-// Show answers questions; there are none yet.
-func (g *Graphs) Show(string, time.Time) (int, any, bool) { return 0, nil, false }
--- a/internal/graphs/graphs_test.go
+++ b/internal/graphs/graphs_test.go
@@ -1,214 +1,26 @@
 package graphs
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
-	"maps"
+	"net/http"
 	"os"
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
 	"poppypass/internal/dag"
 	"poppypass/internal/jobs"
-	"poppypass/internal/roster"
 	"poppypass/internal/standin"
-	"poppypass/internal/statestore"
 	"poppypass/internal/wire"
 )
 
 func TestMain(m *testing.M) { os.Exit(standin.FixedSeed(m)) }
 
-// world is a leader's book and graphs over a stand-in of the state service, and workers
-// that the test drives.
-type world struct {
-	t      testing.TB
-	clock  *clockwork.FakeClock
-	state  *standin.State
-	store  *statestore.Client
-	book   *jobs.Book
-	graphs *Graphs
-	known  map[string]bool // jobs that the book took in
-	ends   map[string]int  // tasks that completed, by job: it must be once
-}
-
-func newWorld(t testing.TB) *world {
-	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC))
-	state := standin.NewState(clock)
-	w := &world{t: t, clock: clock, state: state, store: statestore.New(state.Addr(), 1e6, 1e6), ends: map[string]int{}}
-	w.lead()
-	return w
-}
-
-func (w *world) commit(txn wire.Txn) uint64 {
-	w.t.Helper()
-	revision, err := w.store.Commit(context.Background(), txn)
-	if err != nil {
-		w.t.Fatalf("%v: %+v", err, txn.If)
-	}
-	return revision
-}
-
-func (w *world) list(prefix string) (out []wire.Item) {
-	if _, err := w.store.ListAll(context.Background(), prefix, func(items []wire.Item) error {
-		out = append(out, items...)
-		return nil
-	}); err != nil {
-		w.t.Fatal(err)
-	}
-	return out
-}
-
-// lead begins with a new leader.
-func (w *world) lead() {
-	w.t.Helper()
-	var err error
-	if w.graphs, err = New(Config{Clock: w.clock, TxnOps: 12, ValueKB: 16, Jitter: func() float64 { return 0 }}, slog.New(slog.DiscardHandler)); err != nil {
-		w.t.Fatal(err)
-	}
-	w.book, w.known = jobs.NewBook(12), map[string]bool{}
-	w.watch()
-	for _, item := range w.list(jobs.PrefixRun) {
-		if _, err := w.book.LoadRun(item, w.clock.Now()); err != nil {
-			w.t.Fatal(err)
-		}
-	}
-	w.book.Loaded()
-	w.graphs.Loaded(w.book, w.clock.Now())
-	take, err := w.graphs.Read(context.Background(), w.store, func(fn func()) error { fn(); return nil })
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	take()
-}
-
-// watch has the book take in jobs that were stored.
-func (w *world) watch() {
-	for _, item := range w.list(jobs.PrefixJob) {
-		if !w.known[item.Key] {
-			w.known[item.Key] = true
-			if _, err := w.book.LoadJob(item, w.clock.Now(), w.clock.Now()); err != nil {
-				w.t.Fatal(err)
-			}
-		}
-	}
-}
-
-// next does one of the graphs' transactions.
-func (w *world) next(answered bool) bool {
-	write := w.graphs.Next(w.clock.Now(), 1000)
-	if write == nil {
-		return false
-	}
-	if revision := w.commit(write.Txn); answered {
-		write.Done(revision)
-		w.watch()
-	}
-	return true
-}
-
-// flush stores the book's changes.
-func (w *world) flush() {
-	for b := w.book.Take(w.clock.Now().Add(time.Hour), 1000); b != nil; b = w.book.Take(w.clock.Now().Add(time.Hour), 1000) {
-		_, over := w.book.Written(b, w.commit(b.Txn))
-		for _, o := range over {
-			w.graphs.Over(o, w.clock.Now())
-		}
-	}
-}
-
-// settle does all that is due.
-func (w *world) settle() {
-	for more := true; more; {
-		w.flush()
-		w.graphs.Tick(w.clock.Now())
-		more = w.next(true)
-		w.flush()
-	}
-}
-
-// place has the first waiting task of a job run.
-func (w *world) place(id string) *jobs.Place {
-	j := w.book.Jobs[id]
-	if j == nil || !j.Open() || j.NextWaiting(0) < 0 {
-		return nil
-	}
-	if n, _ := w.graphs.Admit(j, w.clock.Now()); n == 0 {
-		return nil
-	}
-	p := w.book.Place(j, j.NextWaiting(0), "n-1", "a", 1, w.clock.Now())
-	w.flush()
-	p.State = wire.TaskRunning
-	w.graphs.Tick(w.clock.Now())
-	return p
-}
-
-// end ends a task's attempt.
-func (w *world) end(p *jobs.Place, why wire.Why) {
-	if p.Removed {
-		return
-	}
-	w.graphs.Ended(roster.Outcome{Place: p, Why: why}, w.clock.Now())
-	if why == wire.WhyDone {
-		w.ends[p.Job.ID]++
-		w.book.Finished(p, w.clock.Now())
-		return
-	}
-	w.book.Gone(p, w.clock.Now())
-}
-
-func (w *world) begin(p *dag.Plan, run string) {
-	w.t.Helper()
-	told := fmt.Errorf("not told")
-	w.graphs.Begin(p, run, w.clock.Now(), func(err error) { told = err })
-	w.settle()
-	if told != nil {
-		w.t.Fatal(told)
-	}
-}
-
-// live names the jobs that wait or run.
-func (w *world) live() []string { return slices.Sorted(maps.Keys(w.book.Jobs)) }
-
-// run gives a run as it is stored.
-func (w *world) run(p *dag.Plan, id string) *dag.Run {
-	w.t.Helper()
-	plans, err := assemble(w.graphs.codec, w.list(PrefixDef))
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	item, ok := w.state.Value(keyRun(p.Team, p.ID, id))
-	if !ok {
-		w.t.Fatal("the run is not stored")
-	}
-	r, _, err := decodeRun(w.graphs.codec, item, plans)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	return r
-}
-
-func step(id string, up ...string) dag.Step {
-	return dag.Step{ID: id, Kind: dag.KindJob, Job: &dag.Job{Class: "c", CPUs: 1, MemoryGB: 1, Image: "i", EstimateS: 10}, Upstream: up}
-}
-
-func check(t testing.TB, steps ...dag.Step) *dag.Plan {
-	t.Helper()
-	p, err := dag.Check(&dag.Graph{ID: "g", Team: "the team", Steps: steps})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return p
-}
-
 func TestAGraphFromItsBeginToItsEnd(t *testing.T) {
 	w := newWorld(t)
-	defer w.state.Close()
+	defer w.close()
 	flaky := step("flaky", "first")
 	flaky.Retries, flaky.Delay = 1, dag.Duration(time.Minute)
 	p := check(t, step("first"), flaky, step("last", "flaky"))
@@ -234,21 +46,15 @@
 	if r := w.run(p, "one"); r.RunState() != dag.RunSuccess || len(w.live()) != 0 || len(w.graphs.runs) != 0 {
 		t.Errorf("the run is %v, %d runs are live", r.RunState(), len(w.graphs.runs))
 	}
-	var told error
-	w.graphs.Begin(p, "one", w.clock.Now(), func(err error) { told = err })
-	write := w.graphs.Next(w.clock.Now(), 1000)
-	if _, err := w.store.Commit(t.Context(), write.Txn); err == nil {
-		t.Error("the run is stored twice")
-	}
-	if write.Conflict(); told != ErrExists {
-		t.Errorf("told %v", told)
-	}
+	w.ordered(DoTrigger, Order{Run: "one", Described: true}, http.StatusConflict)
+	w.lead()
+	w.ordered(DoTrigger, Order{Run: "one", Described: true}, http.StatusConflict)
 }
 
 // Its tries are used up: the core would go on, so the graph cancels the job.
 func TestAStepThatFailsForGood(t *testing.T) {
 	w := newWorld(t)
-	defer w.state.Close()
+	defer w.close()
 	late := step("late")
 	late.Timeout = dag.Duration(time.Minute)
 	p := check(t, step("bad"), late, step("never", "bad"))
@@ -283,7 +89,7 @@
 // The largest graph is stored in parts and submitted a few steps at a time.
 func TestTheLargestGraphIsStored(t *testing.T) {
 	w := newWorld(t)
-	defer w.state.Close()
+	defer w.close()
 	var steps []dag.Step
 	for i := range dag.MaxSteps {
 		s := step(fmt.Sprintf("a-step-with-a-name-%d", i*7919%dag.MaxSteps))
@@ -308,8 +114,9 @@
 // run comes to one end, and no task of a step completes twice.
 func TestEveryStepEndsOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(t)
-		defer w.state.Close()
+		w := newWorldWith(t, Config{Source: sourceFunc(describes)})
+		w.lead()
+		defer w.close()
 		n := rapid.IntRange(1, 6).Draw(rt, "steps")
 		var steps []dag.Step
 		for i := range n {
@@ -326,7 +133,16 @@
 		p := check(t, steps...)
 		w.begin(p, "one")
 		for range rapid.IntRange(1, 30).Draw(rt, "events") {
-			switch rapid.IntRange(0, 7).Draw(rt, "event") {
+			switch rapid.IntRange(0, 9).Draw(rt, "event") {
+			case 8:
+				o := Order{Run: "one", Steps: []string{fmt.Sprint("s", rapid.IntRange(0, n-1).Draw(rt, "clear"))}, Below: true}
+				if w.order(DoClear, o); w.graphs.runs[keyRun("the team", "g", "one")] == nil {
+					w.answered() // the run is over, and read first
+				}
+			case 9:
+				if rapid.IntRange(0, 4).Draw(rt, "cancel") == 0 {
+					w.order(DoCancel, Order{Run: "one"})
+				}
 			case 0:
 				w.lead()
 			case 1:
@@ -344,6 +160,9 @@
 			case 4:
 				w.clock.Advance(time.Second)
 				w.graphs.Tick(w.clock.Now())
+				if w.graphs.source.busy {
+					w.answered()
+				}
 			default:
 				for _, id := range w.live() {
 					pl := w.place(id)
--- /dev/null
+++ b/internal/graphs/orders.go
@@ -0,0 +1,272 @@
+package graphs
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"poppypass/internal/dag"
+	"poppypass/internal/leader"
+	"poppypass/internal/tuning"
+)
+
+// PathOrders begins the URI of each command (leader.Command): what is to be done follows,
+// and the body is an Order. Whoever has no answer may give one again: all of them are so made
+// that twice is as good as once.
+const PathOrders = "/graphs/"
+
+// What can be ordered.
+const (
+	DoPut      = "put"      // register a graph whose definition is stored: 201, or 200 if it was known
+	DoPause    = "pause"    // or have it go on
+	DoRemove   = "remove"   // drop a graph and its runs
+	DoTrigger  = "trigger"  // begin a run: 201, or 409 if there is one of that id
+	DoBackfill = "backfill" // begin the runs of past intervals
+	DoCancel   = "cancel"   // end a run
+	DoClear    = "clear"    // have steps of a run go again
+	DoForget   = "forget"   // drop a run that is over
+	DoPush     = "push"     // what a step leaves for those that follow
+)
+
+// Order is a command of a team. Fields that a command does not need are ignored.
+type Order struct {
+	Team  string `json:"team"`
+	Graph string `json:"graph"`
+	Run   string `json:"run,omitempty"`
+
+	Def    string `json:"def,omitempty"` // the hash of a definition
+	Parts  int    `json:"parts,omitempty"`
+	Paused *bool  `json:"paused,omitempty"`
+
+	LogicalMS int64           `json:"logical_ms,omitempty"`
+	Conf      json.RawMessage `json:"conf,omitempty"`
+	Note      string          `json:"note,omitempty"`
+	Described bool            `json:"described,omitempty"` // the steps' descriptions are uploaded
+
+	From time.Time `json:"from,omitzero"` // intervals that begin from here
+	To   time.Time `json:"to,omitzero"`   // up to here
+
+	Steps      []string        `json:"steps,omitempty"` // none: all
+	Below      bool            `json:"below,omitempty"` // and those that follow them
+	OnlyFailed bool            `json:"only_failed,omitempty"`
+	Step       string          `json:"step,omitempty"`
+	Result     json.RawMessage `json:"result,omitempty"`
+}
+
+// Do carries out a command.
+func (g *Graphs) Do(c leader.Command, now time.Time, tell func(int, any)) bool {
+	verb, ok := strings.CutPrefix(c.URI, PathOrders)
+	if !ok {
+		return false
+	}
+	var o Order
+	say := answer(tell)
+	if err := json.Unmarshal(c.Body, &o); err != nil || o.Team == "" {
+		say.refuse(http.StatusBadRequest, "the command is malformed")
+		return true
+	}
+	if !g.read {
+		say.refuse(http.StatusServiceUnavailable, "the graphs are being read; ask again")
+		return true
+	}
+	g.do(verb, &o, now, say)
+	return true
+}
+
+func (g *Graphs) do(verb string, o *Order, now time.Time, tell answer) {
+	if verb == DoPut {
+		if !validHash(o.Def) {
+			tell.refuse(http.StatusBadRequest, "the definition is no hash")
+			return
+		}
+		g.put(o, tell)
+		return
+	}
+	// Whether another team has a graph of that name is nobody's business: both are none.
+	gr := g.graphs[keyGraph(o.Team, o.Graph)]
+	if gr == nil || gr.gone {
+		tell.refuse(http.StatusNotFound, "no such graph")
+		return
+	}
+	switch verb {
+	case DoPause:
+		g.pause(gr, o.Paused != nil && *o.Paused, tell)
+	case DoRemove:
+		g.remove(gr, tell)
+	case DoTrigger:
+		g.trigger(gr, o, now, tell)
+	case DoBackfill:
+		g.backfill(gr, o, now, tell)
+	case DoCancel, DoClear, DoForget, DoPush:
+		g.doRun(verb, gr, o, now, tell)
+	default:
+		tell.refuse(http.StatusNotFound, "no such command")
+	}
+}
+
+func (g *Graphs) trigger(gr *graph, o *Order, now time.Time, tell answer) {
+	var conf map[string]json.RawMessage
+	if len(o.Conf) > 0 && json.Unmarshal(o.Conf, &conf) != nil {
+		tell.refuse(http.StatusBadRequest, "conf is no JSON object")
+		return
+	}
+	if len(o.Note) > tuning.GraphConf {
+		tell.refuse(http.StatusBadRequest, "the note has %d bytes; up to %d are allowed", len(o.Note), tuning.GraphConf)
+		return
+	}
+	logical := now
+	if o.LogicalMS != 0 {
+		logical = time.UnixMilli(o.LogicalMS)
+	}
+	if o.Run == "" {
+		o.Run = RunName(Manual, logical)
+	}
+	m := meta{Type: Manual, LogicalMS: logical.UnixMilli(), Conf: o.Conf, Note: o.Note, Described: o.Described}
+	g.begin(gr, o.Run, m, now, tell)
+}
+
+// Backfilled answers a backfill.
+type Backfilled struct {
+	Begun int `json:"begun"`
+	Known int `json:"known"` // intervals that had a run
+}
+
+// backfill begins the runs of past intervals; those that have one are passed over.
+func (g *Graphs) backfill(gr *graph, o *Order, now time.Time, tell answer) {
+	d := g.defs[gr.rec.Def]
+	if d == nil || d.plan == nil {
+		tell.refuse(http.StatusServiceUnavailable, "the graph cannot be read now; ask again")
+		return
+	}
+	if g.cfg.Source == nil {
+		tell.refuse(http.StatusConflict, "%s", noSource("a backfill begins runs by itself"))
+		return
+	}
+	if o.To.After(now) {
+		o.To = now
+	}
+	intervals, err := d.plan.Backfill(gr.sched, o.From, o.To)
+	if err != nil {
+		tell.refuse(http.StatusBadRequest, "%s", err)
+		return
+	}
+	if need := len(intervals) * len(d.plan.Steps) * tuning.RunStepBytes; g.cfg.Bytes > 0 && g.bytes+need > g.cfg.Bytes {
+		tell.refuse(http.StatusServiceUnavailable, "there is no memory for %d more runs now; ask again, or for fewer", len(intervals))
+		return
+	}
+	var out Backfilled
+	open := len(intervals)
+	over := func() {
+		if open == 0 {
+			tell(http.StatusOK, out)
+		}
+	}
+	for _, i := range intervals {
+		m := meta{Type: Backfill, LogicalMS: i.Begin.UnixMilli(), FromMS: i.Begin.UnixMilli(), ToMS: i.End.UnixMilli()}
+		g.begin(gr, RunName(Backfill, i.Begin), m, now, func(status int, _ any) {
+			if status == http.StatusCreated {
+				out.Begun++
+			} else {
+				out.Known++
+			}
+			open--
+			over()
+		})
+	}
+	if len(intervals) == 0 {
+		over()
+	}
+}
+
+// doRun carries out what is about one run.
+func (g *Graphs) doRun(verb string, gr *graph, o *Order, now time.Time, tell answer) {
+	var e *entry
+	for _, x := range gr.history {
+		if x.id == o.Run && !x.doomed {
+			e = x
+		}
+	}
+	if e == nil {
+		tell.refuse(http.StatusNotFound, "no such run")
+		return
+	}
+	if verb == DoClear && g.cfg.Source == nil {
+		tell.refuse(http.StatusConflict, "%s", noSource("a clear has steps go again under new jobs"))
+		return
+	}
+	if x := e.live; x != nil {
+		switch verb {
+		case DoCancel:
+			g.cancelRun(x, now, tell)
+		case DoClear:
+			g.clear(x, o, tell)
+		case DoPush:
+			g.push(x, o, tell)
+		default:
+			tell.refuse(http.StatusConflict, "the run is not over; cancel it first")
+		}
+		return
+	}
+	switch verb {
+	case DoCancel:
+		tell(http.StatusOK, struct{}{}) // it is over: nothing is left to end
+	case DoPush:
+		tell.refuse(http.StatusConflict, "the run is over")
+	case DoForget:
+		g.doom(gr, e, func() { tell(http.StatusNoContent, struct{}{}) })
+	case DoClear:
+		g.revive(gr, e, o, tell)
+	}
+}
+
+// revive reads a run that is over, and has steps of it go again.
+func (g *Graphs) revive(gr *graph, e *entry, o *Order, tell answer) {
+	d := g.defs[e.def]
+	switch {
+	case d == nil:
+		tell.refuse(http.StatusConflict, "what the run is a run of is not stored any more")
+		return
+	case g.cfg.Bytes > 0 && g.bytes > g.cfg.Bytes:
+		tell.refuse(http.StatusServiceUnavailable, "there is no memory for more runs now; ask again")
+		return
+	}
+	plan, parts := d.plan, d.parts
+	go func() {
+		var rec runRecord
+		item, ok, err := g.store.Get(g.ended, e.key)
+		if err == nil && !ok {
+			err = errors.New("it is gone")
+		}
+		if err == nil {
+			err = json.Unmarshal(item.Value, &rec)
+		}
+		if err == nil && plan == nil {
+			plan, err = fetch(g.ended, g.store, e.def, parts)
+		}
+		_ = g.ask(func() { // fails when the tenure is over, and with it whoever waits
+			var r *dag.Run
+			if err == nil {
+				r, err = decodeRun(g.codec, &rec, plan)
+			}
+			switch {
+			case err != nil:
+				g.log.Warn("a run cannot be read", "run", e.key, "err", err)
+				tell.refuse(http.StatusServiceUnavailable, "the run cannot be read now; ask again")
+			case e.doomed:
+				tell.refuse(http.StatusNotFound, "no such run")
+			case e.live != nil: // another clear was sooner
+				g.clear(e.live, o, tell)
+			default:
+				g.learn(e.def, d.parts, plan)
+				x := g.newLive(gr, r, e.key, e.def, rec.meta)
+				x.version, x.entry, x.tries = item.Version, e, readTries(g.codec, &rec)
+				x.meta.StartMS, x.meta.EndMS = 0, 0
+				e.live, e.failed = x, nil
+				g.clear(x, o, tell)
+				g.dirty(x)
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/internal/graphs/reader.go
@@ -0,0 +1,234 @@
+package graphs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"poppypass/internal/charge"
+	"poppypass/internal/dag"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Reader reads what is stored of graphs; any member can. It is safe for concurrent use,
+// and reads one definition at a time: the largest takes some MB.
+type Reader struct {
+	store *statestore.Client
+	turn  chan struct{} // held by whoever uses what follows
+	codec *charge.Codec
+	hash  string // of the newest plan
+	plan  *dag.Plan
+}
+
+// ErrNone tells that there is no such graph or run of the team.
+var ErrNone = errors.New("it is not known")
+
+// NewReader makes a reader of a state service.
+func NewReader(store *statestore.Client) *Reader {
+	return &Reader{store: store, turn: make(chan struct{}, 1)}
+}
+
+// enter waits for the reader's turn.
+func (r *Reader) enter(ctx context.Context) error {
+	select {
+	case r.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if r.codec == nil {
+		var err error
+		if r.codec, err = charge.NewCodec(); err != nil {
+			<-r.turn
+			return err
+		}
+	}
+	return nil
+}
+
+// get reads a record into v.
+func (r *Reader) get(ctx context.Context, key string, v any) error {
+	item, ok, err := r.store.Get(ctx, key)
+	switch {
+	case err != nil:
+		return err
+	case !ok:
+		return ErrNone
+	}
+	return json.Unmarshal(item.Value, v)
+}
+
+// Graphs gives a team's graphs, by name.
+func (r *Reader) Graphs(ctx context.Context, team string) (out []GraphRecord, err error) {
+	_, err = r.store.ListAll(ctx, PrefixGraph+ofTeam(team), func(items []wire.Item) error {
+		for _, item := range items {
+			var rec GraphRecord
+			if json.Unmarshal(item.Value, &rec) == nil && rec.Team == team {
+				out = append(out, rec)
+			}
+		}
+		return nil
+	})
+	return out, err
+}
+
+// Graph gives a team's graph, or ErrNone.
+func (r *Reader) Graph(ctx context.Context, team, id string) (rec GraphRecord, err error) {
+	if !dag.ValidName(id) {
+		return rec, ErrNone
+	}
+	err = r.get(ctx, keyGraph(team, id), &rec)
+	return rec, err
+}
+
+// RunInfo is what is known of a run without its definition.
+type RunInfo struct {
+	Graph, ID, State, Type, Note string
+	Def                          string // the hash of its definition
+	Logical, Queued              time.Time
+	From, To, Start, End         time.Time // zero: none
+	Conf                         json.RawMessage
+}
+
+func timeOf(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms).UTC()
+}
+
+func (rec *runRecord) info() RunInfo {
+	i := RunInfo{
+		Graph: rec.Graph, ID: rec.ID, State: rec.State, Type: rec.Type, Note: rec.Note, Def: rec.Def, Logical: timeOf(rec.LogicalMS), Queued: timeOf(rec.QueuedMS),
+		From: timeOf(rec.FromMS), To: timeOf(rec.ToMS), Start: timeOf(rec.StartMS), End: timeOf(rec.EndMS), Conf: rec.Conf,
+	}
+	if rec.StartMS == 0 && rec.EndMS == 0 {
+		i.State = "queued"
+	}
+	return i
+}
+
+// Runs gives the runs of a team's graph; with an empty name those of all its graphs.
+func (r *Reader) Runs(ctx context.Context, team, id string) (out []RunInfo, err error) {
+	prefix := PrefixRun + ofTeam(team)
+	if id != "" {
+		prefix += id + "/"
+	}
+	_, err = r.store.ListAll(ctx, prefix, func(items []wire.Item) error {
+		for _, item := range items {
+			var rec runRecord
+			if json.Unmarshal(item.Value, &rec) == nil && rec.Team == team {
+				out = append(out, rec.info())
+			}
+		}
+		return nil
+	})
+	return out, err
+}
+
+// RunView is a run with the states of its steps.
+type RunView struct {
+	RunInfo
+	Run   *dag.Run
+	Tries []Try // the newest; times count from Queued
+}
+
+// Run gives a run of a team's graph, or ErrNone.
+func (r *Reader) Run(ctx context.Context, team, graph, id string) (*RunView, error) {
+	if !dag.ValidName(graph) || !validRun(id) {
+		return nil, ErrNone
+	}
+	var rec runRecord
+	if err := r.get(ctx, keyRun(team, graph, id), &rec); err != nil {
+		return nil, err
+	}
+	plan, err := r.Plan(ctx, rec.Def)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer func() { <-r.turn }()
+	run, err := decodeRun(r.codec, &rec, plan)
+	if err != nil {
+		return nil, err
+	}
+	return &RunView{RunInfo: rec.info(), Run: run, Tries: readTries(r.codec, &rec)}, nil
+}
+
+// Plan gives a definition.
+func (r *Reader) Plan(ctx context.Context, hash string) (*dag.Plan, error) {
+	if err := r.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer func() { <-r.turn }()
+	if r.hash == hash {
+		return r.plan, nil
+	}
+	defs, have := map[string]*def{}, map[string]int{}
+	if _, err := r.store.ListAll(ctx, PrefixDef+hash+"/", func(items []wire.Item) error {
+		gather(defs, have, items)
+		return nil
+	}); err != nil {
+		return nil, err
+	}
+	d := defs[hash]
+	if d == nil || have[hash] != d.parts {
+		return nil, errParts
+	}
+	if err := d.load(r.codec, hash); err != nil {
+		return nil, err
+	}
+	r.hash, r.plan = hash, d.plan
+	return d.plan, nil
+}
+
+// Store stores a graph's definition, and gives its hash and how many parts it has.
+func (r *Reader) Store(ctx context.Context, g *dag.Graph) (hash string, n int, err error) {
+	if err := r.enter(ctx); err != nil {
+		return "", 0, err
+	}
+	defer func() { <-r.turn }()
+	hash, parts, err := Pack(r.codec, g)
+	if err != nil {
+		return "", 0, err
+	}
+	for i, part := range parts {
+		if err := r.StorePart(ctx, hash, i, len(parts), part); err != nil {
+			return "", 0, err
+		}
+	}
+	return hash, len(parts), nil
+}
+
+// ErrPart tells that something is no part of a definition.
+var ErrPart = errors.New("that is no part of a graph")
+
+// StorePart stores a part of a definition, if it is not there.
+func (r *Reader) StorePart(ctx context.Context, hash string, n, of int, zstd []byte) error {
+	if !validHash(hash) || n < 0 || n >= of || of > tuning.GraphParts || len(zstd) == 0 || len(zstd) > tuning.GraphPart {
+		return ErrPart
+	}
+	value, err := json.Marshal(partRecord{Parts: of, Zstd: zstd})
+	if err != nil {
+		return err
+	}
+	key := partKeys(hash, n+1)[n]
+	_, err = r.store.Commit(ctx, wire.Txn{If: []wire.Condition{{Key: key}}, Then: []wire.Change{{Put: key, Value: value}}})
+	var conflict *statestore.Conflict
+	if errors.As(err, &conflict) {
+		return nil // it is there: its name says what it holds
+	}
+	return err
+}
+
+// PoolView is a team's pool.
+type PoolView struct {
+	Name  string `json:"name"`
+	Slots int    `json:"slots"`
+	Used  int    `json:"used"` // by steps that are submitted and not over
+	Waits int    `json:"waits"`
+}
--- a/internal/graphs/records.go
+++ b/internal/graphs/records.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
+	"time"
 
 	"poppypass/internal/charge"
 	"poppypass/internal/dag"
@@ -15,24 +17,82 @@
 	"poppypass/internal/wire"
 )
 
-// Keys of the state service. Only the leader writes them.
+// Keys of the state service. Any member writes definitions, only the leader the others.
 const (
-	// PrefixDef holds graphs, compressed and in parts, under the hash of what they
+	// PrefixDef holds definitions, compressed and in parts, under the hash of what they
 	// say: they never change.
 	PrefixDef = "graph/def/"
+	// PrefixGraph holds the graphs that teams registered.
+	PrefixGraph = "graph/dag/"
 	// PrefixRun holds runs, each with the states of all its steps.
 	PrefixRun = "graph/run/"
 )
 
-func keyPart(hash string, n int) string { return fmt.Sprintf("%s%s/%04d", PrefixDef, hash, n) }
+// DefaultPool is the pool of a step that names none.
+const DefaultPool = "default_pool"
 
-// keyRun is the key of a run. A team's name may hold what a key may not.
-func keyRun(team, graph, run string) string {
+// The types of runs, by Airflow's names.
+const (
+	Manual    = "manual"
+	Scheduled = "scheduled"
+	Backfill  = "backfill"
+)
+
+// RunName is the id of a run that has no other, as Airflow gives it.
+func RunName(kind string, logical time.Time) string {
+	return kind + "__" + logical.UTC().Format("2006-01-02T15:04:05.999999-07:00")
+}
+
+func partKeys(hash string, n int) []string {
+	keys := make([]string, n)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("%s%s/%04d", PrefixDef, hash, i)
+	}
+	return keys
+}
+
+// ofTeam is a team's part of a key: its name may hold what a key may not.
+func ofTeam(team string) string {
 	sum := sha256.Sum256([]byte(team))
-	return PrefixRun + hex.EncodeToString(sum[:8]) + "/" + graph + "/" + run
+	return hex.EncodeToString(sum[:8]) + "/"
+}
+
+func keyGraph(team, graph string) string { return PrefixGraph + ofTeam(team) + graph }
+
+// runEscapes are for what a run's id may hold and a graph's may not.
+var runEscapes = strings.NewReplacer(":", ",c", "+", ",p")
+
+func keyRun(team, graph, run string) string {
+	return PrefixRun + ofTeam(team) + graph + "/" + runEscapes.Replace(run)
+}
+
+// validRun tells whether a run's id is one.
+func validRun(id string) bool {
+	return dag.ValidName(strings.NewReplacer(":", "", "+", "").Replace(id))
+}
+
+// GraphRecord is a graph that a team registered, as it is stored.
+type GraphRecord struct {
+	Team   string `json:"team"`
+	ID     string `json:"id"`
+	Def    string `json:"def"` // the hash of its definition
+	Paused bool   `json:"paused,omitempty"`
+	LastMS int64  `json:"last_ms,omitempty"` // end of the newest interval that has a run
+
+	// Of its definition, for those who list graphs.
+	Description string     `json:"description,omitempty"`
+	Schedule    string     `json:"schedule,omitempty"`
+	Zone        string     `json:"zone,omitempty"`
+	Start       *time.Time `json:"start,omitempty"`
+	End         *time.Time `json:"end,omitempty"`
+	Catchup     bool       `json:"catchup,omitempty"`
+	MaxRuns     int        `json:"max_runs"`
+	MaxTasks    int        `json:"max_tasks"`
+	Tags        []string   `json:"tags,omitempty"`
+	Steps       int        `json:"steps"`
 }
 
-// partRecord is a part of a graph.
+// partRecord is a part of a definition.
 type partRecord struct {
 	Parts int    `json:"parts"` // there are
 	Zstd  []byte `json:"z"`
@@ -40,88 +100,112 @@
 
 // runRecord is a run.
 type runRecord struct {
-	Def  string `json:"def"` // the hash of its graph
-	Over bool   `json:"over,omitempty"`
+	Team  string `json:"team"`
+	Graph string `json:"graph"`
+	ID    string `json:"id"`
+	Def   string `json:"def"` // the hash of its definition
+	State string `json:"state"`
+	meta
+	// Open tells that jobs of it are not over, whatever its state.
+	Open bool   `json:"open,omitempty"`
 	Zstd []byte `json:"z"` // of dag.Run's stored form
+	// Tries are the newest tries of its steps, compressed.
+	Tries []byte `json:"tries,omitempty"`
 }
 
-// parts gives a graph's stored form.
-func parts(c *charge.Codec, g *dag.Graph) (hash string, values []json.RawMessage, err error) {
+func (r *runRecord) over() bool { return r.State != dag.RunRunning.String() && !r.Open }
+
+// Pack gives a definition's stored form: its hash, and its parts.
+func Pack(c *charge.Codec, g *dag.Graph) (hash string, parts [][]byte, err error) {
 	raw, err := json.Marshal(g)
 	if err != nil {
 		return "", nil, fmt.Errorf("graph %s: %w", g.ID, err)
 	}
-	sum := sha256.Sum256(raw)
 	packed := c.Squeeze(raw)
-	n := (len(packed) + tuning.GraphPart - 1) / tuning.GraphPart
-	for i := range n {
-		value, err := json.Marshal(partRecord{Parts: n, Zstd: packed[i*tuning.GraphPart : min(len(packed), (i+1)*tuning.GraphPart)]})
-		if err != nil {
-			return "", nil, fmt.Errorf("graph %s: %w", g.ID, err)
-		}
-		values = append(values, value)
+	for len(packed) > 0 {
+		n := min(len(packed), tuning.GraphPart)
+		parts = append(parts, packed[:n])
+		packed = packed[n:]
+	}
+	if len(parts) > tuning.GraphParts {
+		return "", nil, fmt.Errorf("graph %s: it takes %d parts of %d bytes; up to %d are allowed", g.ID, len(parts), tuning.GraphPart, tuning.GraphParts)
 	}
-	return hex.EncodeToString(sum[:16]), values, nil
+	return hashOf(raw), parts, nil
+}
+
+func hashOf(raw []byte) string {
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:16])
+}
+
+// validHash tells whether a text is the hash of a definition.
+func validHash(s string) bool {
+	raw, err := hex.DecodeString(s)
+	return err == nil && len(raw) == 16 && s == strings.ToLower(s)
 }
 
 var errParts = errors.New("a part of the graph is missing")
 
-// assemble reads graphs from their parts, by hash. One that lacks a part is left out:
-// its leader died before the run that it was stored for was.
-func assemble(c *charge.Codec, items []wire.Item) (map[string]*dag.Plan, error) {
-	packed := map[string][]byte{}
-	have, want := map[string]int{}, map[string]int{}
-	for _, item := range items { // in the order of their keys
-		hash, _, ok := strings.Cut(strings.TrimPrefix(item.Key, PrefixDef), "/")
-		var r partRecord
-		if err := json.Unmarshal(item.Value, &r); err != nil || !ok {
-			return nil, fmt.Errorf("record %s is malformed", item.Key)
-		}
-		packed[hash] = append(packed[hash], r.Zstd...)
-		have[hash]++
-		want[hash] = r.Parts
+// unpack reads a definition.
+func unpack(c *charge.Codec, hash string, packed []byte) (*dag.Plan, error) {
+	var raw []byte
+	if err := c.Expand(packed, &raw); err != nil {
+		return nil, err
 	}
-	plans := map[string]*dag.Plan{}
-	for hash := range packed {
-		if have[hash] != want[hash] {
-			continue
-		}
-		var raw []byte
-		if err := c.Expand(packed[hash], &raw); err != nil {
-			return nil, fmt.Errorf("graph %s: %w", hash, err)
-		}
-		var g dag.Graph
-		if err := json.Unmarshal(raw, &g); err != nil {
-			return nil, fmt.Errorf("graph %s: %w", hash, err)
-		}
-		p, err := dag.Check(&g)
-		if err != nil {
-			return nil, err
-		}
-		plans[hash] = p
+	if hashOf(raw) != hash {
+		return nil, errors.New("the graph is not what its hash says")
 	}
-	return plans, nil
+	g, err := dag.ParseJSON("graph", raw)
+	if err != nil {
+		return nil, err
+	}
+	return dag.Check(g)
 }
 
-func runValue(c *charge.Codec, def string, r *dag.Run) (json.RawMessage, error) {
-	return json.Marshal(runRecord{Def: def, Over: r.RunState() != dag.RunRunning, Zstd: c.Squeeze(r.Encode())})
+// gather takes in parts of definitions, by hash, in the order of their keys. One that
+// lacks a part has none: its client never came back.
+func gather(defs map[string]*def, have map[string]int, items []wire.Item) {
+	for _, item := range items {
+		hash, _, _ := strings.Cut(strings.TrimPrefix(item.Key, PrefixDef), "/")
+		var r partRecord
+		if json.Unmarshal(item.Value, &r) != nil {
+			continue // what it is a part of lacks it
+		}
+		if defs[hash] == nil {
+			defs[hash] = &def{}
+		}
+		defs[hash].packed = append(defs[hash].packed, r.Zstd...)
+		defs[hash].parts = r.Parts
+		have[hash]++
+	}
 }
 
-func decodeRun(c *charge.Codec, item wire.Item, plans map[string]*dag.Plan) (*dag.Run, string, error) {
-	var rec runRecord
-	if err := json.Unmarshal(item.Value, &rec); err != nil {
-		return nil, "", fmt.Errorf("record %s: %w", item.Key, err)
+// runValue is a run's record, of up to limit bytes: the oldest tries go before that.
+func runValue(c *charge.Codec, x *live, limit int) (json.RawMessage, error) {
+	rec := runRecord{
+		Team: x.graph.rec.Team, Graph: x.graph.rec.ID, ID: x.run.ID, Def: x.def, State: x.run.RunState().String(), meta: x.meta,
+		Open: x.active > 0, Zstd: c.Squeeze(x.run.Encode()),
+	}
+	if n := int(tuning.TryShare*float64(limit)) / tuning.TryBytes; len(x.tries) > n {
+		x.tries = slices.Clone(x.tries[len(x.tries)-n:])
+	}
+	if len(x.tries) > 0 {
+		rec.Tries = c.Squeeze(x.tries)
 	}
-	p := plans[rec.Def]
-	if p == nil {
-		return nil, "", fmt.Errorf("record %s: %w", item.Key, errParts)
+	value, err := json.Marshal(rec)
+	if err == nil && len(value) > limit && rec.Tries != nil {
+		rec.Tries, x.tries = nil, nil
+		value, err = json.Marshal(rec)
 	}
+	return value, err
+}
+
+func decodeRun(c *charge.Codec, rec *runRecord, p *dag.Plan) (*dag.Run, error) {
 	var raw []byte
 	if err := c.Expand(rec.Zstd, &raw); err != nil {
-		return nil, "", fmt.Errorf("record %s: %w", item.Key, err)
+		return nil, fmt.Errorf("run %s of %s: %w", rec.ID, rec.Graph, err)
 	}
-	r, err := dag.DecodeRun(p, raw)
-	return r, rec.Def, err
+	return dag.DecodeRun(p, raw)
 }
 
 // jobOf is the job of an instance, and its stored record.
--- /dev/null
+++ b/internal/graphs/world_test.go
@@ -0,0 +1,340 @@
+package graphs
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/dag"
+	"poppypass/internal/jobs"
+	"poppypass/internal/leader"
+	"poppypass/internal/roster"
+	"poppypass/internal/standin"
+	"poppypass/internal/statestore"
+	"poppypass/internal/wire"
+)
+
+// world is a leader's book and graphs over a stand-in of the state service, and workers
+// that the test drives.
+type world struct {
+	t      testing.TB
+	clock  *clockwork.FakeClock
+	state  *standin.State
+	store  *statestore.Client
+	book   *jobs.Book
+	graphs *Graphs
+	cfg    Config
+	known  map[string]bool // jobs that the book took in
+	ends   map[string]int  // tasks that completed, by job: it must be once
+	asked  chan func()     // what goroutines have the loop do
+	stop   func()          // ends the tenure
+}
+
+func newWorld(t testing.TB) *world {
+	w := newWorldWith(t, Config{})
+	w.lead()
+	return w
+}
+
+// newWorldWith makes a world that nobody leads yet.
+func newWorldWith(t testing.TB, cfg Config) *world {
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC))
+	state := standin.NewState(clock)
+	cfg.Clock, cfg.TxnOps, cfg.ValueKB, cfg.Jitter = clock, 12, 16, func() float64 { return 0 }
+	return &world{t: t, clock: clock, state: state, store: statestore.New(state.Addr(), 1e6, 1e6), ends: map[string]int{}, cfg: cfg, stop: func() {}}
+}
+
+func (w *world) close() {
+	w.stop()
+	w.state.Close()
+}
+
+func (w *world) commit(txn wire.Txn) uint64 {
+	w.t.Helper()
+	revision, err := w.store.Commit(context.Background(), txn)
+	if err != nil {
+		w.t.Fatalf("%v: %+v", err, txn.If)
+	}
+	return revision
+}
+
+func (w *world) list(prefix string) (out []wire.Item) {
+	if _, err := w.store.ListAll(context.Background(), prefix, func(items []wire.Item) error {
+		out = append(out, items...)
+		return nil
+	}); err != nil {
+		w.t.Fatal(err)
+	}
+	return out
+}
+
+// lead begins with a new leader.
+func (w *world) lead() {
+	w.t.Helper()
+	w.stop()
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop, w.asked = stop, make(chan func(), 100)
+	var err error
+	if w.graphs, err = New(w.cfg, slog.New(slog.DiscardHandler)); err != nil {
+		w.t.Fatal(err)
+	}
+	w.book, w.known = jobs.NewBook(12), map[string]bool{}
+	w.watch()
+	for _, item := range w.list(jobs.PrefixRun) {
+		if _, err := w.book.LoadRun(item, w.clock.Now()); err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	w.book.Loaded()
+	w.graphs.Loaded(w.book, w.clock.Now())
+	reading, asked := true, w.asked
+	take, err := w.graphs.Read(ctx, w.store, func(fn func()) error {
+		if reading {
+			fn()
+			return nil
+		}
+		asked <- fn
+		return nil
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	reading = false
+	take()
+}
+
+// answered does what a goroutine asks for.
+func (w *world) answered() {
+	w.t.Helper()
+	select {
+	case fn := <-w.asked:
+		fn()
+	case <-time.After(time.Minute):
+		w.t.Fatal("no goroutine asked for anything")
+	}
+}
+
+// watch has the book take in jobs that were stored.
+func (w *world) watch() {
+	for _, item := range w.list(jobs.PrefixJob) {
+		if !w.known[item.Key] {
+			w.known[item.Key] = true
+			if _, err := w.book.LoadJob(item, w.clock.Now(), w.clock.Now()); err != nil {
+				w.t.Fatal(err)
+			}
+		}
+	}
+}
+
+// next does one of the graphs' transactions.
+func (w *world) next(answered bool) bool {
+	write := w.graphs.Next(w.clock.Now(), 1000)
+	if write == nil {
+		return false
+	}
+	if revision := w.commit(write.Txn); answered {
+		write.Done(revision)
+		w.watch()
+	}
+	return true
+}
+
+// flush stores the book's changes.
+func (w *world) flush() {
+	for b := w.book.Take(w.clock.Now().Add(time.Hour), 1000); b != nil; b = w.book.Take(w.clock.Now().Add(time.Hour), 1000) {
+		_, over := w.book.Written(b, w.commit(b.Txn))
+		for _, o := range over {
+			w.graphs.Over(o, w.clock.Now())
+		}
+	}
+}
+
+// settle does all that is due.
+func (w *world) settle() {
+	for more := true; more; {
+		w.flush()
+		w.graphs.Tick(w.clock.Now())
+		for w.graphs.source.busy && w.graphs.source.pause == 0 {
+			w.answered()
+		}
+		more = w.next(true) || w.graphs.source.busy && w.graphs.source.pause == 0
+		w.flush()
+	}
+}
+
+// sourceFunc is a source of descriptions.
+type sourceFunc func([]Description) error
+
+func (f sourceFunc) Describe(_ context.Context, steps []Description) error { return f(steps) }
+
+// describes takes any description.
+func describes([]Description) error { return nil }
+
+// place has the first waiting task of a job run.
+func (w *world) place(id string) *jobs.Place {
+	j := w.book.Jobs[id]
+	if j == nil || !j.Open() || j.NextWaiting(0) < 0 {
+		return nil
+	}
+	if n, _ := w.graphs.Admit(j, w.clock.Now()); n == 0 {
+		return nil
+	}
+	p := w.book.Place(j, j.NextWaiting(0), "n-1", "a", 1, w.clock.Now())
+	w.flush()
+	p.State = wire.TaskRunning
+	w.graphs.Tick(w.clock.Now())
+	return p
+}
+
+// end ends a task's attempt.
+func (w *world) end(p *jobs.Place, why wire.Why) {
+	if p.Removed {
+		return
+	}
+	w.graphs.Ended(roster.Outcome{Place: p, Why: why}, w.clock.Now())
+	if why == wire.WhyDone {
+		w.ends[p.Job.ID]++
+		w.book.Finished(p, w.clock.Now())
+		return
+	}
+	w.book.Gone(p, w.clock.Now())
+}
+
+// finish has all that runs or may run be done.
+func (w *world) finish() {
+	for _, id := range w.live() {
+		pl := w.place(id)
+		if j := w.book.Jobs[id]; pl == nil && j != nil {
+			pl = j.Tasks[0].Place
+		}
+		if pl != nil {
+			w.end(pl, wire.WhyDone)
+		}
+	}
+	w.settle()
+}
+
+// answers gives what was answered to an order: the status, 0 if nothing was.
+type answers struct {
+	status int
+	text   string
+}
+
+// order gives an order, and does what it takes until it is answered.
+func (w *world) order(verb string, o Order) *answers {
+	w.t.Helper()
+	if o.Team == "" {
+		o.Team = "the team"
+	}
+	if o.Graph == "" {
+		o.Graph = "g"
+	}
+	raw, err := json.Marshal(o)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	a := &answers{}
+	if !w.graphs.Do(leader.Command{URI: PathOrders + verb, Body: raw}, w.clock.Now(), func(status int, body any) {
+		if a.status != 0 {
+			w.t.Errorf("%s is answered twice", verb)
+		}
+		a.status = status
+		if e, ok := body.(wire.Error); ok {
+			a.text = e.Error
+		}
+	}) {
+		w.t.Fatal("the order is nobody's")
+	}
+	return a
+}
+
+// ordered gives an order that needs no goroutine, and settles.
+func (w *world) ordered(verb string, o Order, want int) string {
+	w.t.Helper()
+	a := w.order(verb, o)
+	w.settle()
+	if a.status != want {
+		w.t.Fatalf("%s %+v: %d %s, want %d", verb, o, a.status, a.text, want)
+	}
+	return a.text
+}
+
+// upload stores a definition, as any member does.
+func (w *world) upload(p *dag.Plan) Order {
+	w.t.Helper()
+	hash, n, err := NewReader(w.store).Store(w.t.Context(), &p.Graph)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return Order{Team: p.Team, Graph: p.ID, Def: hash, Parts: n}
+}
+
+// register registers a graph.
+func (w *world) register(p *dag.Plan) *answers {
+	w.t.Helper()
+	a := w.order(DoPut, w.upload(p))
+	if a.status == 0 && w.graphs.fetch {
+		w.answered()
+	}
+	w.settle()
+	return a
+}
+
+// begin registers a graph and begins a run of it.
+func (w *world) begin(p *dag.Plan, run string) {
+	w.t.Helper()
+	if a := w.register(p); a.status >= http.StatusBadRequest || a.status == 0 {
+		w.t.Fatalf("registering: %+v", a)
+	}
+	w.ordered(DoTrigger, Order{Run: run, Described: true}, http.StatusCreated)
+}
+
+// live names the jobs that wait or run.
+func (w *world) live() []string { return slices.Sorted(maps.Keys(w.book.Jobs)) }
+
+// run gives a run as it is stored.
+func (w *world) run(p *dag.Plan, id string) *dag.Run {
+	w.t.Helper()
+	item, ok := w.state.Value(keyRun(p.Team, p.ID, id))
+	if !ok {
+		w.t.Fatal("the run is not stored")
+	}
+	var rec runRecord
+	if err := json.Unmarshal(item.Value, &rec); err != nil {
+		w.t.Fatal(err)
+	}
+	r, err := decodeRun(w.graphs.codec, &rec, p)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return r
+}
+
+func step(id string, up ...string) dag.Step {
+	return dag.Step{ID: id, Kind: dag.KindJob, Job: &dag.Job{Class: "c", CPUs: 1, MemoryGB: 1, Image: "i", EstimateS: 10}, Upstream: up}
+}
+
+func graphOf(t testing.TB, change func(*dag.Graph), steps ...dag.Step) *dag.Plan {
+	t.Helper()
+	d := &dag.Graph{ID: "g", Team: "the team", Steps: steps}
+	if change != nil {
+		change(d)
+	}
+	p, err := dag.Check(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func check(t testing.TB, steps ...dag.Step) *dag.Plan {
+	t.Helper()
+	return graphOf(t, nil, steps...)
+}
--- a/internal/leader/slices.go
+++ b/internal/leader/slices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -43,6 +44,20 @@
 	Show(uri string, now time.Time) (status int, body any, ok bool)
 }
 
+// Doer is a slice that also carries out commands of users.
+type Doer interface {
+	// Do carries out a command. answer is called once, by the loop's goroutine: at once, or
+	// when what was decided is stored. ok is false when the slice knows no such command.
+	Do(c Command, now time.Time, answer func(status int, body any)) (ok bool)
+}
+
+// Command asks a subsystem to change something. Whoever has no answer may repeat it.
+type Command struct {
+	Method string          `json:"method"` // as in HTTP
+	URI    string          `json:"uri"`    // path and query
+	Body   json.RawMessage `json:"body,omitempty"`
+}
+
 // Write is a transaction of a slice. Done is called with its revision.
 type Write struct {
 	Txn  wire.Txn
@@ -141,32 +156,53 @@
 
 // Show answers a question, or 404. The answer is JSON.
 func (l *Loop) Show(ctx context.Context, uri string) (status int, body any, err error) {
-	type result struct {
-		status int
-		body   any
-	}
-	r, err := ask(ctx, l, func(answer func(result)) {
+	r, err := ask(ctx, l, func(answer func(shown)) {
 		now := l.env.Clock.Now()
 		if !l.loaded {
-			answer(result{http.StatusServiceUnavailable, wire.Error{Error: "the records are being read"}})
+			answer(shown{http.StatusServiceUnavailable, wire.Error{Error: "the records are being read"}})
 			return
 		}
 		if id, ok := jobOf(uri, wire.EndWhy); ok {
 			status, body := l.why(id, now)
-			answer(result{status, body})
+			answer(shown{status, body})
 			return
 		}
 		for _, s := range l.slices {
 			if status, body, ok := s.Show(uri, now); ok {
-				answer(result{status, body})
+				answer(shown{status, body})
+				return
+			}
+		}
+		answer(shown{http.StatusNotFound, wire.Error{Error: "nothing is known by that path here"}})
+	})
+	return r.status, r.body, err
+}
+
+// Do has a subsystem carry out a command. The answer is JSON.
+func (l *Loop) Do(ctx context.Context, c Command) (status int, body any, err error) {
+	r, err := ask(ctx, l, func(answer func(shown)) {
+		tell := func(status int, body any) { answer(shown{status, body}) }
+		if !l.loaded {
+			tell(http.StatusServiceUnavailable, wire.Error{Error: "the records are being read"})
+			return
+		}
+		for _, s := range l.slices {
+			if d, ok := s.(Doer); ok && d.Do(c, l.env.Clock.Now(), tell) {
+				l.changed = true
 				return
 			}
 		}
-		answer(result{http.StatusNotFound, wire.Error{Error: "nothing is known by that path here"}})
+		tell(http.StatusNotFound, wire.Error{Error: "nothing is known by that path here"})
 	})
 	return r.status, r.body, err
 }
 
+// shown is an answer of a subsystem.
+type shown struct {
+	status int
+	body   any
+}
+
 // holds tells an observer what the loop holds.
 func (l *Loop) holds(o Observer) {
 	waiting := map[string]int{}
--- a/internal/mesh/fb/Verb.go
+++ b/internal/mesh/fb/Verb.go
@@ -18,6 +18,7 @@
 	VerbYield      Verb = 8
 	VerbShow       Verb = 9
 	VerbKept       Verb = 10
+	VerbDo         Verb = 11
 )
 
 var EnumNamesVerb = map[Verb]string{
@@ -32,6 +33,7 @@
 	VerbYield:      "Yield",
 	VerbShow:       "Show",
 	VerbKept:       "Kept",
+	VerbDo:         "Do",
 }
 
 var EnumValuesVerb = map[string]Verb{
@@ -46,6 +48,7 @@
 	"Yield":      VerbYield,
 	"Show":       VerbShow,
 	"Kept":       VerbKept,
+	"Do":         VerbDo,
 }
 
 func (v Verb) String() string {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -43,6 +43,7 @@
 	Yield      = Verb(fb.VerbYield)      // to end the lease of a leader that gave up its right
 	Show       = Verb(fb.VerbShow)       // what a subsystem of the leader knows, by a path
 	Kept       = Verb(fb.VerbKept)       // which of some machines a member may have kept by its zone's right
+	Do         = Verb(fb.VerbDo)         // a command to a subsystem of the leader
 	Ping       = Verb(fb.VerbPing)       // whether a member can be reached, and who leads by its knowledge
 )
 
--- a/internal/users/show.go
+++ b/internal/users/show.go
@@ -38,8 +38,48 @@
 	return mesh.Response{Status: status, Payload: body}
 }
 
+// Do has the leader's subsystems carry out a command.
+func (d *Door) Do(ctx context.Context, c leader.Command) (status int, body json.RawMessage) {
+	ctx, cancel := context.WithTimeout(ctx, tuning.CommandWait)
+	defer cancel()
+	if l := d.leader(); l != nil {
+		return do(ctx, l, c)
+	}
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return http.StatusBadRequest, problem("the command is not JSON")
+	}
+	if lead := d.peers.Leader(); lead != "" {
+		if r, err := d.peers.Call(ctx, lead, mesh.Request{Verb: mesh.Do, Payload: raw}); err == nil && r.Status > 0 {
+			return r.Status, r.Payload
+		}
+	}
+	return http.StatusServiceUnavailable, problem("the leader cannot be asked now; ask again")
+}
+
+// AnswerDo carries out a command that another member hands on to the leader.
+func (d *Door) AnswerDo(ctx context.Context, payload []byte) mesh.Response {
+	var c leader.Command
+	l := d.leader()
+	if l == nil || json.Unmarshal(payload, &c) != nil {
+		return mesh.Response{Status: http.StatusServiceUnavailable, Payload: problem("this member does not lead")}
+	}
+	status, body := do(ctx, l, c)
+	return mesh.Response{Status: status, Payload: body}
+}
+
+func do(ctx context.Context, l *leader.Loop, c leader.Command) (int, json.RawMessage) {
+	status, v, err := l.Do(ctx, c)
+	return answerOf(status, v, err)
+}
+
 func show(ctx context.Context, l *leader.Loop, uri string) (int, json.RawMessage) {
 	status, v, err := l.Show(ctx, uri)
+	return answerOf(status, v, err)
+}
+
+// answerOf is what a subsystem answered, as JSON that fits a message.
+func answerOf(status int, v any, err error) (int, json.RawMessage) {
 	if err != nil {
 		return http.StatusServiceUnavailable, problem("the leader cannot be asked now")
 	}
--- a/internal/users/submissions.go
+++ b/internal/users/submissions.go
@@ -177,6 +177,15 @@
 	return none
 }
 
+// Impossible says why a job can never run, or nothing; while the machine types are not
+// known, nothing is known against it.
+func (d *Door) Impossible(j *wire.Job) string {
+	if types := d.types(); types != nil {
+		return d.impossible(j, types)
+	}
+	return ""
+}
+
 // impossible says why a job can never run, or nothing.
 func (d *Door) impossible(j *wire.Job, types []wire.MachineType) string {
 	team, ok := d.teams[j.Team]
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -184,7 +184,7 @@
 			j.Types = append(j.Types, *t)
 		}
 	}
-	return j, j.check()
+	return j, j.Check()
 }
 
 type presence struct{ missing string }
@@ -200,7 +200,8 @@
 	return *v
 }
 
-func (j *Job) check() error {
+// Check says what no job may say, in one line.
+func (j *Job) Check() error {
 	switch {
 	case !ValidJobID(j.ID):
 		return errors.New(`field "ref" is not a job id`)
