Graphs: the API through real HTTP; tasks of a cancelled step's job are stopped

Found by a loopback test of the API: a step's job that was cancelled waited for its tasks to end by themselves, since only the leader's own cancellations had them stopped. The slice now hands its places to the loop.

--- /dev/null
+++ b/internal/controller/graphs_test.go
@@ -0,0 +1,229 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"poppypass/internal/airflow"
+	"poppypass/internal/graphs"
+	"poppypass/internal/standin"
+	"poppypass/internal/tuning"
+)
+
+// descriptions is a source at which steps are described: it remembers which job is which.
+type descriptions struct {
+	mu    sync.Mutex
+	steps map[string]graphs.Description // by job
+}
+
+func (d *descriptions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var steps []graphs.Description
+	if err := json.NewDecoder(r.Body).Decode(&steps); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range steps {
+		d.steps[s.Job] = s
+	}
+}
+
+func (d *descriptions) of(job string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.steps[job].Step
+}
+
+// graphWorld is a world that serves graphs, with a source of descriptions.
+func graphWorld(t *testing.T) (*world, *descriptions) {
+	d := &descriptions{steps: map[string]graphs.Description{}}
+	srv := httptest.NewServer(d)
+	t.Cleanup(srv.Close)
+	return rebooted(t, "graphs = on\ngraphs.descriptions = "+srv.URL+"\ngraphs.pool.t.db = 2\n"), d
+}
+
+// api calls the API for the team t.
+func (w *world) api(method, path string, body any) (int, map[string]any) {
+	sep := "?"
+	if strings.Contains(path, "?") {
+		sep = "&"
+	}
+	return w.call(method, airflow.PathAPI+path+sep+"team=t", body)
+}
+
+// want calls the API until the answer has a status: while nobody leads it is 503.
+func (w *world) want(method, path string, body any, want int) map[string]any {
+	w.t.Helper()
+	var status int
+	var out map[string]any
+	w.until(method+" "+path, func() bool {
+		status, out = w.api(method, path, body)
+		return status != http.StatusServiceUnavailable && status != 0
+	})
+	if status != want {
+		w.t.Fatalf("%s %s: %d %v, want %d", method, path, status, out, want)
+	}
+	return out
+}
+
+func jobStep(id string, up ...string) map[string]any {
+	return map[string]any{"task_id": id, "kind": "job", "upstream": up, "job": map[string]any{
+		"class": "l", "cpus": 4, "memory_gb": 1, "image": "img", "image_gb": 1, "estimate_s": 10}}
+}
+
+// stateOf gives the state of a step of a run.
+func (w *world) stateOf(run, task string) any {
+	_, out := w.api("GET", "/dags/g/dagRuns/"+run+"/taskInstances/"+task, nil)
+	return out["state"]
+}
+
+func TestAGraphThroughTheAPI(t *testing.T) {
+	w, d := graphWorld(t)
+	flaky := jobStep("flaky", "first")
+	flaky["retries"], flaky["pool"] = 1, "db"
+	graph := map[string]any{"dag_id": "g", "description": "a graph", "tags": []string{"x"}, "tasks": []any{jobStep("first"), flaky, jobStep("last", "flaky")}}
+	if out := w.want("PUT", "/dags/g", graph, 201); out["dag_id"] != "g" || out["is_paused"] != false {
+		t.Errorf("registered as %v", out)
+	}
+	w.want("PUT", "/dags/g", graph, 200)
+	out := w.want("POST", "/dags/g/dagRuns", map[string]any{"dag_run_id": "one", "conf": map[string]any{"day": 3}, "note": "by hand"}, 200)
+	if out["dag_run_id"] != "one" || out["run_type"] != "manual" || out["note"] != "by hand" || fmt.Sprint(out["conf"]) != "map[day:3]" {
+		t.Errorf("triggered: %v", out)
+	}
+	w.want("POST", "/dags/g/dagRuns", map[string]any{"dag_run_id": "one"}, 409)
+	k := w.worker("n-000001", "a")
+	runs := func(step string) func() bool {
+		return func() bool {
+			k.beat()
+			return len(k.rep.Tasks) == 1 && d.of(standin.JobOf(k.rep.Tasks[0].Task)) == step && k.running() == 1
+		}
+	}
+	w.until("the first step runs", runs("first"))
+	w.until("that is shown", func() bool {
+		k.beat()
+		w.clock.Advance(tuning.SliceTick)
+		return w.stateOf("one", "first") == "running"
+	})
+	w.want("POST", "/dags/g/dagRuns/one/taskInstances/first/xcomEntries", map[string]any{"key": "return_value", "value": []int{1}}, 201)
+	if out := w.want("GET", "/dags/g/dagRuns/one/taskInstances/first/xcomEntries/return_value", nil, 200); out["value"] != "[1]" {
+		t.Errorf("its result: %v", out)
+	}
+	k.finish()
+	w.until("the second step runs", runs("flaky"))
+	if out := w.want("GET", "/pools/db", nil, 200); out["slots"] != 2.0 || out["occupied_slots"] != 1.0 {
+		t.Errorf("the pool: %v", out)
+	}
+	k.finish()
+	w.until("the third step runs", runs("last"))
+	k.finish()
+	w.until("the run is over", func() bool {
+		k.beat()
+		_, out := w.api("GET", "/dags/g/dagRuns/one", nil)
+		return out["state"] == "success"
+	})
+	// A clear is a new generation under new jobs, though the run was over.
+	clear := map[string]any{"dag_run_id": "one", "task_ids": []string{"flaky"}, "include_downstream": true, "only_failed": false}
+	if out := w.want("POST", "/dags/g/clearTaskInstances", clear, 200); len(out["task_instances"].([]any)) != 2 || w.stateOf("one", "flaky") != "success" {
+		t.Errorf("a dry run of a clear: %v", out)
+	}
+	clear["dry_run"] = false
+	w.want("POST", "/dags/g/clearTaskInstances", clear, 200)
+	w.until("the second step runs again", runs("flaky"))
+	w.want("PATCH", "/dags/g/dagRuns/one", map[string]any{"state": "failed"}, 200)
+	w.until("the run has failed", func() bool {
+		k.beat()
+		w.clock.Advance(tuning.SliceTick)
+		_, out := w.api("GET", "/dags/g/dagRuns/one", nil)
+		return out["state"] == "failed"
+	})
+	if w.stateOf("one", "first") != "success" || w.stateOf("one", "flaky") != "failed" {
+		t.Error("the steps of the run that was cancelled")
+	}
+	w.want("DELETE", "/dags/g", nil, 204)
+	w.want("GET", "/dags/g", nil, 404)
+}
+
+// What clients get wrong, and what they may not see, is answered in the API's own form.
+func TestTheAPIsAnswers(t *testing.T) {
+	w, _ := graphWorld(t)
+	for i := range 5 {
+		g := map[string]any{"dag_id": fmt.Sprint("g", i), "tasks": []any{map[string]any{"task_id": "a", "kind": "empty"}}}
+		w.want("PUT", fmt.Sprint("/dags/g", i), g, 201)
+	}
+	w.want("PATCH", "/dags/g3", map[string]any{"is_paused": true}, 200)
+	ids := func(path string) (out []string) {
+		for _, v := range w.want("GET", path, nil, 200)["dags"].([]any) {
+			out = append(out, v.(map[string]any)["dag_id"].(string))
+		}
+		return out
+	}
+	for path, want := range map[string]string{
+		"/dags": "[g0 g1 g2 g3 g4]", "/dags?limit=2&offset=1": "[g1 g2]", "/dags?order_by=-dag_id&limit=1": "[g4]",
+		"/dags?paused=true": "[g3]", "/dags?dag_id_pattern=2": "[g2]", "/dags?tags=none": "[]", "/dags?offset=9": "[]",
+	} {
+		if got := fmt.Sprint(ids(path)); got != want {
+			t.Errorf("%s: %s, want %s", path, got, want)
+		}
+	}
+	for i := range 3 {
+		out := w.want("POST", "/dags/g0/dagRuns", map[string]any{"logical_date": fmt.Sprintf("2026-12-0%dT00:00:00Z", i+1)}, 200)
+		if out["state"] != "success" || out["dag_run_id"] != fmt.Sprintf("manual__2026-12-0%dT00:00:00+00:00", i+1) {
+			t.Errorf("a run of empty steps: %v", out)
+		}
+	}
+	for path, want := range map[string]float64{"/dags/g0/dagRuns": 3, "/dags/~/dagRuns": 3, "/dags/g0/dagRuns?execution_date_gte=2026-12-02T00:00:00Z": 2, "/dags/g0/dagRuns?state=failed": 0} {
+		if out := w.want("GET", path, nil, 200); out["total_entries"] != want {
+			t.Errorf("%s: %v", path, out)
+		}
+	}
+	for _, c := range []struct {
+		method, path string
+		body         any
+		want         int
+	}{
+		{"GET", "/dags/none", nil, 404},
+		{"GET", "/dags?limit=x", nil, 400},
+		{"GET", "/dags?order_by=color", nil, 400},
+		{"GET", "/dags/g0/dagRuns?start_date_gte=soon", nil, 400},
+		{"GET", "/dags/g0/dagRuns/none", nil, 404},
+		{"GET", "/dags/g0/tasks/b", nil, 404},
+		{"GET", "/pools/none", nil, 404},
+		{"PUT", "/dags/bad", map[string]any{"dag_id": "bad", "tasks": []any{map[string]any{"task_id": "a", "kind": "empty", "upstream": []string{"a"}}}}, 400},
+		{"PUT", "/dags/bad", `{"dag_id": "bad", "color": 1}`, 400},
+		{"PUT", "/dags/bad", "{", 400},
+		{"PUT", "/dags/bad", strings.Repeat(" ", 70_000), 413},
+		{"PUT", "/dags/g1", map[string]any{"dag_id": "g1", "team": "u", "tasks": []any{map[string]any{"task_id": "a", "kind": "empty"}}}, 403},
+		{"PUT", "/dags/huge", map[string]any{"dag_id": "huge", "tasks": []any{func() any { s := jobStep("a"); s["job"].(map[string]any)["cpus"] = 99; return s }()}}, 400},
+		{"PUT", "/definitions/xyz/0?of=1", "x", 400},
+		{"PATCH", "/dags/g0", map[string]any{}, 400},
+		{"POST", "/dags/g0/dagRuns", map[string]any{"conf": []int{1}}, 400},
+		{"POST", "/dags/g0/dagRuns", map[string]any{"dag_run_id": "a/b"}, 400},
+		{"PATCH", "/dags/g0/dagRuns/manual__2026-12-01T00:00:00+00:00", map[string]any{"state": "success"}, 400},
+		{"POST", "/dags/g0/clearTaskInstances", map[string]any{"include_past": true, "dag_run_id": "x"}, 400},
+		{"POST", "/backfills", map[string]any{"dag_id": "g0"}, 400},
+	} {
+		if out := w.want(c.method, c.path, c.body, c.want); out["status"] != float64(c.want) || out["title"] == "" || out["type"] != "about:blank" || strings.Contains(fmt.Sprint(out["detail"]), "\n") {
+			t.Errorf("%s %s: %v", c.method, c.path, out)
+		}
+	}
+	if status, out := w.call("GET", airflow.PathAPI+"/dags", nil); status != 401 || out["title"] != "Unauthorized" {
+		t.Errorf("without a team: %d %v", status, out)
+	}
+	if status, out := w.call("GET", airflow.PathAPI+"/dags/g0?team=u", nil); status != 404 {
+		t.Errorf("another team: %d %v", status, out)
+	}
+	if status, out := w.call("GET", airflow.PathAPI+"/health", nil); status != 200 || fmt.Sprint(out["scheduler"]) == "" || out["metadatabase"].(map[string]any)["status"] != "healthy" {
+		t.Errorf("health: %d %v", status, out)
+	}
+	for _, path := range []string{"/version", "/schema"} {
+		if status, out := w.call("GET", airflow.PathAPI+path, nil); status != 200 || len(out) == 0 {
+			t.Errorf("%s: %d %v", path, status, out)
+		}
+	}
+}
--- a/internal/graphs/graphs.go
+++ b/internal/graphs/graphs.go
@@ -75,6 +75,7 @@
 	late   map[*live]struct{} // runs with something that may wait to be stored
 
 	cancels map[string]struct{} // jobs that are to be cancelled
+	stops   []*jobs.Place       // of those that were, for the loop to stop
 }
 
 // where is a step's job that is not over.
@@ -222,6 +223,7 @@
 		} else if j := g.book.Jobs[id]; j != nil {
 			delete(g.cancels, id)
 			g.book.Cancel(j, func(wire.JobState) {})
+			g.stops = append(g.stops, j.StopAll(charge.Cancelled)...)
 		}
 	}
 }
@@ -277,7 +279,9 @@
 		g.tidy(now)
 	}
 	g.describe()
-	return nil
+	stops := g.stops
+	g.stops = nil
+	return stops
 }
 
 // later has a run stored within a while, or with what is stored of it before.
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -142,6 +142,18 @@
 	return -1
 }
 
+// StopAll wants all places of a job empty, with no time to save, and gives them.
+func (j *Job) StopAll(why charge.How) []*Place {
+	var places []*Place
+	for i := range j.Tasks {
+		if p := j.Tasks[i].Place; p != nil {
+			p.Stop = &Stop{For: why}
+			places = append(places, p)
+		}
+	}
+	return places
+}
+
 // Book holds the live jobs.
 type Book struct {
 	Jobs map[string]*Job
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/charge"
 	"poppypass/internal/jobs"
 	"poppypass/internal/leadership"
 	"poppypass/internal/roster"
@@ -231,7 +232,7 @@
 			return
 		}
 		l.book.Cancel(j, func(s wire.JobState) { answer(result{state: s, known: true}) })
-		places := l.stopAll(j)
+		places := j.StopAll(charge.Cancelled)
 		l.direct(places)
 		if now := l.env.Clock.Now(); slices.ContainsFunc(places, func(p *jobs.Place) bool { return l.silent(l.roster.Machines[p.Machine], now) }) {
 			answer(result{known: true, err: errOutOfReach})
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -15,18 +15,6 @@
 	"poppypass/internal/wire"
 )
 
-// stopAll wants all places of a cancelled job empty, with no time to save.
-func (l *Loop) stopAll(j *jobs.Job) []*jobs.Place {
-	var places []*jobs.Place
-	for i := range j.Tasks {
-		if p := j.Tasks[i].Place; p != nil {
-			p.Stop = &jobs.Stop{For: charge.Cancelled}
-			places = append(places, p)
-		}
-	}
-	return places
-}
-
 // direct tells machines at once what was decided for some places, rather than
 // wait for their next reports. The reports' answers repeat it.
 func (l *Loop) direct(places []*jobs.Place) {
