Graph commands: submit, trigger, list, show as text, JSON, DOT or page, clear, cancel, backfill

A run is shown with its graph drawn and a Gantt of its tries in one page that needs nothing else. Graphs longer than a request go in compressed parts: one of 10,000 steps is submitted, triggered and shown through HTTP in a test. An interval has one run, scheduled or backfilled.

--- /dev/null
+++ b/cmd/poppypass/graphruns_test.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/config"
+	"poppypass/internal/controller"
+	"poppypass/internal/graphs"
+	"poppypass/internal/standin"
+	"poppypass/internal/wire"
+)
+
+// serveGraphs runs a controller over stand-ins, and gives its address.
+func serveGraphs(t *testing.T, properties string) string {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	state := standin.NewState(clock)
+	cloud := standin.NewCloud(10, wire.MachineType{Name: "g8", CPUs: 16, MemoryGB: 64, Price: 1, SpotPrice: 0.4, BootS: 30, Zones: []string{"a"}})
+	s := &config.Settings{
+		Member: "m0", Bind: standin.FreeAddr(t), MeshAddr: standin.FreeAddr(t), Outside: config.Outside{Cloud: cloud.Addr(), State: state.Addr()},
+		Cluster: config.Cluster{
+			Teams: []config.Team{{Name: "t", CPUs: 8, CPUsMax: 12}}, Workers: config.Workers{ReportS: 1, LeaseS: 10, CancelS: 30},
+			State: config.State{RPS: 1e6, WriteRPS: 1e6, ValueKB: 16, TxnOps: 12}, Cloud: config.Cloud{RPS: 1e6},
+		},
+	}
+	own, err := config.LoadProperties(standin.File(t, "own.properties", properties))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := controller.New(s, config.Watch("", s, own), clock, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		state.Close()
+		cloud.Close()
+	})
+	return s.Bind
+}
+
+// graph runs a command until it is answered: while nobody leads it is told to come back.
+func graph(t *testing.T, addr string, args ...string) (string, error) {
+	t.Helper()
+	args = append(append([]string{"graph"}, args...), "--addr", addr, "--team", "t")
+	for end := time.Now().Add(time.Minute); ; {
+		out, err := run(args...)
+		if err == nil || !strings.Contains(err.Error(), "503") && !strings.Contains(err.Error(), "refused") || time.Now().After(end) {
+			return out, err
+		}
+	}
+}
+
+func TestGraphCommands(t *testing.T) {
+	var described atomic.Int32
+	src := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var steps []graphs.Description
+		if err := json.NewDecoder(r.Body).Decode(&steps); err != nil || r.URL.Path == "/none" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		described.Add(int32(len(steps)))
+	}))
+	defer src.Close()
+	addr := serveGraphs(t, "graphs = on\n")
+	file := standin.File(t, "g.star", `
+DAG("g", default_args = {"cpus": 1, "memory_gb": 1, "image": "i", "job_class": "c"}, tags = ["x"])
+EmptyOperator(task_id = "begin") >> JobOperator(task_id = "work", estimate_s = 60) >> JobOperator(task_id = "end", estimate_s = 30)
+`)
+	for _, c := range []struct {
+		args []string
+		want string // in the output; behind a bang: in the error
+	}{
+		{[]string{"submit", file}, "g of t: registered, 3 steps"},
+		{[]string{"list"}, "g    false"},
+		{[]string{"trigger", "g", "--run", "one"}, "!graphs.descriptions"},
+		{[]string{"trigger", "g", "--run", "one", "--descriptions", src.URL + "/none"}, "!cannot be described"},
+		{[]string{"trigger", "g", "--run", "one", "--conf", "{"}, "!--conf is not JSON"},
+		{[]string{"trigger", "g", "--run", "one", "--conf", `{"a":1}`, "--descriptions", src.URL}, "one of g: "},
+		{[]string{"trigger", "g", "--run", "one", "--described"}, "!exists already"},
+		{[]string{"list", "g"}, "manual"},
+		{[]string{"show", "g", "one"}, "work"},
+		{[]string{"show", "g", "one", "--all"}, "begin"},
+		{[]string{"show", "g", "one", "--output", "json"}, `"task_id": "work"`},
+		{[]string{"show", "g", "one", "--output", "dot"}, `"begin" -> "work";`},
+		{[]string{"show", "g", "one", "--output", "html"}, "<svg id=\"graph\""},
+		{[]string{"show", "g", "one", "--output", "png"}, "!--output"},
+		{[]string{"show", "g", "none"}, "!404"},
+		{[]string{"clear", "g", "one", "work", "--dry-run"}, "work\nend\n"},
+		{[]string{"retry", "g", "one"}, "!graphs.descriptions"},
+		{[]string{"backfill", "g", "--from", "2026-11-01", "--to", "2026-11-02"}, "!graphs.descriptions"},
+		{[]string{"backfill", "g", "--from", "soon", "--to", "2026-11-02"}, "!is no time"},
+		{[]string{"pause", "g"}, ""},
+		{[]string{"list"}, "g    true"},
+		{[]string{"unpause", "g"}, ""},
+		{[]string{"delete", "g"}, "!cancel them first"},
+		{[]string{"cancel", "g", "one"}, ""},
+		{[]string{"list", "--output", "csv"}, "!--output"},
+	} {
+		out, err := graph(t, addr, c.args...)
+		if want, refused := strings.CutPrefix(c.want, "!"); refused {
+			if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("%v: %q, %v", c.args, out, err)
+			}
+		} else if err != nil || !strings.Contains(out, want) {
+			t.Errorf("%v: %q, %v", c.args, out, err)
+		}
+	}
+	if described.Load() != 2 {
+		t.Errorf("%d steps were described", described.Load())
+	}
+	for end := time.Now().Add(time.Minute); ; {
+		if _, err := graph(t, addr, "delete", "g"); err == nil {
+			break
+		} else if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	if _, err := run("graph", "list", "--addr", addr); err == nil || !strings.Contains(err.Error(), "--team") {
+		t.Errorf("without a team: %v", err)
+	}
+}
+
+// A graph that is longer than a request may be goes in parts.
+func TestTheLargestGraphIsSubmitted(t *testing.T) {
+	addr := serveGraphs(t, "graphs = on\n")
+	var b strings.Builder
+	b.WriteString(`{"dag_id":"large","tasks":[`)
+	for i := range 10_000 {
+		if i > 0 {
+			b.WriteString(",")
+		}
+		fmt.Fprintf(&b, `{"task_id":"a-step-with-a-name-%d","kind":"job","job":{"class":"c","cpus":1,"memory_gb":1,"image":"i","estimate_s":%d}}`, i*7919%10_000, 1+i*31%977)
+	}
+	b.WriteString("]}")
+	file := standin.File(t, "large.json", b.String())
+	if out, err := graph(t, addr, "submit", file); err != nil || !strings.Contains(out, "10000 steps") {
+		t.Fatalf("%q, %v", out, err)
+	}
+	if out, err := graph(t, addr, "trigger", "large", "--described", "--run", "one"); err != nil {
+		t.Fatalf("%q, %v", out, err)
+	}
+	if out, err := graph(t, addr, "show", "large", "one"); err != nil || !strings.Contains(out, "scheduled") || strings.Count(out, "\n") < 9_000 {
+		t.Errorf("%.300q, %v", out, err)
+	}
+}
--- a/internal/airflow/dags.go
+++ b/internal/airflow/dags.go
@@ -182,6 +182,15 @@
 	return &p.Graph, nil
 }
 
+// getRunDefinition gives the graph as the run has it: it may be registered anew since.
+func (d *Door) getRunDefinition(r *request) (any, error) {
+	v, err := d.run(r)
+	if err != nil {
+		return nil, err
+	}
+	return &v.Run.Plan.Graph, nil
+}
+
 // register is the body of a PUT: a graph, or the definition that was uploaded in parts.
 type register struct {
 	Definition string `json:"definition"`
--- a/internal/airflow/door.go
+++ b/internal/airflow/door.go
@@ -85,6 +85,8 @@
 	handle("PATCH /dags/{dag}/dagRuns/{run}", d.patchRun)
 	handle("DELETE /dags/{dag}/dagRuns/{run}", d.deleteRun)
 	handle("POST /dags/{dag}/dagRuns/{run}/clear", d.clearRun)
+	handle("GET /dags/{dag}/dagRuns/{run}/tries", d.listRunTries)
+	handle("GET /dags/{dag}/dagRuns/{run}/definition", d.getRunDefinition)
 	handle("POST /dags/{dag}/clearTaskInstances", d.clearInstances)
 	handle("POST /backfills", d.postBackfill)
 
--- a/internal/airflow/instances.go
+++ b/internal/airflow/instances.go
@@ -228,6 +228,39 @@
 	return map[string]any{"task_instances": out, "total_entries": len(out)}, nil
 }
 
+// TryView is one try of an instance, as a run's list of tries has it (beside the API).
+type TryView struct {
+	Task       string  `json:"task_id"`
+	Index      int     `json:"map_index"`
+	Generation int     `json:"generation"` // how often the step was cleared before
+	Start      *string `json:"start_date"`
+	End        *string `json:"end_date"`
+	State      string  `json:"state"`
+}
+
+// listRunTries gives the tries of all steps of a run that are kept, in the order in which
+// they began.
+func (d *Door) listRunTries(r *request) (any, error) {
+	p, err := r.page()
+	if err != nil {
+		return nil, err
+	}
+	v, err := d.run(r)
+	if err != nil {
+		return nil, err
+	}
+	out := []TryView{}
+	for _, t := range cut(v.Tries, p) {
+		begin, end := tryTimes(v, &t)
+		x := TryView{Task: v.Run.Plan.Steps[t.Step].ID, Index: t.Index, Generation: t.Generation, Start: stamp(begin), End: stamp(end), State: t.State.String()}
+		if v.Run.Plan.Steps[t.Step].Map == nil {
+			x.Index = -1
+		}
+		out = append(out, x)
+	}
+	return map[string]any{"tries": out, "total_entries": len(v.Tries)}, nil
+}
+
 // resultKey is the only key of a result, as Airflow names what a task returns.
 const resultKey = "return_value"
 
--- a/internal/dagview/dagview.go
+++ b/internal/dagview/dagview.go
@@ -56,21 +56,31 @@
 
 // Dot writes a graph in the DOT language. Names of steps hold nothing that it would
 // take for its own.
-func Dot(w io.Writer, p *dag.Plan) error {
+func Dot(w io.Writer, p *dag.Plan) error { return dot(w, p, nil) }
+
+// dot writes a graph; more gives attributes beside the shape of each step.
+func dot(w io.Writer, p *dag.Plan, more func(step int) string) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "digraph %q {\n  rankdir=LR;\n  node [shape=box, style=rounded];\n", p.ID)
 	for i := range p.Steps {
 		s := &p.Steps[i]
-		attrs := ""
+		var attrs []string
 		switch {
 		case s.Kind == dag.KindBranch:
-			attrs = " [shape=diamond]"
+			attrs = append(attrs, "shape=diamond")
 		case s.Kind == dag.KindEmpty:
-			attrs = " [shape=circle]"
+			attrs = append(attrs, "shape=circle")
 		case s.Map != nil:
-			attrs = " [peripheries=2]"
+			attrs = append(attrs, "peripheries=2")
+		}
+		if more != nil {
+			attrs = append(attrs, more(i))
+		}
+		fmt.Fprintf(&b, "  %q", s.ID)
+		if len(attrs) > 0 {
+			fmt.Fprintf(&b, " [%s]", strings.Join(attrs, ", "))
 		}
-		fmt.Fprintf(&b, "  %q%s;\n", s.ID, attrs)
+		b.WriteString(";\n")
 	}
 	for i := range p.Steps {
 		for _, j := range p.Up[i] {
--- a/internal/graphs/dags.go
+++ b/internal/graphs/dags.go
@@ -51,6 +51,7 @@
 	key     string
 	id      string
 	logical int64
+	due     bool // it stands for an interval, which has one run
 	def     string
 	live    *live           // nil: it is over, and stored
 	failed  map[string]bool // of one that is over: steps that depend on the past and did not end well
--- a/internal/graphs/describe.go
+++ b/internal/graphs/describe.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"poppypass/internal/dag"
 	"poppypass/internal/httpjson"
 	"poppypass/internal/tuning"
 )
@@ -42,16 +43,35 @@
 	Results    map[string]json.RawMessage `json:"results,omitempty"` // of the steps that it follows
 }
 
-// describe makes the description of a pick.
-func (p pick) describe() Description {
-	r, m := p.run.run, &p.run.meta
-	s := &r.Plan.Steps[p.at.Step]
+// Foreseen gives the descriptions of a run's first generation, as far as they can be named
+// before it begins: not those of steps that are mapped over what another step leaves.
+func Foreseen(p *dag.Plan, id string, conf json.RawMessage, logical time.Time) (out []Description) {
+	r, m := dag.NewRun(p, id), &meta{LogicalMS: logical.UnixMilli(), Conf: conf}
+	for i := range p.Steps {
+		s := &p.Steps[i]
+		if s.Job == nil || unforeseen(p, i) {
+			continue
+		}
+		n := 1
+		if s.Map != nil {
+			n = len(s.Map.List)
+		}
+		for k := range n {
+			out = append(out, describe(r, m, dag.Ref{Step: i, Index: k}))
+		}
+	}
+	return out
+}
+
+// describe makes the description of an instance's job.
+func describe(r *dag.Run, m *meta, at dag.Ref) Description {
+	s := &r.Plan.Steps[at.Step]
 	d := Description{
-		Job: p.id, Team: r.Plan.Team, Graph: r.Plan.ID, Run: r.ID, Step: s.ID, Index: -1, Generation: r.Generation(p.at.Step),
+		Job: r.JobID(at), Team: r.Plan.Team, Graph: r.Plan.ID, Run: r.ID, Step: s.ID, Index: -1, Generation: r.Generation(at.Step),
 		Image: s.Job.Image, Logical: time.UnixMilli(m.LogicalMS).UTC(), Params: map[string]json.RawMessage{}, Results: map[string]json.RawMessage{},
 	}
 	if s.Map != nil {
-		d.Index, d.Element = p.at.Index, r.Element(p.at)
+		d.Index, d.Element = at.Index, r.Element(at)
 	}
 	if m.ToMS != 0 {
 		from, to := time.UnixMilli(m.FromMS).UTC(), time.UnixMilli(m.ToMS).UTC()
@@ -66,7 +86,7 @@
 			d.Params[k] = v
 		}
 	}
-	for _, j := range r.Plan.Up[p.at.Step] {
+	for _, j := range r.Plan.Up[at.Step] {
 		if result := r.Result(j); result != nil {
 			d.Results[r.Plan.Steps[j].ID] = result
 		}
@@ -96,7 +116,7 @@
 			g.release(p.run, p.at.Step) // cleared or cancelled meanwhile
 			continue
 		}
-		batch, texts = append(batch, p), append(texts, p.describe())
+		batch, texts = append(batch, p), append(texts, describe(p.run.run, &p.run.meta, p.at))
 	}
 	if len(batch) == 0 {
 		return
--- a/internal/graphs/read.go
+++ b/internal/graphs/read.go
@@ -212,7 +212,7 @@
 	if gr == nil {
 		return errors.New("its graph is not known")
 	}
-	e := &entry{key: item.Key, id: rec.ID, logical: rec.LogicalMS, def: rec.Def}
+	e := &entry{key: item.Key, id: rec.ID, logical: rec.LogicalMS, due: rec.ToMS != 0, def: rec.Def}
 	if rec.over() && !gr.past {
 		l.refer(gr, e) // its definition is not read for that
 		return nil
--- a/internal/graphs/runs.go
+++ b/internal/graphs/runs.go
@@ -72,6 +72,9 @@
 	case slices.ContainsFunc(gr.history, func(e *entry) bool { return e.key == key }):
 		tell.refuse(http.StatusConflict, "the run exists already")
 		return
+	case m.ToMS != 0 && slices.ContainsFunc(gr.history, func(e *entry) bool { return e.due && e.logical == m.LogicalMS }):
+		tell.refuse(http.StatusConflict, "the interval has a run already")
+		return
 	case len(m.Conf) > tuning.GraphConf:
 		tell.refuse(http.StatusBadRequest, "conf has %d bytes; up to %d are allowed", len(m.Conf), tuning.GraphConf)
 		return
@@ -97,7 +100,7 @@
 	}
 	x := g.newLive(gr, dag.NewRun(d.plan, id), key, gr.rec.Def, m)
 	d.refs++
-	x.entry = &entry{key: key, id: id, logical: m.LogicalMS, def: x.def, live: x}
+	x.entry = &entry{key: key, id: id, logical: m.LogicalMS, due: m.ToMS != 0, def: x.def, live: x}
 	gr.record(x.entry)
 	x.told = append(x.told, func() { tell(http.StatusCreated, struct{}{}) })
 	g.dirty(x)
