--- a/internal/controller/graphs_test.go
+++ b/internal/controller/graphs_test.go
@@ -34,10 +34,16 @@
 	}
 }
 
-func (d *descriptions) of(job string) string {
+func (d *descriptions) get(job string) (graphs.Description, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.steps[job].Step
+	s, ok := d.steps[job]
+	return s, ok
+}
+
+func (d *descriptions) of(job string) string {
+	s, _ := d.get(job)
+	return s.Step
 }
 
 // graphWorld is a world that serves graphs, with a source of descriptions.
@@ -48,6 +54,12 @@
 	return rebooted(t, "graphs = on\ngraphs.descriptions = "+srv.URL+"\ngraphs.pool.t.db = 2\n"), d
 }
 
+// tick reports, and lets a little time pass.
+func (k *worker) tick() {
+	k.beat()
+	k.w.clock.Advance(tuning.Tick / 5)
+}
+
 // api calls the API for the team t.
 func (w *world) api(method, path string, body any) (int, map[string]any) {
 	sep := "?"
@@ -227,3 +239,58 @@
 		}
 	}
 }
+
+// Graphs and plain jobs of one class compete for one place at a time: each starts in the
+// order in which it came to wait, a step from when it was ready, and neither jumps ahead.
+func TestGraphsAndPlainJobsInTheOrderOfTheirWaits(t *testing.T) {
+	w, d := graphWorld(t)
+	w.submit("job-1", 3) // it takes all that the team may have
+	k := w.worker("n-000001", "a")
+	w.until("the team is at its limit", func() bool { k.tick(); return k.running() == 3 })
+	long := func(s map[string]any) map[string]any { s["job"].(map[string]any)["cpus"] = 12; return s }
+	var want []string
+	for i := range 4 {
+		w.clock.Advance(tuning.Tick)
+		id := fmt.Sprint("job-", 10+i)
+		j := job(id, 1)
+		j["cpus"] = 12.0
+		w.until("accepted", func() bool { status, _ := w.call("POST", "/v2/runs", j); return status == 201 || status == 200 })
+		want = append(want, id)
+		w.clock.Advance(tuning.Tick)
+		name := fmt.Sprint("g", i)
+		w.want("PUT", "/dags/"+name, map[string]any{"dag_id": name, "tasks": []any{long(jobStep("s")), long(jobStep("t", "s"))}}, 201)
+		w.want("POST", "/dags/"+name+"/dagRuns", map[string]any{"dag_run_id": "one"}, 200)
+		w.until("its step waits", func() bool {
+			k.beat()
+			_, out := w.api("GET", "/dags/"+name+"/dagRuns/one/taskInstances/s", nil)
+			return out["state"] == "queued"
+		})
+		want = append(want, name+".s")
+	}
+	// The second steps wait from when the first ones end, one after the other.
+	for i := range 4 {
+		want = append(want, fmt.Sprintf("g%d.t", i))
+	}
+	var got []string
+	k.finish()
+	for len(got) < len(want) {
+		w.until("the next one runs", func() bool { k.tick(); return k.running() == 1 })
+		id := standin.JobOf(k.rep.Tasks[len(k.rep.Tasks)-1].Task)
+		if s, ok := d.get(id); ok {
+			id = s.Graph + "." + s.Step
+		}
+		got = append(got, id)
+		w.clock.Advance(tuning.Tick)
+		k.finish()
+		if len(got) > 4 && strings.HasSuffix(id, ".s") {
+			w.until("the step behind it waits", func() bool {
+				k.tick()
+				_, out := w.api("GET", "/dags/"+strings.TrimSuffix(id, ".s")+"/dagRuns/one/taskInstances/t", nil)
+				return out["state"] == "queued" || out["state"] == "running"
+			})
+		}
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("started in the order\n%v, want\n%v", got, want)
+	}
+}
