--- a/cmd/poppypass/graph_test.go
+++ b/cmd/poppypass/graph_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -44,6 +45,19 @@
 	}
 }
 
+// The worked examples of the operators' page are graphs.
+func TestTheExamplesOfTheOperatorsPage(t *testing.T) {
+	files, err := filepath.Glob("../../docs/operators/graphs/*.star")
+	if err != nil || len(files) != 3 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	for _, f := range files {
+		if out, err := run("graph", "check", f); err != nil || !strings.Contains(out, "critical path") {
+			t.Errorf("%s: %q, %v", f, out, err)
+		}
+	}
+}
+
 func FuzzGraphJSON(f *testing.F) {
 	f.Add([]byte(`{"dag_id":"g","team":"t","tasks":[{"task_id":"a","kind":"empty"}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
--- a/internal/controller/graphs_test.go
+++ b/internal/controller/graphs_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"poppypass/internal/airflow"
 	"poppypass/internal/graphs"
@@ -294,3 +295,72 @@
 		t.Errorf("started in the order\n%v, want\n%v", got, want)
 	}
 }
+
+// The state service refuses everything for a minute while a step ends: nothing is lost, and
+// commands are answered at once with when to come back.
+func TestAGraphAndAStateServiceThatRefuses(t *testing.T) {
+	w, _ := graphWorld(t)
+	w.want("PUT", "/dags/g", map[string]any{"dag_id": "g", "tasks": []any{jobStep("a"), jobStep("b", "a")}}, 201)
+	w.want("POST", "/dags/g/dagRuns", map[string]any{"dag_run_id": "one"}, 200)
+	k := w.worker("n-000001", "a")
+	w.until("the first step runs", func() bool { k.tick(); return k.running() == 1 })
+	w.state.Refuse(true)
+	k.finish()
+	for range 3 {
+		k.tick()
+	}
+	if status, out := w.api("POST", "/dags/g/dagRuns", map[string]any{"dag_run_id": "two"}); status != 503 {
+		t.Errorf("a trigger meanwhile: %d %v", status, out)
+	}
+	if status, out := w.api("GET", "/dags/g", nil); status != 503 {
+		t.Errorf("a question meanwhile: %d %v", status, out)
+	}
+	for range 60 {
+		w.clock.Advance(time.Second)
+		k.beat()
+	}
+	w.state.Refuse(false)
+	// Its worker was out of reach for longer than its lease, so its machine was returned.
+	again := w.worker("n-000002", "a")
+	w.until("both runs are over", func() bool {
+		again.tick()
+		again.finish()
+		_, one := w.api("GET", "/dags/g/dagRuns/one", nil)
+		_, two := w.api("GET", "/dags/g/dagRuns/two", nil)
+		return one["state"] == "success" && two["state"] == "success"
+	})
+	// The trigger without an answer has come about, and can be repeated.
+	w.want("POST", "/dags/g/dagRuns", map[string]any{"dag_run_id": "two"}, 409)
+	if len(k.start) != 1 || len(again.start) != 3 {
+		t.Errorf("started %v and %v", k.start, again.start)
+	}
+}
+
+// A budget runs out in the middle of a graph: the next step waits, and says for what.
+func TestABudgetRunsOutInTheMiddleOfAGraph(t *testing.T) {
+	srv := httptest.NewServer(&descriptions{steps: map[string]graphs.Description{}})
+	defer srv.Close()
+	w := rebooted(t, "ledger = on\ngraphs = on\ngraphs.descriptions = "+srv.URL+"\nbudget.t.ever.core-hours = 0.012\n")
+	w.want("PUT", "/dags/g", map[string]any{"dag_id": "g", "tasks": []any{jobStep("a"), jobStep("b", "a")}}, 201)
+	w.want("POST", "/dags/g/dagRuns", map[string]any{"dag_run_id": "one"}, 200)
+	k := w.worker("n-000001", "a")
+	w.until("the first step runs", func() bool { k.tick(); return k.running() == 1 })
+	for range 10 { // it takes 0.011 core-hours
+		w.clock.Advance(time.Second)
+		w.until("reported", func() bool { return k.beat() == 200 })
+	}
+	k.finish()
+	w.until("the second step waits for its budget", func() bool {
+		k.tick()
+		_, out := w.api("GET", "/dags/g/dagRuns/one/taskInstances/b", nil)
+		id, _ := out["job"].(string)
+		if out["state"] != "queued" {
+			return false
+		}
+		_, why := w.call("GET", "/v2/runs/"+id+"/why", nil)
+		return strings.Contains(fmt.Sprint(why["reasons"]), "budget")
+	})
+	if k.running() != 0 {
+		t.Error("it runs beyond the budget")
+	}
+}
--- a/internal/dag/runcodec.go
+++ b/internal/dag/runcodec.go
@@ -54,24 +54,30 @@
 	return time.UnixMilli(ms)
 }
 
+// tells tells whether there is more to an instance than its state.
+func (x *Instance) tells() bool {
+	return x.Failures > 0 || !x.Hold.IsZero() || !x.Begun.IsZero() || x.Ending
+}
+
 // Encode gives a run's stored form.
 func (r *Run) Encode() []byte {
 	s := storedRun{Format: runFormat, ID: r.ID, Stopped: r.stopped, States: make([]byte, len(r.nodes)), Orphans: r.orphans}
 	for i := range r.nodes {
 		n := &r.nodes[i]
 		s.States[i] = byte(n.state)
+		// A step with one instance that has nothing to tell has its state. Most are so.
+		plain := len(n.instances) == 0 || len(n.instances) == 1 && n.instances[0].State == n.state && !n.instances[0].tells() && r.Plan.Steps[i].Map == nil
+		if plain && n.generation == 0 && len(n.result) == 0 {
+			continue
+		}
 		e := storedStep{Step: i, Generation: n.generation, Result: n.result}
 		for k, x := range n.instances {
 			e.States = append(e.States, byte(x.State))
-			if x.Failures > 0 || !x.Hold.IsZero() || !x.Begun.IsZero() || x.Ending {
+			if x.tells() {
 				e.Notes = append(e.Notes, storedInstance{Index: k, Failures: x.Failures, HoldMS: ms(x.Hold), BegunMS: ms(x.Begun), Ending: x.Ending})
 			}
 		}
-		// A step with one instance that has nothing to tell has its state.
-		plain := len(n.instances) == 1 && n.instances[0].State == n.state && r.Plan.Steps[i].Map == nil
-		if e.Generation > 0 || len(e.Result) > 0 || len(e.Notes) > 0 || len(n.instances) > 0 && !plain {
-			s.Steps = append(s.Steps, e)
-		}
+		s.Steps = append(s.Steps, e)
 	}
 	raw, err := cbor.Marshal(s)
 	if err != nil {
--- a/internal/dagview/run.go
+++ b/internal/dagview/run.go
@@ -160,7 +160,7 @@
 		ChartWidth, ChartHeight   int
 		BoxWidth, BoxHeight, Left int
 		Note                      string
-	}{Run: r, States: states, BoxWidth: boxWidth, BoxHeight: boxHeight, Left: labelWidth, ChartWidth: labelWidth + chartWidth + 20}
+	}{Run: r, States: states, BoxWidth: boxWidth, BoxHeight: boxHeight, Left: labelWidth, ChartWidth: labelWidth + chartWidth + 40}
 	v.Boxes, v.Edges, v.Width, v.Height = r.draw()
 	v.Rows, v.Bars, v.Ticks, v.ChartHeight = r.gantt()
 	if n := len(r.Plan.Steps); n > mostBoxes {
--- /dev/null
+++ b/internal/graphs/bench_test.go
@@ -0,0 +1,97 @@
+package graphs
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"poppypass/internal/dag"
+	"poppypass/internal/wire"
+)
+
+// fan is a graph of a first step, n behind it and a last one.
+func fan(t testing.TB, n int) *dag.Plan {
+	steps := []dag.Step{step("first")}
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprint("s", i))
+		steps = append(steps, step(all[i], "first"))
+	}
+	return graphOf(t, func(g *dag.Graph) { g.MaxRuns, g.MaxTasks = 10_000, 10_000 }, append(steps, step("last", all...))...)
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkTakeOver has a new leader read 1,000 live runs of 30 steps.
+func BenchmarkTakeOver(b *testing.B) {
+	w := newWorld(b)
+	defer w.close()
+	p := fan(b, 28)
+	if a := w.register(p); a.status != 201 {
+		b.Fatalf("%+v", a)
+	}
+	for i := range 1000 {
+		w.order(DoTrigger, Order{Run: fmt.Sprint("run", i), Described: true})
+	}
+	for write := w.graphs.Next(w.clock.Now(), 1000); write != nil; write = w.graphs.Next(w.clock.Now(), 1000) {
+		write.Done(w.commit(write.Txn))
+	}
+	w.graphs = nil
+	before := heap()
+	for b.Loop() {
+		w.lead()
+	}
+	b.ReportMetric((heap()-before)/1000, "B/run")
+	b.ReportMetric(float64(len(w.graphs.runs)), "runs")
+}
+
+// BenchmarkEvents ends steps of a graph of 10,000, each of which is stored.
+func BenchmarkEvents(b *testing.B) {
+	w := newWorld(b)
+	defer w.close()
+	p := fan(b, dag.MaxSteps-2)
+	if a := w.register(p); a.status != 201 {
+		b.Fatalf("%+v", a)
+	}
+	next := func() bool {
+		write := w.graphs.Next(w.clock.Now(), 1000)
+		if write != nil {
+			write.Done(1) // what is measured is the deciding, not the store
+		}
+		return write != nil
+	}
+	runs := 0
+	begin := func() {
+		w.order(DoTrigger, Order{Run: fmt.Sprint("run", runs), Described: true})
+		runs++
+		for next() {
+		}
+	}
+	for b.Loop() {
+		if len(w.graphs.byJob) == 0 {
+			begin()
+		}
+		for id := range w.graphs.byJob {
+			w.graphs.over(id, wire.StateDone, w.clock.Now())
+			break
+		}
+		next()
+	}
+}
+
+// BenchmarkLargestGraph registers a graph of 10,000 steps and begins a run of it.
+func BenchmarkLargestGraph(b *testing.B) {
+	p := fan(b, dag.MaxSteps-2)
+	for b.Loop() {
+		w := newWorld(b)
+		before := heap()
+		w.begin(p, "one")
+		b.ReportMetric((heap()-before)/(1<<20), "MB")
+		w.close()
+	}
+}
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -391,5 +391,7 @@
 // Clean tells whether the stored record of a task says what the book says.
 func (b *Book) Clean(j *Job, index int) bool {
 	c := &j.chunks[index/tuning.ChunkTasks]
-	return !c.dirty && !c.writing
+	// While the job's end is on its way nothing tells of its last tasks: workers that forgot
+	// them in an outage had the next leader run them again.
+	return !c.dirty && !c.writing && !j.ending
 }
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -104,6 +104,25 @@
 	}
 }
 
+// Guards against workers that forget a job's last task while its end is on its way to the
+// state service: after an outage in which the leader changed, it ran again.
+func TestTheLastTaskIsRememberedUntilTheEndIsStored(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 1)
+	b, _ := s.load(12)
+	j := b.Jobs["job-1"]
+	p := b.Place(j, 0, "n-1", "a", 1, t0)
+	s.flush(b)
+	b.Finished(p, t0)
+	w := b.Take(later, 1000)
+	if b.Clean(j, 0) {
+		t.Error("its worker may forget it before its end is stored")
+	}
+	if _, over := b.Written(w, s.apply(w.Txn)); len(over) != 1 || b.Jobs["job-1"] != nil {
+		t.Errorf("over are %v", over)
+	}
+}
+
 func TestGoneBeforeTheRecordIsNotStarted(t *testing.T) {
 	s := newStore(t)
 	s.accept("job-1", 1)
--- a/internal/lab/billing/main.go
+++ b/internal/lab/billing/main.go
@@ -7,23 +7,18 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
 
+	"poppypass/internal/lab/rig"
 	"poppypass/internal/ledger"
 	"poppypass/internal/standin"
 	"poppypass/internal/statestore"
@@ -31,10 +26,7 @@
 )
 
 const (
-	members = 3
 	teams   = 4
-	report  = 2 * time.Second
-	lease   = 10 * time.Second
 	between = 2 * time.Second // submissions
 )
 
@@ -43,21 +35,16 @@
 	length    time.Duration
 	killEvery time.Duration
 	loses     bool
-	dir       string
-	state     *standin.State
-	cloud     *standin.Cloud
-	users     []string
-	mesh      []string
+	rig       *rig.Rig
 
 	mu       sync.Mutex
 	measured map[standin.Attempt]standin.Measured
 	twice    int
-	ended    map[string]context.CancelFunc // workers by machine
 	submits  int
 }
 
 func main() {
-	l := &lab{measured: map[standin.Attempt]standin.Measured{}, ended: map[string]context.CancelFunc{}}
+	l := &lab{measured: map[standin.Attempt]standin.Measured{}}
 	cmd := &cobra.Command{
 		Use: "billing", Short: "Compare the ledger with what workers measured", SilenceUsage: true, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return l.run(cmd.Context()) },
@@ -71,23 +58,6 @@
 	}
 }
 
-func (l *lab) settings(i int) string {
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "member = \"m%d\"\nbind = %q\nmesh_addr = %q\n", i, l.users[i], l.mesh[i])
-	for k := range members {
-		if k != i {
-			fmt.Fprintf(&b, "[[members]]\nmember = \"m%d\"\nendpoint = %q\n", k, l.mesh[k])
-		}
-	}
-	fmt.Fprintf(&b, "[outside]\ncloud = %q\nstate = %q\n", l.cloud.Addr(), l.state.Addr())
-	for k := range teams {
-		fmt.Fprintf(&b, "[[cluster.teams]]\nname = \"team-%d\"\ncpus = 16.0\ncpus_max = 64.0\n", k)
-	}
-	fmt.Fprintf(&b, "[cluster.workers]\nreport_s = %g\nlease_s = %g\ncancel_s = 20.0\n", report.Seconds(), lease.Seconds())
-	b.WriteString("[cluster.state]\nrps = 300.0\nwrite_rps = 150.0\nvalue_kb = 16.0\ntxn_ops = 12\n[cluster.cloud]\nrps = 10.0\nlist_lag_s = 1.0\n")
-	return b.String()
-}
-
 // task draws a task's length and end from its name, so that each attempt has its own.
 func (l *lab) task(task string, attempt uint64) (time.Duration, wire.Why, string) {
 	h := fnv.New64a()
@@ -114,189 +84,57 @@
 func (l *lab) run(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, l.length+5*time.Minute)
 	defer stop()
-	var err error
-	if l.dir, err = os.MkdirTemp("", "billing"); err != nil {
-		return err
+	l.rig = &rig.Rig{
+		Program: l.program, Members: 3, Teams: teams, CPUs: 64, Machines: 24, Report: 2 * time.Second, Lease: 10 * time.Second,
+		Type:       wire.MachineType{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.8, SpotPrice: 0.3, BootS: 1, Zones: []string{"a", "b"}},
+		Properties: "ledger = on\nfleet.idle.keep = 20s\n", Task: l.task, Measured: l.saw,
 	}
-	defer os.RemoveAll(l.dir)
-	clock := clockwork.NewRealClock()
-	l.state = standin.NewState(clock)
-	l.cloud = standin.NewCloud(24, wire.MachineType{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.8, SpotPrice: 0.3, BootS: 1, Zones: []string{"a", "b"}})
-	for range members {
-		for _, addrs := range []*[]string{&l.users, &l.mesh} {
-			addr, err := standin.Loopback()
-			if err != nil {
-				return err
-			}
-			*addrs = append(*addrs, addr)
-		}
-	}
-	props := filepath.Join(l.dir, "own.properties")
-	if err := os.WriteFile(props, []byte("ledger = on\nfleet.idle.keep = 20s\n"), 0o600); err != nil {
+	defer l.rig.Close()
+	if err := l.rig.Start(ctx); err != nil {
 		return err
 	}
-	var processes [members]*exec.Cmd
-	start := func(i int) error {
-		path := filepath.Join(l.dir, fmt.Sprintf("m%d.toml", i))
-		if err := os.WriteFile(path, []byte(l.settings(i)), 0o600); err != nil {
-			return err
-		}
-		p := exec.CommandContext(ctx, l.program, "serve", "--properties", props, "--config", path)
-		p.Env = append(os.Environ(), "LOG_LEVEL=error")
-		p.Stderr = os.Stderr
-		processes[i] = p
-		return p.Start()
-	}
-	for i := range members {
-		if err := start(i); err != nil {
-			return err
-		}
-	}
-	defer func() {
-		for _, p := range processes {
-			_ = p.Process.Kill()
-			_ = p.Wait() // it was killed
-		}
-	}()
-	go l.workers(ctx)
 	begun, killed, kills := time.Now(), time.Now(), 0
 	for id := 1; time.Since(begun) < l.length; id++ {
 		l.submit(ctx, id)
 		if id%9 == 0 {
-			l.post(ctx, fmt.Sprintf("%s/job-%d/%s", wire.PathJobs, id-3, wire.EndCancel), nil)
+			l.rig.Send(ctx, http.MethodPost, fmt.Sprintf("%s/job-%d/%s", wire.PathJobs, id-3, wire.EndCancel), nil)
 		}
 		if l.loses && id%15 == 0 {
-			l.lose()
+			l.rig.Lose()
 		}
 		if time.Since(killed) >= l.killEvery {
-			if i := l.leader(ctx); i >= 0 {
-				_ = processes[i].Process.Kill()
-				_ = processes[i].Wait() // it was killed
+			done, err := l.rig.KillLeader(ctx)
+			if err != nil {
+				return err
+			}
+			if done {
 				kills++
-				if err := start(i); err != nil {
-					return err
-				}
 			}
 			killed = time.Now()
 		}
 		time.Sleep(between)
 	}
 	// All that is left runs to its end.
-	for open := true; open && ctx.Err() == nil; {
+	for l.rig.Any("job/") && ctx.Err() == nil {
 		time.Sleep(time.Second)
-		open = false
-		for _, item := range l.keys("job/") {
-			open = open || item != ""
-		}
 	}
 	time.Sleep(3 * time.Second) // the last ends are stored
 	return l.compare(ctx, kills)
 }
 
-func (l *lab) keys(prefix string) []string {
-	resp, err := http.Get("http://" + l.state.Addr() + wire.PathKV + "?starts=" + prefix + "&page=10")
-	if err != nil {
-		return []string{"unreadable"}
-	}
-	defer resp.Body.Close()
-	var page wire.ItemPage
-	if json.NewDecoder(resp.Body).Decode(&page) != nil {
-		return []string{"unreadable"}
-	}
-	var out []string
-	for _, item := range page.Items {
-		out = append(out, item.Key)
-	}
-	return out
-}
-
-// workers starts a worker for each machine that is rented, and ends it when its
-// machine is deleted.
-func (l *lab) workers(ctx context.Context) {
-	nodes, order := map[string]string{}, []string{}
-	for i, addr := range l.users {
-		nodes[fmt.Sprint("m", i)] = addr
-		order = append(order, fmt.Sprint("m", i))
-	}
-	known := map[string]bool{}
-	for ctx.Err() == nil {
-		l.state.Expire()
-		for _, m := range l.cloud.Machines() {
-			if known[m.Name] {
-				continue
-			}
-			known[m.Name] = true
-			k := standin.NewWorker(m, nodes, order, report, lease, l.task, l.saw)
-			wctx, end := context.WithCancel(ctx)
-			l.mu.Lock()
-			l.ended[m.Name] = end
-			l.mu.Unlock()
-			go func() { _ = k.Run(wctx) }() // it ends with its machine
-		}
-		for _, name := range l.cloud.Deleted() {
-			l.mu.Lock()
-			l.ended[name]()
-			l.mu.Unlock()
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-}
-
-// lose ends a machine without a word.
-func (l *lab) lose() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, end := range l.ended {
-		end()
-		return
-	}
-}
-
 func (l *lab) submit(ctx context.Context, id int) {
 	l.submits++
 	body := fmt.Appendf(nil, `{"ref":"job-%d","lane":"c%d","desk":"team-%d","shape":"array","urgency":"standard","seats":%d,"cpus":%d,"gpus":0,
 		"mem_gb":4,"bundle":"i","image_gb":1,"same_place":false,"apart":false,"standby":true,"ride_s":12,"stub_s":5,"stamp_s":0,"account":"owner-%d"}`,
 		id, id%2, id%teams, 1+id%7, 1+id%2, id%5)
-	l.post(ctx, wire.PathJobs, body)
-}
-
-// post repeats a request until a controller decides it.
-func (l *lab) post(ctx context.Context, path string, body []byte) {
-	for i := 0; ctx.Err() == nil; i++ {
-		resp, err := http.Post("http://"+l.users[i%members]+path, "application/json", bytes.NewReader(body))
-		if err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body) // only the status matters
-			resp.Body.Close()
-			if resp.StatusCode < http.StatusInternalServerError {
-				return
-			}
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-}
-
-// leader finds which member leads.
-func (l *lab) leader(context.Context) int {
-	item, ok := l.state.Value("lead/holder")
-	if !ok {
-		return -1
-	}
-	var h struct{ Member string }
-	var i int
-	if json.Unmarshal(item.Value, &h) != nil {
-		return -1
-	}
-	if _, err := fmt.Sscanf(h.Member, "m%d", &i); err != nil {
-		return -1
-	}
-	return i
+	l.rig.Send(ctx, http.MethodPost, wire.PathJobs, body)
 }
 
 // compare sets the charges of each attempt against what its worker measured.
 func (l *lab) compare(ctx context.Context, kills int) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	reader, err := ledger.NewReader(statestore.New(l.state.Addr(), 1e6, 1e6))
+	reader, err := ledger.NewReader(statestore.New(l.rig.State.Addr(), 1e6, 1e6))
 	if err != nil {
 		return err
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -22,9 +22,10 @@
 // Measured is what a worker itself saw of an attempt.
 type Measured struct {
 	Attempt
-	Run  time.Duration // from when it ran to when it ended
-	Why  wire.Why      // empty: it was killed with its worker's session
-	Team string
+	Begin time.Time     // when it began to run
+	Run   time.Duration // from then to when it ended
+	Why   wire.Why      // empty: it was killed with its worker's session
+	Team  string
 }
 
 // Task says how long a task runs and how it ends, and whose it is.
@@ -217,7 +218,7 @@
 			t.State, t.Why, t.Saved = wire.TaskExited, why, r.saved
 		}
 	}
-	k.measured(Measured{id, time.Since(r.begun), why, r.team})
+	k.measured(Measured{id, r.begun, time.Since(r.begun), why, r.team})
 	k.changed()
 }
 
@@ -242,7 +243,7 @@
 func (k *Worker) killAll() {
 	for id, r := range k.running {
 		r.end.Stop()
-		k.measured(Measured{id, time.Since(r.begun), "", r.team})
+		k.measured(Measured{id, r.begun, time.Since(r.begun), "", r.team})
 	}
 	clear(k.running)
 	k.rep.Tasks = nil
