Placement: machines are kept in order for each shape of tasks, so one more task looks at a few

Change: a heap for each zone and shape, put right as entries come to the front; the same decisions, by a differential test of 3,000 random worlds with avoided, held and allowed machines.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -183,11 +183,6 @@
 	return (!spot || it.Job.Spot) && (it.Job.Types == nil || slices.Contains(it.Job.Types, typ)) && it.ZoneOpen(zone)
 }
 
-func (it *Item) fits(m *Machine, need Room) bool {
-	return m.Free.holds(need) && (m.held == "" || m.held == it.Job.ID) &&
-		it.Allowed(m.Type, m.Zone, m.Spot) && (it.Avoid == nil || !it.Avoid(m.Name))
-}
-
 // better tells whether a is a better place than b for the item. Work that may
 // run on spot machines goes there first and leaves the others to work that may
 // not. Then, for work that is to start promptly, the machine on which it starts
@@ -228,16 +223,6 @@
 	return m.FetchS(j.Image, j.ImageGB)
 }
 
-func (it *Item) best(machines []*Machine, need Room) *Machine {
-	var best *Machine
-	for _, m := range machines {
-		if it.fits(m, need) && (best == nil || it.better(m, best)) {
-			best = m
-		}
-	}
-	return best
-}
-
 func (it *Item) take(m *Machine, need Room, team *Team) {
 	m.Free.Sub(need, 1)
 	team.add(need)
@@ -265,7 +250,7 @@
 // Sorted is Pass for items that are in order already.
 func Sorted(now time.Time, items []*Item, machines []*Machine, teams map[string]*Team) []Placement {
 	var placed []Placement
-	p := pass{now: now, machines: machines, roomy: roomy(machines, items), teams: teams, stuck: make([]bool, len(items))}
+	p := pass{now: now, machines: machines, roomy: roomy(machines, items), teams: teams, stuck: make([]bool, len(items)), searches: map[shape]*search{}}
 	for lo, hi := 0, 0; lo < len(items); lo = hi {
 		for hi = lo; hi < len(items) && Level(items[hi], teams, now) == Level(items[lo], teams, now); hi++ {
 		}
@@ -295,7 +280,8 @@
 	roomy    []*Machine // those that may have room for some item
 	teams    map[string]*Team
 	stuck    []bool // items for which there is no room
-	held     bool   // a head holds a machine
+	searches map[shape]*search
+	held     bool // a head holds a machine
 }
 
 // roomy are the machines with room for the least of what the items need. In a
@@ -330,8 +316,12 @@
 		return placed
 	}
 	need := it.Need()
+	var s *search
 	for it.Waiting > 0 && team.fits(need) && (t != guaranteed || team.within(need)) {
-		m := it.best(p.roomy, need)
+		if s == nil {
+			s = p.searchFor(it)
+		}
+		m := s.best(it)
 		if m == nil {
 			p.stuck[i] = true
 			if !p.held && !it.Ghost && p.now.Sub(it.Since) >= tuning.HeadHold {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -200,7 +200,7 @@
 					if !team.fits(need) || t == guaranteed && !team.within(need) {
 						break
 					}
-					m := it.best(machines, need)
+					m := best(it, machines, need)
 					if m == nil {
 						stuck[it] = true
 						if !held && !it.Ghost && now.Sub(it.Since) >= tuning.HeadHold {
@@ -219,6 +219,17 @@
 	return placed
 }
 
+// best looks at all machines.
+func best(it *Item, machines []*Machine, need Room) (best *Machine) {
+	for _, m := range machines {
+		if m.Free.holds(need) && (m.held == "" || m.held == it.Job.ID) && it.Allowed(m.Type, m.Zone, m.Spot) &&
+			(it.Avoid == nil || !it.Avoid(m.Name)) && (best == nil || it.better(m, best)) {
+			best = m
+		}
+	}
+	return best
+}
+
 // Guards against hundreds of tiny jobs that wait for minutes behind a huge
 // array of the same guest: without a cap it never had its fill, and aged past them.
 func TestAHugeArrayWithoutACapLetsOthersBegin(t *testing.T) {
@@ -238,15 +249,16 @@
 // Guards against a pass that is fast and decides otherwise.
 func TestThePassDecidesLikeThePlainOne(t *testing.T) {
 	priorities := []wire.Priority{wire.PriorityProduction, wire.PriorityHigh, wire.PriorityNormal, wire.PriorityLow}
-	for seed := range uint64(300) {
+	for seed := range uint64(3000) {
 		// The same world twice, since a pass changes what it is given.
 		world := func() (items []*Item, machines []*Machine, teams map[string]*Team) {
 			r := rand.New(rand.NewPCG(seed, 1))
-			for i := range 1 + r.IntN(20) {
+			for i := range 1 + r.IntN(40) {
 				m := machine(fmt.Sprintf("m-%02d", i), []string{"a", "b"}[r.IntN(2)], r.IntN(2) == 0, float64(r.IntN(17)))
 				m.Free.MemoryGB, m.Price = float64(r.IntN(20)), float64(r.IntN(3))
 				fetch := float64(r.IntN(4))
-				m.FetchS = func(string, float64) float64 { return fetch }
+				m.Type = []string{"x", "y"}[r.IntN(2)]
+				m.FetchS = func(image string, _ float64) float64 { return fetch * float64(len(image)) }
 				machines = append(machines, m)
 			}
 			for i := range 1 + r.IntN(15) {
@@ -256,6 +268,14 @@
 						j.Spread, j.OneZone, j.Spot = r.IntN(4) == 0, r.IntN(4) == 0, r.IntN(2) == 0
 					})
 				it.Prompt, it.Ghost = r.IntN(2) == 0, r.IntN(6) == 0
+				it.Job.Image = []string{"i", "ii"}[r.IntN(2)]
+				if r.IntN(4) == 0 {
+					it.Job.Types = [][]string{{}, {"x"}, {"x", "y"}}[r.IntN(3)]
+				}
+				if r.IntN(4) == 0 {
+					bad := fmt.Sprintf("m-%02d", r.IntN(40))
+					it.Avoid = func(machine string) bool { return machine <= bad }
+				}
 				if !it.Job.Spread && !it.Job.OneZone {
 					it.Zones = nil
 				}
@@ -278,3 +298,50 @@
 		}
 	}
 }
+
+// Guards against a pass whose every placement looks at all machines: it may look at each
+// once for each shape of tasks, and then at a few for each placement.
+func TestAPlacementLooksAtAFewMachines(t *testing.T) {
+	for _, n := range []int{100, 1000, 10000} {
+		looks := 0
+		var machines []*Machine
+		for i := range n {
+			m := machine(fmt.Sprint("m-", i), []string{"a", "b"}[i%2], i%3 == 0, 16)
+			m.FetchS = func(string, float64) float64 { looks++; return float64(i % 5) }
+			machines = append(machines, m)
+		}
+		var items []*Item
+		for i := range 50 { // of five shapes
+			items = append(items, item(fmt.Sprint("job-", i), wire.PriorityNormal, time.Duration(i)*time.Second, n/10, float64(1+i%5)))
+		}
+		placed := len(Pass(now, items, machines, map[string]*Team{"t": {CPUsMax: math.Inf(1)}}))
+		if each := float64(looks-5*n) / float64(placed); placed < 4*n || each > 4 {
+			t.Errorf("%d machines: %d placed, each looks at %.1f", n, placed, each)
+		}
+	}
+}
+
+// BenchmarkPass places four tasks for each machine.
+func BenchmarkPass(b *testing.B) {
+	for _, n := range []int{400, 1000, 4000, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			placed := 0
+			for b.Loop() {
+				b.StopTimer()
+				var machines []*Machine
+				for i := range n {
+					m := machine(fmt.Sprintf("m-%05d", i), []string{"a", "b"}[i%2], i%3 == 0, 16)
+					m.FetchS = func(string, float64) float64 { return float64(i % 7) }
+					machines = append(machines, m)
+				}
+				var items []*Item
+				for i := range 40 {
+					items = append(items, item(fmt.Sprint("job-", i), wire.PriorityNormal, time.Duration(i)*time.Second, n/10, 4))
+				}
+				b.StartTimer()
+				placed += len(Pass(now, items, machines, map[string]*Team{"t": {CPUsMax: math.Inf(1)}}))
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(placed), "ns/placement")
+		})
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -276,6 +276,9 @@
 	// FillSteps is in how many steps a job's fill, what its team's limit allows at
 	// a time, is counted: those that had fewer go first.
 	FillSteps = 4
+	// SearchShapes is for how many shapes of tasks a pass keeps the machines in order: with 40
+	// bytes for each machine and shape, 16 MB at the most with 10,000 machines, until the pass ends.
+	SearchShapes = 40
 	// HeadHold is the wait after which the queue's head holds a machine against those behind.
 	HeadHold = 30 * time.Second
 	// PassWaitMin and PassWaitMax bound the pause between passes that place
@@ -480,7 +483,7 @@
 	// has some 20.
 	GraphParts = 64
 	// GraphValueKB is the least size of a value, in KiB, that a part and a run of 10,000 steps need.
-	GraphValueKB = 15
+	GraphValueKB = 14
 	// GraphTasks is how many steps of a graph are submitted at a time unless it says
 	// otherwise, and GraphRuns how many of its runs go on, as in Airflow.
 	GraphTasks = 16
