Emptying machines: one order of machines for all that is asked, instead of a pass for each

Need: each look at a sixteenth of the machines made a pass over all others, and each replica that might move built views of all machines: the square of the fleet every two seconds.

Change: placement.Trial keeps machines in order from question to question; the same answers as passes, by a differential test.

--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -31,15 +31,16 @@
 	expected := l.expected(now)
 	placement.Pass(now, expected, open, fleet.Unlimited(expected))
 	used := slices.DeleteFunc(open, func(v *placement.Machine) bool { return len(l.roster.Machines[v.Name].Places) == 0 })
+	trial := placement.NewTrial(used)
 	for _, m := range draining {
-		if m.Draining && (!m.Alive() || !fitsOn(m, used, now)) {
+		if m.Draining && (!m.Alive() || !trial.Fit(now, itemsOn(m, now), nil)) {
 			m.Draining = false // its room is wanted after all
 		}
 	}
 	kept := !slices.ContainsFunc(expected, func(it *placement.Item) bool { return it.Waiting > 0 })
 	// In a cut the rest of the fleet stands in for the zone that is out of reach.
 	if len(short) == 0 && kept && len(l.cutZones(now)) == 0 {
-		l.drainSurplus(used, now)
+		l.drainSurplus(trial, used, now)
 	}
 	l.move(l.draining(), now)
 }
@@ -82,7 +83,7 @@
 // drainSurplus finds machines whose work fits on the others in use, those
 // first that save the most money for each task that has to go, and takes them
 // out of placement.
-func (l *Loop) drainSurplus(used []*placement.Machine, now time.Time) {
+func (l *Loop) drainSurplus(trial *placement.Trial, used []*placement.Machine, now time.Time) {
 	gain := func(v *placement.Machine) float64 {
 		return l.price(v) / float64(1+len(l.roster.Machines[v.Name].Places))
 	}
@@ -91,10 +92,8 @@
 	})
 	for _, v := range order[:min(len(order), max(tuning.MoveCandidates, len(order)/tuning.MoveCandidateShare))] {
 		m := l.roster.Machines[v.Name]
-		others := slices.DeleteFunc(slices.Clone(used), func(o *placement.Machine) bool { return o == v })
-		if fitsOn(m, others, now) {
+		if trial.Fit(now, itemsOn(m, now), v) {
 			m.Draining = true
-			used = others
 			l.log.Info("emptying machine", "machine", m.Name, "type", m.Type, "spot", m.Spot, "tasks", len(m.Places))
 		}
 	}
@@ -108,20 +107,6 @@
 	return v.Price
 }
 
-// fitsOn tells whether a machine's tasks fit on others, and if so takes the
-// room for them.
-func fitsOn(m *roster.Machine, others []*placement.Machine, now time.Time) bool {
-	items := itemsOn(m, now)
-	placed := placement.Pass(now, items, others, fleet.Unlimited(items))
-	if len(placed) == len(m.Places) {
-		return true
-	}
-	for _, p := range placed {
-		p.Machine.Free.Sub(p.Item.Need(), -1)
-	}
-	return false
-}
-
 // itemsOn are the tasks on a machine as if they waited to be placed.
 func itemsOn(m *roster.Machine, now time.Time) []*placement.Item {
 	byJob := map[*jobs.Job]*placement.Item{}
@@ -155,16 +140,21 @@
 	grows := float64(replicas) * tuning.MoveEvery.Seconds() * tuning.MoveDownShare
 	l.fleet.moveBudget = min(l.fleet.moveBudget+grows, max(grows, tuning.MoveBudgetMax.Seconds()))
 	var moved []*jobs.Place
+	most := max(tuning.MoveAtOnce, replicas/tuning.MoveAtOnceShare)
+	var trial *placement.Trial // of the machines in use; most of the time nothing is to be moved
 	for _, m := range draining {
-		if !m.Draining {
+		if !m.Draining || len(moved) >= most {
 			continue
 		}
 		for _, p := range m.Places {
 			if p.Job.Kind != wire.KindService || p.Stop != nil || p.State != wire.TaskRunning || now.Sub(p.Running) < tuning.PreemptSettle {
 				continue
 			}
-			down, ok := l.downFor(p, now)
-			if down += tuning.MoveDown.Seconds(); !ok || down > l.fleet.moveBudget || len(moved) >= max(tuning.MoveAtOnce, replicas/tuning.MoveAtOnceShare) {
+			if trial == nil {
+				trial = placement.NewTrial(slices.DeleteFunc(l.openMachines(now), func(v *placement.Machine) bool { return len(l.roster.Machines[v.Name].Places) == 0 }))
+			}
+			down, ok := downFor(p, trial, now)
+			if down += tuning.MoveDown.Seconds(); !ok || down > l.fleet.moveBudget || len(moved) >= most {
 				continue
 			}
 			l.fleet.moveBudget -= down
@@ -177,16 +167,12 @@
 
 // downFor is how long a replica would fetch its image on the machine to which
 // it would move, in seconds; ok is false when no machine in use has room for it.
-func (l *Loop) downFor(p *jobs.Place, now time.Time) (fetch float64, ok bool) {
+func downFor(p *jobs.Place, trial *placement.Trial, now time.Time) (fetch float64, ok bool) {
 	it := &placement.Item{Job: &p.Job.Job, Since: now, Waiting: 1, Zones: cloneCounts(p.Job.Zones()), Prompt: true}
 	it.Zones[p.Zone]--
-	open := slices.DeleteFunc(l.openMachines(now), func(v *placement.Machine) bool {
-		return v.Name == p.Machine || len(l.roster.Machines[v.Name].Places) == 0
-	})
-	items := []*placement.Item{it}
-	placed := placement.Pass(now, items, open, fleet.Unlimited(items))
-	if len(placed) == 0 {
+	m := trial.Best(it)
+	if m == nil {
 		return 0, false
 	}
-	return placed[0].Machine.FetchS(p.Job.Image, p.Job.ImageGB), true
+	return m.FetchS(p.Job.Image, p.Job.ImageGB), true
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -299,6 +300,65 @@
 	}
 }
 
+// A trial that keeps its order answers as one that begins anew each time, whatever fitted before.
+func TestATrialAnswersLikePasses(t *testing.T) {
+	for seed := range uint64(500) {
+		world := func(ask func(r *rand.Rand, machines []*Machine, items []*Item, not *Machine) bool) (out string) {
+			r := rand.New(rand.NewPCG(seed, 2))
+			var machines []*Machine
+			for i := range 2 + r.IntN(20) {
+				m := machine(fmt.Sprintf("m-%02d", i), []string{"a", "b"}[r.IntN(2)], r.IntN(2) == 0, float64(r.IntN(17)))
+				m.Price = float64(r.IntN(3))
+				machines = append(machines, m)
+			}
+			for n := range 20 {
+				var items []*Item
+				for i := range 1 + r.IntN(3) {
+					items = append(items, item(fmt.Sprint("job-", n, "-", i), wire.PriorityNormal, time.Duration(i)*time.Second, 1+r.IntN(4), float64(1+r.IntN(4)),
+						func(j *wire.Job) { j.Spread, j.Spot = r.IntN(3) == 0, r.IntN(2) == 0 }))
+				}
+				var not *Machine
+				if i := r.IntN(len(machines)); r.IntN(2) == 0 && len(machines) > 1 {
+					not = machines[i]
+				}
+				fits := ask(r, machines, items, not)
+				if fits && not != nil {
+					machines = slices.DeleteFunc(slices.Clone(machines), func(m *Machine) bool { return m == not })
+				}
+				out += fmt.Sprint(fits, " ")
+			}
+			for _, m := range machines {
+				out += fmt.Sprint(m.Name, m.Free.CPUs, " ")
+			}
+			return out
+		}
+		var trial *Trial
+		got := world(func(_ *rand.Rand, machines []*Machine, items []*Item, not *Machine) bool {
+			if trial == nil {
+				trial = NewTrial(machines)
+			}
+			return trial.Fit(now, items, not)
+		})
+		want := world(func(_ *rand.Rand, machines []*Machine, items []*Item, not *Machine) bool {
+			waiting, teams := 0, map[string]*Team{"t": {CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}}
+			for _, it := range items {
+				waiting += it.Waiting
+			}
+			placed := Pass(now, items, slices.DeleteFunc(slices.Clone(machines), func(m *Machine) bool { return m == not }), teams)
+			if len(placed) == waiting {
+				return true
+			}
+			for _, p := range placed {
+				p.Machine.Free.Sub(p.Item.Need(), -1)
+			}
+			return false
+		})
+		if got != want {
+			t.Fatalf("seed %d: %s\nwant %s", seed, got, want)
+		}
+	}
+}
+
 // Guards against a pass whose every placement looks at all machines: it may look at each
 // once for each shape of tasks, and then at a few for each placement.
 func TestAPlacementLooksAtAFewMachines(t *testing.T) {
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -51,6 +51,7 @@
 // search has the machines in the order of one shape.
 type search struct {
 	shape shape
+	types []string // those allowed; nil: any
 	zones []front
 	aside []candidate // passed over for one item
 }
@@ -61,19 +62,12 @@
 	if s := p.searches[key]; s != nil {
 		return s
 	}
-	s := &search{shape: key}
-	at := map[string]int{}
+	s := &search{shape: key, types: it.Job.Types}
 	for _, m := range p.roomy {
-		if !m.Free.holds(key.need) || m.Spot && !key.spot || it.Job.Types != nil && !slices.Contains(it.Job.Types, m.Type) {
-			continue
-		}
-		i, ok := at[m.Zone]
-		if !ok {
-			i = len(s.zones)
-			at[m.Zone] = i
-			s.zones = append(s.zones, front{zone: m.Zone})
+		if s.takes(m) {
+			f := s.front(m.Zone)
+			f.heap = append(f.heap, s.candidate(m))
 		}
-		s.zones[i].heap = append(s.zones[i].heap, candidate{m, math.Round(m.fetch(it.Job)), m.Free})
 	}
 	for i := range s.zones {
 		f := &s.zones[i]
@@ -88,6 +82,29 @@
 	return s
 }
 
+// takes tells whether a machine has room for the shape, and is of an allowed kind.
+func (s *search) takes(m *Machine) bool {
+	return m.Free.holds(s.shape.need) && (!m.Spot || s.shape.spot) && (s.types == nil || slices.Contains(s.types, m.Type))
+}
+
+func (s *search) candidate(m *Machine) candidate {
+	c := candidate{m: m, free: m.Free}
+	if m.FetchS != nil {
+		c.fetch = math.Round(m.FetchS(s.shape.image, s.shape.imageGB))
+	}
+	return c
+}
+
+func (s *search) front(zone string) *front {
+	for i := range s.zones {
+		if s.zones[i].zone == zone {
+			return &s.zones[i]
+		}
+	}
+	s.zones = append(s.zones, front{zone: zone})
+	return &s.zones[len(s.zones)-1]
+}
+
 // before orders machines of one zone as Item.better does.
 func (s *search) before(a, b *candidate) bool {
 	if a.m.Spot != b.m.Spot {
--- /dev/null
+++ b/internal/placement/trial.go
@@ -0,0 +1,81 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Trial tells where tasks would go on machines that it keeps in order from one question to the
+// next: to ask for each of hundreds of machines whether its work fits on the others costs
+// as much as one pass, rather than one each.
+type Trial struct {
+	p    pass
+	used []*search // by the present question
+}
+
+// NewTrial begins a trial. What fits takes the machines' room; nothing else may change it meanwhile.
+func NewTrial(machines []*Machine) *Trial {
+	return &Trial{p: pass{machines: machines, roomy: machines, searches: map[shape]*search{}}}
+}
+
+// Best gives the machine on which one more task of an item would be placed; nil: there is none.
+func (t *Trial) Best(it *Item) *Machine { return t.p.searchFor(it).best(it) }
+
+// Fit tells whether all waiting tasks of some items, whose teams have no limits, fit on the
+// machines but one, and takes their room if they do. That one is out of the trial then.
+func (t *Trial) Fit(now time.Time, items []*Item, not *Machine) bool {
+	if not != nil {
+		not.held = "\x00"
+	}
+	none := Team{CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}
+	teams := map[string]*Team{}
+	for _, it := range items {
+		teams[it.Job.Team] = &none
+	}
+	Sort(items, teams, now)
+	t.used = t.used[:0]
+	var placed []Placement
+	for _, it := range items {
+		if it.Waiting == 0 {
+			continue
+		}
+		s := t.p.searchFor(it)
+		t.used = append(t.used, s)
+		for need := it.Need(); it.Waiting > 0; {
+			m := s.best(it)
+			if m == nil {
+				t.giveBack(placed)
+				if not != nil {
+					not.held = ""
+				}
+				return false
+			}
+			it.take(m, need, &none)
+			placed = append(placed, Placement{it, m})
+		}
+	}
+	return true
+}
+
+// giveBack gives back what a question took. Its searches may have seen the machines with less
+// room, and have them too far behind: they get a new entry.
+func (t *Trial) giveBack(placed []Placement) {
+	for _, p := range placed {
+		p.Machine.Free.Sub(p.Item.Need(), -1)
+	}
+	for i, p := range placed {
+		if i > 0 && placed[i-1].Machine == p.Machine {
+			continue
+		}
+		for _, s := range t.used {
+			s.again(p.Machine)
+		}
+	}
+}
+
+// again puts a machine in order that has more room than before.
+func (s *search) again(m *Machine) {
+	if s.takes(m) {
+		s.add(s.front(m.Zone), s.candidate(m))
+	}
+}
