--- a/internal/leader/returns.go
+++ b/internal/leader/returns.go
@@ -18,16 +18,23 @@
 	items := l.expected(now)
 	open := l.openMachines(now)
 	needed := map[string]bool{}
-	idle := func(m *placement.Machine) bool { return len(l.roster.Machines[m.Name].Places) == 0 }
-	slices.SortFunc(open, func(a, b *placement.Machine) int {
-		if ia, ib := idle(a), idle(b); ia != ib {
-			return cmp.Compare(btoi(ia), btoi(ib))
-		}
-		return cmp.Or(cmp.Compare(btoi(!a.Spot), btoi(!b.Spot)), cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
+	type key struct {
+		*placement.Machine
+		idle bool
+	}
+	order := make([]key, len(open))
+	for i, m := range open {
+		order[i] = key{m, len(l.roster.Machines[m.Name].Places) == 0}
+	}
+	slices.SortFunc(order, func(a, b key) int {
+		return cmp.Or(cmp.Compare(btoi(a.idle), btoi(b.idle)), cmp.Compare(btoi(!a.Spot), btoi(!b.Spot)), cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
 	})
 	teams := fleet.Unlimited(items)
-	for _, m := range open {
-		if len(placement.Pass(now, items, []*placement.Machine{m}, teams)) > 0 {
+	for _, m := range order {
+		if !slices.ContainsFunc(items, func(it *placement.Item) bool { return it.Waiting > 0 }) {
+			break
+		}
+		if len(placement.Pass(now, items, []*placement.Machine{m.Machine}, teams)) > 0 && m.idle {
 			needed[m.Name] = true
 		}
 	}
@@ -50,7 +57,7 @@
 		return
 	}
 	var names []string
-	needed := l.needed(now)
+	var needed map[string]bool // worked out for the first machine that could go
 	release := l.silentRelease()
 	for _, m := range l.roster.Machines {
 		if m.Returning || len(m.Places) > 0 {
@@ -75,9 +82,13 @@
 			why = "faulty"
 		case m.Draining:
 			why = "surplus"
-		case needed[m.Name]:
 		case now.Sub(m.IdleSince) > l.env.Knobs.IdleKeep:
-			why = "idle"
+			if needed == nil {
+				needed = l.needed(now)
+			}
+			if !needed[m.Name] {
+				why = "idle"
+			}
 		}
 		if why == "" || len(names) >= wire.MaxDelete {
 			continue
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -405,3 +405,38 @@
 		})
 	}
 }
+
+// BenchmarkTrial asks for a sixteenth of the machines whether their work fits on the others:
+// once by a pass for each, as before, and once by a trial.
+func BenchmarkTrial(b *testing.B) {
+	for _, n := range []int{400, 1000, 4000} {
+		world := func() (machines []*Machine, ask func(i int) []*Item) {
+			for i := range n {
+				m := machine(fmt.Sprintf("m-%05d", i), []string{"a", "b"}[i%2], i%3 == 0, float64(i%5))
+				m.FetchS = func(string, float64) float64 { return float64(i % 7) }
+				machines = append(machines, m)
+			}
+			return machines, func(i int) []*Item {
+				return []*Item{item(fmt.Sprint("job-", i), wire.PriorityNormal, 0, 4, 1+float64(i%4))}
+			}
+		}
+		b.Run(fmt.Sprint("passes/", n), func(b *testing.B) {
+			for b.Loop() {
+				machines, ask := world()
+				for i := range n / 16 {
+					others := slices.DeleteFunc(slices.Clone(machines), func(m *Machine) bool { return m == machines[i] })
+					Pass(now, ask(i), others, map[string]*Team{"t": {CPUsMax: math.Inf(1)}})
+				}
+			}
+		})
+		b.Run(fmt.Sprint("trial/", n), func(b *testing.B) {
+			for b.Loop() {
+				machines, ask := world()
+				t := NewTrial(machines)
+				for i := range n / 16 {
+					t.Fit(now, ask(i), machines[i])
+				}
+			}
+		})
+	}
+}
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -173,6 +173,10 @@
 				}
 				continue
 			}
+			if c.m.held == gone {
+				s.drop(f)
+				continue
+			}
 			if c.m.held != "" && c.m.held != it.Job.ID || it.Avoid != nil && it.Avoid(c.m.Name) {
 				s.aside = append(s.aside, *c)
 				s.drop(f)
--- a/internal/placement/trial.go
+++ b/internal/placement/trial.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// Marks of machines in a trial, where jobs that hold one stand otherwise.
+const (
+	asked = "\x00" // what is on it is asked about
+	gone  = "\x01" // it is out of the trial
+)
+
 // Trial tells where tasks would go on machines that it keeps in order from one question to the
 // next: to ask for each of hundreds of machines whether its work fits on the others costs
 // as much as one pass, rather than one each.
@@ -25,7 +31,7 @@
 // machines but one, and takes their room if they do. That one is out of the trial then.
 func (t *Trial) Fit(now time.Time, items []*Item, not *Machine) bool {
 	if not != nil {
-		not.held = "\x00"
+		not.held = asked
 	}
 	none := Team{CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}
 	teams := map[string]*Team{}
@@ -54,6 +60,9 @@
 			placed = append(placed, Placement{it, m})
 		}
 	}
+	if not != nil {
+		not.held = gone
+	}
 	return true
 }
 
