--- a/internal/dag/schedule.go
+++ b/internal/dag/schedule.go
@@ -142,17 +142,7 @@
 		}
 		return nil
 	}
-	begin := last
-	if begin.IsZero() {
-		// The first interval begins with the first firing from the start on.
-		begin = s.Next(p.Start.Add(-time.Second))
-	}
-	if !p.Catchup && !begin.IsZero() {
-		// Go near the present at once: a graph that was paused for a year has half a million minutes behind it.
-		if near := s.Next(now.Add(-s.reach(now))); near.After(begin) {
-			begin = near
-		}
-	}
+	begin := p.firstBegin(s, last, now)
 	var out []Interval
 	for !begin.IsZero() {
 		end := s.Next(begin)
@@ -170,6 +160,22 @@
 	return out
 }
 
+// firstBegin is from where on intervals are looked at; zero: the schedule never fires.
+func (p *Plan) firstBegin(s *Schedule, last, now time.Time) time.Time {
+	begin := last
+	if begin.IsZero() {
+		// The first interval begins with the first firing from the start on.
+		begin = s.Next(p.Start.Add(-time.Second))
+	}
+	if !p.Catchup && !begin.IsZero() {
+		// Go near the present at once: a graph that was paused for a year has half a million minutes behind it.
+		if near := s.Next(now.Add(-s.reach(now))); near.After(begin) {
+			begin = near
+		}
+	}
+	return begin
+}
+
 // NextDue gives the interval that the next run stands for, as Due has it; ok is false if none
 // comes.
 func (p *Plan) NextDue(s *Schedule, last, now time.Time) (next Interval, ok bool) {
@@ -182,15 +188,7 @@
 	if s.once {
 		return Interval{*p.Start, *p.Start}, last.IsZero()
 	}
-	begin := last
-	if begin.IsZero() {
-		begin = s.Next(p.Start.Add(-time.Second))
-	}
-	if !p.Catchup && !begin.IsZero() {
-		if near := s.Next(now.Add(-s.reach(now))); near.After(begin) {
-			begin = near
-		}
-	}
+	begin := p.firstBegin(s, last, now)
 	for end := s.Next(begin); !begin.IsZero() && !end.IsZero(); begin, end = end, s.Next(end) {
 		if p.End != nil && begin.After(*p.End) {
 			break
--- a/internal/lab/billing/main.go
+++ b/internal/lab/billing/main.go
@@ -93,7 +93,7 @@
 	if err := l.rig.Start(ctx); err != nil {
 		return err
 	}
-	begun, killed, kills := time.Now(), time.Now(), 0
+	begun := time.Now()
 	for id := 1; time.Since(begun) < l.length; id++ {
 		l.submit(ctx, id)
 		if id%9 == 0 {
@@ -102,15 +102,8 @@
 		if l.loses && id%15 == 0 {
 			l.rig.Lose()
 		}
-		if time.Since(killed) >= l.killEvery {
-			done, err := l.rig.KillLeader(ctx)
-			if err != nil {
-				return err
-			}
-			if done {
-				kills++
-			}
-			killed = time.Now()
+		if err := l.rig.KillLeader(ctx, l.killEvery); err != nil {
+			return err
 		}
 		time.Sleep(between)
 	}
@@ -119,7 +112,7 @@
 		time.Sleep(time.Second)
 	}
 	time.Sleep(3 * time.Second) // the last ends are stored
-	return l.compare(ctx, kills)
+	return l.compare(ctx)
 }
 
 func (l *lab) submit(ctx context.Context, id int) {
@@ -131,7 +124,7 @@
 }
 
 // compare sets the charges of each attempt against what its worker measured.
-func (l *lab) compare(ctx context.Context, kills int) error {
+func (l *lab) compare(ctx context.Context) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	reader, err := ledger.NewReader(statestore.New(l.rig.State.Addr(), 1e6, 1e6))
@@ -188,7 +181,7 @@
 		s.seenCharged += c.Seconds()
 	}
 	fmt.Printf("%d jobs, %d attempts measured (%d twice), %d charged, %d measured and not charged; the leader was killed %d times\n",
-		l.submits, len(l.measured), l.twice, len(charged), missing, kills)
+		l.submits, len(l.measured), l.twice, len(charged), missing, l.rig.Kills)
 	over := func(charged, measured float64) float64 { return 100 * (charged/measured - 1) }
 	var all sums
 	for k := range teams {
--- a/internal/lab/pipelines/main.go
+++ b/internal/lab/pipelines/main.go
@@ -187,7 +187,7 @@
 		}
 	}
 	var runs []string
-	begun, killed, kills := time.Now(), time.Now(), 0
+	begun := time.Now()
 	for n := 0; time.Since(begun) < l.length; n++ {
 		if n%8 == 0 { // a graph has as many steps as the plain jobs until the next one
 			id := fmt.Sprint("g", n/8)
@@ -204,21 +204,14 @@
 		if l.crowd > 0 && n%8 == 4 {
 			l.submit(ctx, fmt.Sprintf("job-9%06d", n), "service", "service", "production", 1)
 		}
-		if l.killEvery > 0 && time.Since(killed) >= l.killEvery {
-			done, err := l.rig.KillLeader(ctx)
-			if err != nil {
-				return err
-			}
-			if done {
-				kills++
-			}
-			killed = time.Now()
+		if err := l.rig.KillLeader(ctx, l.killEvery); err != nil {
+			return err
 		}
 		time.Sleep(750 * time.Millisecond)
 	}
 	states := map[string]int{}
 	if l.crowd > 0 {
-		l.tell(states, kills)
+		l.tell(states)
 		return nil
 	}
 	for _, id := range runs {
@@ -237,12 +230,12 @@
 	for l.rig.Any("job/") && ctx.Err() == nil {
 		time.Sleep(500 * time.Millisecond)
 	}
-	l.tell(states, kills)
+	l.tell(states)
 	return nil
 }
 
 // tell prints what came of it.
-func (l *lab) tell(states map[string]int, kills int) {
+func (l *lab) tell(states map[string]int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	waits := map[string][]time.Duration{}
@@ -261,7 +254,7 @@
 		waits[l.kind[id]] = append(waits[l.kind[id]], first.Sub(at))
 	}
 	fmt.Printf("runs %v; %d jobs, %d attempts, %d never done, %d done twice; the leader was killed %d times; at most %.0f MB in a controller\n",
-		states, len(l.ready), l.tries, never, twice, kills, l.rig.PeakMB())
+		states, len(l.ready), l.tries, never, twice, l.rig.Kills, l.rig.PeakMB())
 	for _, kind := range []string{"plain", "first step", "later step", "service"} {
 		w := waits[kind]
 		slices.SortFunc(w, func(a, b time.Duration) int { return cmp.Compare(a, b) })
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -39,10 +39,12 @@
 	State *standin.State
 	Cloud *standin.Cloud
 	Users []string // the members' addresses
+	Kills int      // of leaders
 
 	dir       string
 	mesh      []string
 	processes []*exec.Cmd
+	killed    time.Time
 	mu        sync.Mutex
 	ended     map[string]context.CancelFunc // workers by machine
 }
@@ -52,7 +54,7 @@
 	if r.dir, err = os.MkdirTemp("", "rig"); err != nil {
 		return err
 	}
-	r.ended = map[string]context.CancelFunc{}
+	r.ended, r.killed = map[string]context.CancelFunc{}, time.Now()
 	r.State = standin.NewState(clockwork.NewRealClock())
 	r.Cloud = standin.NewCloud(r.Machines, r.Type)
 	for range r.Members {
@@ -118,15 +120,21 @@
 	return p.Start()
 }
 
-// KillLeader kills the member that leads, and starts it again; false: nobody leads now.
-func (r *Rig) KillLeader(ctx context.Context) (bool, error) {
+// KillLeader kills the member that leads, if one does, and starts it again, when that was not
+// done for some time; 0: never.
+func (r *Rig) KillLeader(ctx context.Context, every time.Duration) error {
+	if every <= 0 || time.Since(r.killed) < every {
+		return nil
+	}
+	r.killed = time.Now()
 	i := r.leader()
 	if i < 0 {
-		return false, nil
+		return nil
 	}
 	_ = r.processes[i].Process.Kill()
 	_ = r.processes[i].Wait() // it was killed
-	return true, r.start(ctx, i)
+	r.Kills++
+	return r.start(ctx, i)
 }
 
 // leader finds which member leads.
