--- a/internal/leader/consolidate.go
+++ b/internal/leader/consolidate.go
@@ -69,7 +69,7 @@
 	var views []*placement.Machine
 	for _, m := range draining {
 		if v, ok := l.view(m); ok && m.Alive() {
-			views = append(views, v)
+			views = append(views, &v)
 		}
 	}
 	if len(short) == 0 || len(views) == 0 {
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -212,7 +212,7 @@
 	for _, m := range l.roster.Machines {
 		if m.Heard.IsZero() && !cut[m.Zone] && !m.Returning && m.Session == 0 && now.Sub(m.Rented) < l.bootTime(m.Type, tuning.BootFactor) {
 			if v, ok := l.view(m); ok {
-				out = append(out, v)
+				out = append(out, &v)
 			}
 		}
 	}
@@ -220,7 +220,7 @@
 		for i := range w.Count {
 			v, ok := l.view(&roster.Machine{Name: fmt.Sprint(name, "/", i), Type: w.Type, Zone: w.Zone, Spot: w.Spot})
 			if ok {
-				out = append(out, v)
+				out = append(out, &v)
 			}
 		}
 	}
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -133,6 +133,7 @@
 		}
 	}
 	items := make([]*placement.Item, 0, len(waiting))
+	room := make([]placement.Item, 0, len(waiting)) // one allocation for all of them
 	byID := make(map[string]*jobs.Job, len(waiting))
 	for i, n := range l.look(waiting, now) {
 		if n <= 0 {
@@ -140,13 +141,13 @@
 		}
 		j := waiting[i]
 		_, prompt := l.promptness(j.Class)
-		it := &placement.Item{
-			Job: &j.Job, Since: j.WaitSince, Waiting: n, Started: j.Placed + j.Done, Zones: zonesOf(j),
-			Prompt: prompt,
-			Avoid: func(machine string) bool {
-				// A job that fails everywhere may go anywhere.
-				return len(j.Avoid) < tuning.BadJobMachines && now.Before(j.Avoid[machine])
-			},
+		room = append(room, placement.Item{
+			Job: &j.Job, Since: j.WaitSince, Waiting: n, Started: j.Placed + j.Done, Zones: zonesOf(j), Prompt: prompt,
+		})
+		it := &room[len(room)-1]
+		// A job that fails everywhere may go anywhere.
+		if bad := len(j.Avoid); bad > 0 && bad < tuning.BadJobMachines {
+			it.Avoid = func(machine string) bool { return now.Before(j.Avoid[machine]) }
 		}
 		if trials[j] {
 			if j.Placed > 0 {
@@ -171,25 +172,28 @@
 
 // openMachines are the machines that may get tasks now.
 func (l *Loop) openMachines(now time.Time) []*placement.Machine {
-	var out []*placement.Machine
+	out := make([]*placement.Machine, 0, len(l.roster.Machines))
+	room := make([]placement.Machine, 0, len(l.roster.Machines)) // one allocation for all of them
 	for _, m := range l.roster.Machines {
 		if !m.Alive() || m.Returning || m.Draining || m.Bad || m.HasStrays() || !m.Notice.IsZero() ||
 			l.silent(m, now) || doubtful(m) || now.Before(m.NoRoom) {
 			continue
 		}
 		if v, ok := l.view(m); ok {
-			out = append(out, v)
+			room = append(room, v)
+			out = append(out, &room[len(room)-1])
 		}
 	}
 	return out
 }
 
-func (l *Loop) view(m *roster.Machine) (*placement.Machine, bool) {
+// view is a machine as placement sees it.
+func (l *Loop) view(m *roster.Machine) (placement.Machine, bool) {
 	t := l.env.typeOf(m.Type)
 	if t == nil {
-		return nil, false
+		return placement.Machine{}, false
 	}
-	v := &placement.Machine{
+	v := placement.Machine{
 		Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Price: t.Price,
 		Total:  placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB},
 		FetchS: fetchTime(m, t),
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -146,15 +146,24 @@
 func Sort(items []*Item, teams map[string]*Team, now time.Time) {
 	type key struct {
 		*Item
-		level, full int
-		response    float64
+		level, full, place int
+		response           float64
 	}
 	keys := make([]key, len(items))
 	for i, it := range items {
-		keys[i] = key{it, Level(it, teams, now), had(it, teams), response(it, now)}
+		keys[i] = key{it, Level(it, teams, now), had(it, teams), i, response(it, now)}
 	}
-	slices.SortStableFunc(keys, func(a, b key) int {
-		return cmp.Or(cmp.Compare(b.level, a.level), cmp.Compare(a.full, b.full), cmp.Compare(b.response, a.response), a.Since.Compare(b.Since), cmp.Compare(a.Job.ID, b.Job.ID))
+	slices.SortFunc(keys, func(a, b key) int {
+		if a.level != b.level {
+			return b.level - a.level
+		}
+		if a.full != b.full {
+			return a.full - b.full
+		}
+		if a.response != b.response {
+			return cmp.Compare(b.response, a.response)
+		}
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Job.ID, b.Job.ID), a.place-b.place)
 	})
 	for i, k := range keys {
 		items[i] = k.Item
