--- a/internal/lab/pipelines/main.go
+++ b/internal/lab/pipelines/main.go
@@ -169,7 +169,7 @@
 	l.rig = &rig.Rig{
 		Program: l.program, Members: 3, Teams: 2, CPUs: 16, Machines: 4, Report: time.Second, Lease: 10 * time.Second,
 		Type:       wire.MachineType{Name: "small", CPUs: 8, MemoryGB: 32, Price: 0.8, SpotPrice: 0.3, BootS: 1, Zones: []string{"a", "b"}},
-		Properties: "graphs = on\ngraphs.descriptions = " + source.URL + "\n", Measured: l.saw,
+		Properties: "graphs = on\ngraphs.pool.team-0.default_pool = 20000\ngraphs.descriptions = " + source.URL + "\n", Measured: l.saw,
 		Task: func(task string, _ uint64) (time.Duration, wire.Why, string) {
 			if strings.HasPrefix(task, "job-9") && len(standin.JobOf(task)) == len("job-9000000") {
 				return 15 * time.Second, wire.WhyDone, "team-1" // the replica of a service
