--- a/internal/graphs/runs_test.go
+++ b/internal/graphs/runs_test.go
@@ -391,3 +391,32 @@
 		t.Errorf("%+v, %v", v, err)
 	}
 }
+
+// All controllers die with 1,000 runs live: the next leader has all of them, and each goes on.
+func TestAThousandLiveRunsAreTakenOver(t *testing.T) {
+	w := newWorld(t)
+	defer w.close()
+	p := graphOf(t, func(g *dag.Graph) { g.MaxRuns, g.MaxTasks = 600, 500 }, step("a"), step("b", "a"))
+	if a := w.register(p); a.status != http.StatusCreated {
+		t.Fatalf("%+v", a)
+	}
+	for i := range 1000 {
+		w.order(DoTrigger, Order{Run: fmt.Sprint("run", i), Described: true})
+	}
+	for write := w.graphs.Next(w.clock.Now(), 1000); write != nil; write = w.graphs.Next(w.clock.Now(), 1000) {
+		write.Done(w.commit(write.Txn))
+	}
+	w.lead()
+	gr := w.graphs.graphs[keyGraph("the team", "g")]
+	if len(w.graphs.runs) != 1000 || len(w.graphs.byJob) != 128 || gr.started != 600 || gr.active != 128 {
+		t.Fatalf("%d runs, %d steps, %d go on, %d are submitted", len(w.graphs.runs), len(w.graphs.byJob), gr.started, gr.active)
+	}
+	// Each end has one more step submitted, of whichever run stands first in line.
+	for round := range 20 {
+		w.end(w.place(w.live()[round]), wire.WhyDone)
+		w.settle()
+		if n := len(w.graphs.byJob); n != 128 {
+			t.Fatalf("round %d: %d steps are submitted", round, n)
+		}
+	}
+}
