--- a/cmd/poppypass/graphruns_test.go
+++ b/cmd/poppypass/graphruns_test.go
@@ -138,6 +138,21 @@
 	}
 }
 
+// A week that is named by its days has seven.
+func TestTheDaysOfABackfill(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		end  bool
+		want string
+	}{
+		{"2026-11-23", false, "2026-11-23T00:00:00Z"}, {"2026-11-29", true, "2026-11-29T23:59:59Z"}, {"2026-11-29T06:00:00Z", true, "2026-11-29T06:00:00Z"},
+	} {
+		if at, err := dayOf(c.text, c.end); err != nil || at.Format(time.RFC3339) != c.want {
+			t.Errorf("%s: %v, %v", c.text, at, err)
+		}
+	}
+}
+
 // A graph that is longer than a request may be goes in parts.
 func TestTheLargestGraphIsSubmitted(t *testing.T) {
 	addr := serveGraphs(t, "graphs = on\n")
