--- a/internal/leader/scale_test.go
+++ b/internal/leader/scale_test.go
@@ -180,3 +180,16 @@
 		t.Errorf("%d where the operators say 7", n)
 	}
 }
+
+// BenchmarkReportWithoutNews is what a report costs that changes nothing.
+func BenchmarkReportWithoutNews(b *testing.B) {
+	l, reports := atScale(b)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		rep := reports[i%len(reports)]
+		rep.Seq++
+		if _, err := l.take(rep, false); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
