--- a/internal/graphs/dags.go
+++ b/internal/graphs/dags.go
@@ -83,18 +83,18 @@
 		tell.refuse(http.StatusBadRequest, "a graph has 1 to %d parts", tuning.GraphParts)
 		return
 	}
-	if g.fetch {
-		tell.refuse(http.StatusServiceUnavailable, "another graph is being read; ask again")
+	if g.fetch != "" || g.dropping(o.Def) {
+		tell.refuse(http.StatusServiceUnavailable, "another graph is being read, or this one's old parts go; ask again")
 		return
 	}
-	g.fetch = true
+	g.fetch = o.Def
 	go func() {
 		plan, err := fetch(g.ended, g.store, o.Def, o.Parts)
 		if err == nil {
 			err = g.examine(plan)
 		}
 		_ = g.ask(func() { // fails when the tenure is over, and with it whoever waits
-			g.fetch = false
+			g.fetch = ""
 			var bad *badGraph
 			switch {
 			case errors.As(err, &bad):
@@ -123,6 +123,38 @@
 	}
 }
 
+// dropping tells whether parts of a definition are about to go: it must not be referred to then.
+func (g *Graphs) dropping(hash string) bool {
+	prefix := PrefixDef + hash + "/"
+	return slices.ContainsFunc(g.drops, func(d drop) bool { return strings.HasPrefix(d.key, prefix) })
+}
+
+// sweep looks for definitions that were uploaded and never registered: they go like others
+// that nothing refers to.
+func (g *Graphs) sweep() {
+	go func() {
+		defs, have := map[string]*def{}, map[string]int{}
+		_, err := g.store.ListAll(g.ended, PrefixDef, func(items []wire.Item) error {
+			gather(defs, have, items)
+			for _, d := range defs {
+				d.packed = nil // their names are enough
+			}
+			return nil
+		})
+		if err != nil {
+			g.log.Debug("definitions cannot be listed", "err", err)
+			return
+		}
+		_ = g.ask(func() { // fails when the tenure is over
+			for hash, d := range defs {
+				if g.defs[hash] == nil && !g.dropping(hash) {
+					g.defs[hash] = &def{parts: max(d.parts, have[hash])}
+				}
+			}
+		})
+	}()
+}
+
 // spoilt drops a definition that is not what its name says, or no graph that could run:
 // one that cannot be read must not stand in the way of a good one.
 func (g *Graphs) spoilt(hash string, parts int) {
@@ -378,6 +410,12 @@
 // tidy forgets plans of which only runs that are over are left, and drops definitions that
 // nothing refers to for a while.
 func (g *Graphs) tidy(now time.Time) {
+	if g.swept.IsZero() {
+		g.swept = now // a new leader has just read all of them
+	} else if now.Sub(g.swept) >= tuning.GraphIdle {
+		g.swept = now
+		g.sweep()
+	}
 	used := map[string]bool{}
 	for _, gr := range g.graphs {
 		used[gr.rec.Def] = true
@@ -391,7 +429,7 @@
 			d.plan = nil
 		}
 		switch {
-		case d.refs > 0:
+		case d.refs > 0 || hash == g.fetch:
 			d.idle = time.Time{}
 		case d.idle.IsZero():
 			d.idle = now
--- a/internal/graphs/graphs.go
+++ b/internal/graphs/graphs.go
@@ -71,7 +71,8 @@
 	bytes  int                // that graphs and runs take
 	care   time.Time          // when definitions are looked at next
 	source describer          //
-	fetch  bool               // a definition is being read
+	fetch  string             // the definition that is being read; empty: none
+	swept  time.Time          // when definitions were looked for last
 	late   map[*live]struct{} // runs with something that may wait to be stored
 
 	cancels map[string]struct{} // jobs that are to be cancelled
--- a/internal/graphs/runs_test.go
+++ b/internal/graphs/runs_test.go
@@ -339,6 +339,36 @@
 	}
 }
 
+// Guards against uploads that nobody registers and that stay for ever, and against a definition that
+// is registered while its parts are about to go.
+func TestUploadsThatNobodyRegisters(t *testing.T) {
+	w := newWorld(t)
+	defer w.close()
+	w.settle() // a first look at what may go
+	p := check(t, step("s"))
+	o := w.upload(p)
+	w.clock.Advance(tuning.GraphIdle)
+	w.graphs.Tick(w.clock.Now())
+	w.answered() // it is found
+	for range 2 {
+		w.clock.Advance(tuning.GraphIdle)
+		w.graphs.Tick(w.clock.Now())
+	}
+	if !w.graphs.dropping(o.Def) {
+		t.Fatal("it stays")
+	}
+	if a := w.order(DoPut, o); a.status != http.StatusServiceUnavailable {
+		t.Errorf("registered while it goes: %+v", a)
+	}
+	w.settle()
+	if left := w.list(PrefixDef); len(left) != 0 {
+		t.Errorf("%d parts are left", len(left))
+	}
+	if a := w.register(p); a.status != http.StatusCreated {
+		t.Errorf("%+v", a)
+	}
+}
+
 // A definition that is not what its name says must not stand in the way of a good one.
 func TestASpoiltDefinition(t *testing.T) {
 	w := newWorld(t)
--- a/internal/graphs/world_test.go
+++ b/internal/graphs/world_test.go
@@ -280,7 +280,7 @@
 func (w *world) register(p *dag.Plan) *answers {
 	w.t.Helper()
 	a := w.order(DoPut, w.upload(p))
-	if a.status == 0 && w.graphs.fetch {
+	for w.graphs.fetch != "" {
 		w.answered()
 	}
 	w.settle()
