Read again: twins made one piece, and no hash where a state is enough

Behaviour as before. Asking and ordering the leader share their relay; a live run is made and joined in one place; whether an instance waits is its state, which worked out its job's hash twice only to compare it with itself; the rounded fetch time of a machine has one function; commands share the address flag, JSON and tables.

--- a/cmd/poppypass/graph.go
+++ b/cmd/poppypass/graph.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"path/filepath"
 	"time"
@@ -40,9 +39,7 @@
 				case "dot":
 					err = dagview.Dot(cmd.OutOrStdout(), p)
 				case "json":
-					enc := json.NewEncoder(cmd.OutOrStdout())
-					enc.SetIndent("", " ")
-					err = enc.Encode(&p.Graph)
+					err = printJSON(cmd.OutOrStdout(), &p.Graph)
 				default:
 					return fmt.Errorf("--output is %q; it can be text, json or dot", output)
 				}
--- a/cmd/poppypass/graphapi.go
+++ b/cmd/poppypass/graphapi.go
@@ -28,7 +28,7 @@
 type graphAPI struct{ addr, team string }
 
 func (a *graphAPI) flags(c *cobra.Command) {
-	c.Flags().StringVar(&a.addr, "addr", "127.0.0.1:8080", "address of a controller or load balancer")
+	addrFlag(c, &a.addr)
 	c.Flags().StringVar(&a.team, "team", "", "the team whose graphs are meant")
 }
 
--- a/cmd/poppypass/graphruns.go
+++ b/cmd/poppypass/graphruns.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"text/tabwriter"
+	"strconv"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -114,20 +114,20 @@
 			}
 			switch output {
 			case "json":
-				enc := json.NewEncoder(cmd.OutOrStdout())
-				enc.SetIndent("", " ")
-				return enc.Encode(items)
+				return printJSON(cmd.OutOrStdout(), items)
 			case "table":
 			default:
 				return fmt.Errorf("--output is %q; it can be table or json", output)
 			}
-			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			rows := runRows
 			if name == "dags" {
-				err = printDAGs(t, items)
-			} else {
-				err = printRuns(t, items)
+				rows = dagRows
 			}
-			return errors.Join(err, t.Flush())
+			table, err := rows(items)
+			if err != nil {
+				return err
+			}
+			return printTable(cmd.OutOrStdout(), table)
 		},
 	}
 	a.flags(c)
@@ -135,37 +135,31 @@
 	return c
 }
 
-func printDAGs(t *tabwriter.Writer, items []json.RawMessage) error {
-	_, err := fmt.Fprintln(t, "DAG\tPAUSED\tSCHEDULE\tNEXT RUN")
+func dagRows(items []json.RawMessage) ([][]string, error) {
+	rows := [][]string{{"DAG", "PAUSED", "SCHEDULE", "NEXT RUN"}}
 	for _, raw := range items {
 		var g struct {
-			ID       string  `json:"dag_id"`
-			Paused   bool    `json:"is_paused"`
-			Next     *string `json:"next_dagrun_create_after"`
+			ID       string `json:"dag_id"`
+			Paused   bool   `json:"is_paused"`
+			Next     string `json:"next_dagrun_create_after"`
 			Schedule struct {
 				Value string `json:"value"`
 			} `json:"schedule_interval"`
 		}
-		if e := json.Unmarshal(raw, &g); e != nil {
-			return e
-		}
-		next := ""
-		if g.Next != nil {
-			next = *g.Next
-		}
-		if _, e := fmt.Fprintf(t, "%s\t%v\t%s\t%s\n", g.ID, g.Paused, g.Schedule.Value, next); e != nil {
-			return e
+		if err := json.Unmarshal(raw, &g); err != nil {
+			return nil, err
 		}
+		rows = append(rows, []string{g.ID, strconv.FormatBool(g.Paused), g.Schedule.Value, g.Next})
 	}
-	return err
+	return rows, nil
 }
 
-func printRuns(t *tabwriter.Writer, items []json.RawMessage) error {
-	_, err := fmt.Fprintln(t, "RUN\tTYPE\tSTATE\tBEGUN\tTOOK")
+func runRows(items []json.RawMessage) ([][]string, error) {
+	rows := [][]string{{"RUN", "TYPE", "STATE", "BEGUN", "TOOK"}}
 	for _, raw := range items {
 		var r runAnswer
-		if e := json.Unmarshal(raw, &r); e != nil {
-			return e
+		if err := json.Unmarshal(raw, &r); err != nil {
+			return nil, err
 		}
 		begun, took := "", ""
 		if r.Start != nil {
@@ -174,11 +168,9 @@
 				took = r.End.Sub(*r.Start).Round(time.Second).String()
 			}
 		}
-		if _, e := fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", r.ID, r.Type, r.State, begun, took); e != nil {
-			return e
-		}
+		rows = append(rows, []string{r.ID, r.Type, r.State, begun, took})
 	}
-	return err
+	return rows, nil
 }
 
 func graphShowCommand() *cobra.Command {
@@ -199,9 +191,7 @@
 				if err != nil {
 					return err
 				}
-				enc := json.NewEncoder(w)
-				enc.SetIndent("", " ")
-				return enc.Encode(items)
+				return printJSON(w, items)
 			}
 			r, err := a.load(cmd, args[0], args[1])
 			if err != nil {
--- a/cmd/poppypass/job.go
+++ b/cmd/poppypass/job.go
@@ -20,10 +20,15 @@
 // as the protocol has users wait.
 const clientTimeout = 5 * time.Second
 
+// addrFlag lets a command, and those below it, name whom to ask.
+func addrFlag(c *cobra.Command, addr *string) {
+	c.PersistentFlags().StringVar(addr, "addr", "127.0.0.1:8080", "address of a controller or load balancer")
+}
+
 func jobCommand() *cobra.Command {
 	var addr string
 	c := &cobra.Command{Use: "job", Short: "Submit, query and cancel jobs"}
-	c.PersistentFlags().StringVar(&addr, "addr", "127.0.0.1:8080", "address of a controller or load balancer")
+	addrFlag(c, &addr)
 	c.AddCommand(
 		&cobra.Command{
 			Use:   "submit FILE",
--- a/cmd/poppypass/ledger.go
+++ b/cmd/poppypass/ledger.go
@@ -26,7 +26,7 @@
 type service struct{ addr, output string }
 
 func (s *service) flags(c *cobra.Command) {
-	c.PersistentFlags().StringVar(&s.addr, "addr", "127.0.0.1:8080", "address of a controller or load balancer")
+	addrFlag(c, &s.addr)
 	c.PersistentFlags().StringVar(&s.output, "output", "table", "table, json or csv")
 }
 
@@ -34,23 +34,31 @@
 func (s *service) print(w io.Writer, v any, rows [][]string, table [][]string) error {
 	switch s.output {
 	case "json":
-		enc := json.NewEncoder(w)
-		enc.SetIndent("", " ")
-		return enc.Encode(v)
+		return printJSON(w, v)
 	case "csv":
 		return csv.NewWriter(w).WriteAll(rows)
 	case "table":
-		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-		for _, row := range table {
-			if _, err := fmt.Fprintln(t, strings.Join(row, "\t")); err != nil {
-				return err
-			}
-		}
-		return t.Flush()
+		return printTable(w, table)
 	}
 	return fmt.Errorf("--output is %q; it can be table, json or csv", s.output)
 }
 
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", " ")
+	return enc.Encode(v)
+}
+
+func printTable(w io.Writer, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(t, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
+
 // totals asks for all rows of a question.
 func (s *service) totals(cmd *cobra.Command, q url.Values) (ledger.Totals, error) {
 	var all ledger.Totals
--- a/internal/dag/run.go
+++ b/internal/dag/run.go
@@ -120,13 +120,16 @@
 	return nil
 }
 
-// Holds tells whether an instance is ready, and its job has this id: it was neither
-// cleared nor cancelled since that was worked out.
-func (r *Run) Holds(at Ref, id string) bool {
+// Waits tells whether an instance is ready and not submitted.
+func (r *Run) Waits(at Ref) bool {
 	x := r.instance(at)
-	return x != nil && x.State == Scheduled && !r.stopped && r.JobID(at) == id
+	return x != nil && x.State == Scheduled && !r.stopped
 }
 
+// Holds tells whether an instance waits, and its job has this id: it was neither
+// cleared nor cancelled since that was worked out.
+func (r *Run) Holds(at Ref, id string) bool { return r.Waits(at) && r.JobID(at) == id }
+
 // Orphans gives the jobs of earlier generations that are not over.
 func (r *Run) Orphans() []string { return r.orphans }
 
@@ -288,7 +291,7 @@
 	var out []Ref
 	for len(out) < n && r.ready.Len() > 0 {
 		at := heap.Pop(&r.ready).(readyRef).Ref
-		if r.instance(at) != nil && r.instance(at).State == Scheduled && !r.stopped {
+		if r.Waits(at) {
 			out = append(out, at)
 		}
 	}
--- a/internal/graphs/describe.go
+++ b/internal/graphs/describe.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"time"
 
@@ -68,23 +69,19 @@
 	s := &r.Plan.Steps[at.Step]
 	d := Description{
 		Job: r.JobID(at), Team: r.Plan.Team, Graph: r.Plan.ID, Run: r.ID, Step: s.ID, Index: -1, Generation: r.Generation(at.Step),
-		Image: s.Job.Image, Logical: time.UnixMilli(m.LogicalMS).UTC(), Params: map[string]json.RawMessage{}, Results: map[string]json.RawMessage{},
+		Image: s.Job.Image, Logical: timeOf(m.LogicalMS), Params: map[string]json.RawMessage{}, Results: map[string]json.RawMessage{},
 	}
 	if s.Map != nil {
 		d.Index, d.Element = at.Index, r.Element(at)
 	}
 	if m.ToMS != 0 {
-		from, to := time.UnixMilli(m.FromMS).UTC(), time.UnixMilli(m.ToMS).UTC()
+		from, to := timeOf(m.FromMS), timeOf(m.ToMS)
 		d.From, d.To = &from, &to
 	}
-	for k, v := range r.Plan.Params {
-		d.Params[k] = v
-	}
+	maps.Copy(d.Params, r.Plan.Params)
 	var conf map[string]json.RawMessage
 	if len(m.Conf) > 0 && json.Unmarshal(m.Conf, &conf) == nil {
-		for k, v := range conf {
-			d.Params[k] = v
-		}
+		maps.Copy(d.Params, conf)
 	}
 	for _, j := range r.Plan.Up[at.Step] {
 		if result := r.Result(j); result != nil {
--- a/internal/graphs/orders.go
+++ b/internal/graphs/orders.go
@@ -260,7 +260,8 @@
 				g.clear(e.live, o, tell)
 			default:
 				g.learn(e.def, d.parts, plan)
-				x := g.newLive(gr, r, e.key, e.def, rec.meta)
+				x := newLive(gr, r, e.key, e.def, rec.meta)
+				g.join(x)
 				x.version, x.entry, x.tries = item.Version, e, readTries(g.codec, &rec)
 				x.meta.StartMS, x.meta.EndMS = 0, 0
 				e.live, e.failed = x, nil
--- a/internal/graphs/read.go
+++ b/internal/graphs/read.go
@@ -11,7 +11,6 @@
 	"poppypass/internal/dag"
 	"poppypass/internal/jobs"
 	"poppypass/internal/statestore"
-	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
 
@@ -103,8 +102,7 @@
 		}
 	}
 	for _, x := range l.runs {
-		g.runs[x.key] = x
-		g.bytes += len(x.run.Plan.Steps) * tuning.RunStepBytes
+		g.join(x)
 		if x.meta.StartMS != 0 {
 			x.graph.started++
 		}
@@ -123,7 +121,7 @@
 	return ended
 }
 
-// read reads all records but those of tries. One that cannot be read must not hold up the
+// read reads all records. One that cannot be read must not hold up the
 // others: it rests.
 func (l *loader) read(ctx context.Context, store *statestore.Client) error {
 	have := map[string]int{}
@@ -228,10 +226,8 @@
 	if rec.over() {
 		e.failed = unhappy(r)
 	} else {
-		x := &live{
-			run: r, graph: gr, key: item.Key, def: rec.Def, meta: rec.meta, version: item.Version, entry: e, size: len(item.Value),
-			held: map[*pool][]dag.Ref{}, pending: map[string]wire.JobState{}, tries: readTries(l.codec, &rec),
-		}
+		x := newLive(gr, r, item.Key, rec.Def, rec.meta)
+		x.version, x.entry, x.size, x.tries = item.Version, e, len(item.Value), readTries(l.codec, &rec)
 		e.live = x
 		l.runs = append(l.runs, x)
 	}
--- a/internal/graphs/runs.go
+++ b/internal/graphs/runs.go
@@ -46,13 +46,16 @@
 	id  string // its job's
 }
 
-func (g *Graphs) newLive(gr *graph, r *dag.Run, key, def string, m meta) *live {
-	g.bytes += len(r.Plan.Steps) * tuning.RunStepBytes
-	x := &live{
+func newLive(gr *graph, r *dag.Run, key, def string, m meta) *live {
+	return &live{
 		run: r, graph: gr, key: key, def: def, meta: m, held: map[*pool][]dag.Ref{}, pending: map[string]wire.JobState{},
 	}
-	g.runs[key] = x
-	return x
+}
+
+// join takes a run in among those that are live.
+func (g *Graphs) join(x *live) {
+	g.bytes += len(x.run.Plan.Steps) * tuning.RunStepBytes
+	g.runs[x.key] = x
 }
 
 // begin begins a run of a graph. tell is told once it is stored, or why it is not.
@@ -98,7 +101,8 @@
 	if m.LogicalMS == 0 {
 		m.LogicalMS = m.QueuedMS
 	}
-	x := g.newLive(gr, dag.NewRun(d.plan, id), key, gr.rec.Def, m)
+	x := newLive(gr, dag.NewRun(d.plan, id), key, gr.rec.Def, m)
+	g.join(x)
 	d.refs++
 	x.entry = &entry{key: key, id: id, logical: m.LogicalMS, due: m.ToMS != 0, def: x.def, live: x}
 	gr.record(x.entry)
@@ -155,7 +159,7 @@
 	x.waits = nil
 	for _, at := range waits {
 		switch {
-		case !x.ready(at):
+		case !x.run.Waits(at):
 		case !g.pastDone(x, at.Step):
 			x.waits = append(x.waits, at)
 		default:
@@ -163,8 +167,8 @@
 		}
 	}
 	for p, refs := range x.held {
-		for len(refs) > 0 && free() && (!x.ready(refs[0]) || p.fits(x, refs[0].Step)) {
-			if x.ready(refs[0]) {
+		for len(refs) > 0 && free() && (!x.run.Waits(refs[0]) || p.fits(x, refs[0].Step)) {
+			if x.run.Waits(refs[0]) {
 				take(refs[0])
 			}
 			refs = refs[1:]
@@ -205,9 +209,6 @@
 	x.held[p] = append(x.held[p], at)
 }
 
-// ready tells whether an instance that was set aside is still to be submitted.
-func (x *live) ready(at dag.Ref) bool { return x.run.Holds(at, x.run.JobID(at)) }
-
 // line is where runs wait for room, in the order in which they came.
 type line struct{ runs []*live }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -203,7 +203,7 @@
 	if a.Spot != b.Spot {
 		return a.Spot
 	}
-	fa, fb := math.Round(a.fetch(it.Job)), math.Round(b.fetch(it.Job))
+	fa, fb := a.fetch(it.Job.Image, it.Job.ImageGB), b.fetch(it.Job.Image, it.Job.ImageGB)
 	if it.Prompt && fa != fb {
 		return fa < fb
 	}
@@ -225,11 +225,12 @@
 	return a.Name < b.Name
 }
 
-func (m *Machine) fetch(j *wire.Job) float64 {
+// fetch is how long the machine takes to have an image, to the second.
+func (m *Machine) fetch(image string, gb float64) float64 {
 	if m.FetchS == nil {
 		return 0
 	}
-	return m.FetchS(j.Image, j.ImageGB)
+	return math.Round(m.FetchS(image, gb))
 }
 
 func (it *Item) take(m *Machine, need Room, team *Team) {
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strings"
 
@@ -88,11 +87,7 @@
 }
 
 func (s *search) candidate(m *Machine) candidate {
-	c := candidate{m: m, free: m.Free}
-	if m.FetchS != nil {
-		c.fetch = math.Round(m.FetchS(s.shape.image, s.shape.imageGB))
-	}
-	return c
+	return candidate{m: m, fetch: m.fetch(s.shape.image, s.shape.imageGB), free: m.Free}
 }
 
 func (s *search) front(zone string) *front {
--- a/internal/users/show.go
+++ b/internal/users/show.go
@@ -17,57 +17,64 @@
 func (d *Door) Ask(ctx context.Context, uri string) (status int, body json.RawMessage) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.PollWait)
 	defer cancel()
-	if l := d.leader(); l != nil {
-		return show(ctx, l, uri)
-	}
-	if lead := d.peers.Leader(); lead != "" {
-		if r, err := d.peers.Call(ctx, lead, mesh.Request{Verb: mesh.Show, Payload: []byte(uri)}); err == nil && r.Status > 0 {
-			return r.Status, r.Payload
-		}
-	}
-	return http.StatusServiceUnavailable, problem("the leader cannot be asked now")
+	return d.ofLeader(ctx, mesh.Request{Verb: mesh.Show, Payload: []byte(uri)}, "the leader cannot be asked now",
+		func(l *leader.Loop) (int, json.RawMessage) { return show(ctx, l, uri) })
 }
 
 // AnswerShow answers a question that another member hands on to the leader.
 func (d *Door) AnswerShow(ctx context.Context, uri string) mesh.Response {
-	l := d.leader()
-	if l == nil {
-		return mesh.Response{Status: http.StatusServiceUnavailable, Payload: problem("this member does not lead")}
-	}
-	status, body := show(ctx, l, uri)
-	return mesh.Response{Status: status, Payload: body}
+	return d.asLeader(func(l *leader.Loop) (int, json.RawMessage) { return show(ctx, l, uri) })
 }
 
 // Do has the leader's subsystems carry out a command.
 func (d *Door) Do(ctx context.Context, c leader.Command) (status int, body json.RawMessage) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.CommandWait)
 	defer cancel()
-	if l := d.leader(); l != nil {
-		return do(ctx, l, c)
-	}
 	raw, err := json.Marshal(c)
 	if err != nil {
 		return http.StatusBadRequest, problem("the command is not JSON")
 	}
+	return d.ofLeader(ctx, mesh.Request{Verb: mesh.Do, Payload: raw}, "the leader cannot be asked now; ask again",
+		func(l *leader.Loop) (int, json.RawMessage) { return do(ctx, l, c) })
+}
+
+// AnswerDo carries out a command that another member hands on to the leader.
+func (d *Door) AnswerDo(ctx context.Context, payload []byte) mesh.Response {
+	var c leader.Command
+	if json.Unmarshal(payload, &c) != nil {
+		return notLeading()
+	}
+	return d.asLeader(func(l *leader.Loop) (int, json.RawMessage) { return do(ctx, l, c) })
+}
+
+// ofLeader has the leader answer: this member, or the one that leads; none is what is said if
+// neither can.
+func (d *Door) ofLeader(ctx context.Context, req mesh.Request, none string, here func(*leader.Loop) (int, json.RawMessage)) (int, json.RawMessage) {
+	if l := d.leader(); l != nil {
+		return here(l)
+	}
 	if lead := d.peers.Leader(); lead != "" {
-		if r, err := d.peers.Call(ctx, lead, mesh.Request{Verb: mesh.Do, Payload: raw}); err == nil && r.Status > 0 {
+		if r, err := d.peers.Call(ctx, lead, req); err == nil && r.Status > 0 {
 			return r.Status, r.Payload
 		}
 	}
-	return http.StatusServiceUnavailable, problem("the leader cannot be asked now; ask again")
+	return http.StatusServiceUnavailable, problem(none)
 }
 
-// AnswerDo carries out a command that another member hands on to the leader.
-func (d *Door) AnswerDo(ctx context.Context, payload []byte) mesh.Response {
-	var c leader.Command
+// asLeader answers another member, if this one leads.
+func (d *Door) asLeader(here func(*leader.Loop) (int, json.RawMessage)) mesh.Response {
 	l := d.leader()
-	if l == nil || json.Unmarshal(payload, &c) != nil {
-		return mesh.Response{Status: http.StatusServiceUnavailable, Payload: problem("this member does not lead")}
+	if l == nil {
+		return notLeading()
 	}
-	status, body := do(ctx, l, c)
+	status, body := here(l)
 	return mesh.Response{Status: status, Payload: body}
 }
 
+func notLeading() mesh.Response {
+	return mesh.Response{Status: http.StatusServiceUnavailable, Payload: problem("this member does not lead")}
+}
+
 func do(ctx context.Context, l *leader.Loop, c leader.Command) (int, json.RawMessage) {
 	status, v, err := l.Do(ctx, c)
 	return answerOf(status, v, err)
