Machines that the list passes over are gone; spot tasks run on until just before the end

Cause: a quarter of the spot machines go without a word, 40 % of them at once, and their tasks waited for leases of 42 s; in a roll of five controllers of one zone no lease could be concluded from for two minutes, since a restarted member cannot speak for its former life. At a notice, tasks that would have ended in time were stopped half a minute early.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -97,9 +97,17 @@
 	return err
 }
 
-// List reads the whole list of machines. It lags behind what is.
-func (c *Client) List(ctx context.Context) ([]wire.ListedMachine, error) {
-	var all []wire.ListedMachine
+// ListPage is one answer of the list: all machines with names behind After, up to and with Last, as they were at
+// one time, which may be before that of the page before.
+type ListPage struct {
+	After    string
+	Last     string // empty: there are none behind
+	Machines []wire.ListedMachine
+}
+
+// List reads the whole list of machines, page by page. It lags behind what is.
+func (c *Client) List(ctx context.Context) ([]ListPage, error) {
+	var all []ListPage
 	after := ""
 	for {
 		q := url.Values{"page": {strconv.Itoa(wire.MaxList)}}
@@ -114,10 +122,12 @@
 		if status != http.StatusOK {
 			return nil, fmt.Errorf("list: status %d", status)
 		}
-		all = append(all, p.Machines...)
+		page := ListPage{After: after, Machines: p.Machines}
 		if !p.More || len(p.Machines) == 0 {
-			return all, nil
+			return append(all, page), nil
 		}
 		after = p.Machines[len(p.Machines)-1].Name
+		page.Last = after
+		all = append(all, page)
 	}
 }
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -32,6 +32,7 @@
 	book    *jobs.Book
 	roster  *roster.Roster
 	fleet   fleetState
+	leaving map[string]bool // machines that the cloud will soon take
 	begun   time.Time
 	arrived int           // jobs that came in this tenure
 	loaded  bool          // all stored records are in: before, nothing is placed or concluded
@@ -68,7 +69,7 @@
 		env: env, tenure: t, log: env.Log.With("term", t.Term), inbox: make(chan func(), tuning.Inbox),
 		book: jobs.NewBook(state.TxnOps), roster: roster.New(t.Term, env.Settings.Cluster.Workers.LeaseS),
 		store: env.Store.Share(tuning.LeaderShare), overdue: rate.NewLimiter(rate.Limit(tuning.LazyShare*state.WriteRPS), tuning.LazyLeast),
-		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(), broken: map[Slice]bool{},
+		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(), broken: map[Slice]bool{}, leaving: map[string]bool{},
 	}
 	for _, join := range env.Joins {
 		s, err := join(l.log)
@@ -172,6 +173,7 @@
 		return
 	}
 	l.expire(now)
+	l.stepLeaving(now)
 	if l.env.Valid(l.tenure.Term) {
 		if l.changed && !now.Before(l.rested) || !now.Before(l.nextPass) {
 			l.pass(now)
--- a/internal/leader/rent_test.go
+++ b/internal/leader/rent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"poppypass/internal/cloud"
 	"testing"
 	"time"
 
@@ -72,7 +73,7 @@
 		for i := range c.silent {
 			listed = append(listed, wire.ListedMachine{Name: fmt.Sprintf("n-%d", i), Type: "small", Zone: "a", State: wire.MachineRunning, AgeS: 600})
 		}
-		l.compare(listed, clock.Now())
+		l.compare([]cloud.ListPage{{Machines: listed}}, clock.Now())
 		returned := func() int {
 			for name := range l.roster.Machines { // the others report
 				if m := l.roster.Machines[name]; m.Session > 0 {
--- a/internal/leader/returns.go
+++ b/internal/leader/returns.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/cloud"
 	"poppypass/internal/fleet"
 	"poppypass/internal/keeper"
 	"poppypass/internal/placement"
@@ -164,11 +165,33 @@
 			l.log.Debug("machine list unreadable", "err", err)
 			return
 		}
+		for _, page := range listed {
+			l.compareGone(page)
+		}
 		l.compare(listed, now)
 	})
 }
 
-func (l *Loop) compare(listed []wire.ListedMachine, now time.Time) {
+// compareGone takes in which machines the list proves to be gone, with all that was on them: a quarter of
+// those that the cloud takes back go without a word, and their tasks waited for their leases.
+func (l *Loop) compareGone(page cloud.ListPage) {
+	var gone []string
+	for _, name := range l.roster.Gone(page.After, page.Last, page.Machines) {
+		if m := l.roster.Machines[name]; !m.Returning { // that one's deletion will tell
+			gone = append(gone, name)
+		}
+	}
+	if len(gone) > 0 {
+		l.log.Info("machines taken", "machines", gone)
+		l.lost(gone)
+	}
+}
+
+func (l *Loop) compare(pages []cloud.ListPage, now time.Time) {
+	var listed []wire.ListedMachine
+	for _, p := range pages {
+		listed = append(listed, p.Machines...)
+	}
 	there := make(map[string]bool, len(listed))
 	var failed []string
 	for _, lm := range listed {
--- /dev/null
+++ b/internal/leader/spot.go
@@ -0,0 +1,70 @@
+package leader
+
+import (
+	"math"
+	"time"
+
+	"poppypass/internal/charge"
+	"poppypass/internal/jobs"
+	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// drainSpot empties a machine that the cloud will soon take: tasks that can
+// save do so at once, those that are worth waiting for run on until shortly before the end, and
+// the others move at once.
+func (l *Loop) drainSpot(m *roster.Machine, now time.Time) {
+	left := m.Notice.Sub(now)
+	var stopped []*jobs.Place
+	for _, p := range m.Places {
+		if p.Stop != nil {
+			continue
+		}
+		j := &p.Job.Job
+		switch {
+		case p.State == wire.TaskRunning && j.CheckpointS > 0:
+			p.Stop = &jobs.Stop{GraceS: (seconds(j.SaveS) + tuning.GraceExtra).Seconds(), For: charge.Drained}
+		case p.State == wire.TaskRunning && mayEnd(j.EstimateS, now.Sub(p.Running), left-tuning.LastCall):
+			continue
+		default:
+			p.Stop = &jobs.Stop{For: charge.Drained}
+		}
+		stopped = append(stopped, p)
+	}
+	l.direct(stopped)
+}
+
+// stepLeaving looks after the machines that the cloud will soon take: what did not end by itself is stopped just
+// before, so that it can be started elsewhere at once rather than when the machine is known to be gone.
+func (l *Loop) stepLeaving(now time.Time) {
+	for name := range l.leaving {
+		m := l.roster.Machines[name]
+		switch {
+		case m == nil || !m.Notice.After(now):
+			delete(l.leaving, name)
+		case m.Notice.Sub(now) <= tuning.LastCall:
+			delete(l.leaving, name)
+			l.drainSpot(m, now)
+		}
+	}
+}
+
+// mayEnd tells whether a task that cannot save is better left to run on for as long as its machine is there: the
+// run that would be saved, if it ends in time, against the time that is lost if it does not. Its run time is
+// taken to lie around the owner's estimate as estimates do, given that it ran for so long already.
+func mayEnd(estimateS float64, ran, left time.Duration) bool {
+	if estimateS <= 0 || left <= 0 {
+		return false
+	}
+	longer := func(t float64) float64 { // the share of tasks that run longer
+		return 0.5 * math.Erfc(math.Log(t/estimateS)/(tuning.EstimateSpread*math.Sqrt2))
+	}
+	from, to := max(ran.Seconds(), 1), max(ran.Seconds(), 1)+left.Seconds()
+	alive := longer(from)
+	if alive < 1e-9 {
+		return true // far beyond its estimate: it may end any moment
+	}
+	ends := 1 - longer(to)/alive
+	return ends*max(estimateS, ran.Seconds()) > (1-ends)*left.Seconds()
+}
--- /dev/null
+++ b/internal/leader/spot_test.go
@@ -0,0 +1,52 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"poppypass/internal/tuning"
+)
+
+// Guards against tasks that were stopped half a minute before their machine was taken, though half of
+// them would have ended by then, and against others that go with it and are missed until its lease ends.
+func TestATaskRunsOnUntilShortlyBeforeItsMachineIsTaken(t *testing.T) {
+	l, clock := leaderWith(t)
+	m := l.roster.Machines["n-large"]
+	p := l.runs(t, "job-1", m.Name, 1)
+	p.Job.EstimateS, p.Running = 60, clock.Now().Add(-50*time.Second)
+	m.Notice = clock.Now().Add(25 * time.Second)
+	l.leaving[m.Name] = true
+	l.drainSpot(m, clock.Now())
+	if p.Stop != nil {
+		t.Fatal("stopped at the notice")
+	}
+	clock.Advance(25*time.Second - tuning.LastCall - time.Second)
+	if l.stepLeaving(clock.Now()); p.Stop != nil {
+		t.Fatal("stopped before the last call")
+	}
+	clock.Advance(time.Second)
+	if l.stepLeaving(clock.Now()); p.Stop == nil || len(l.leaving) != 0 {
+		t.Error("not stopped before its machine is taken")
+	}
+}
+
+func TestMayEnd(t *testing.T) {
+	for _, c := range []struct {
+		estimate float64
+		ran      time.Duration
+		left     time.Duration
+		want     bool
+	}{
+		{60, 50 * time.Second, 22 * time.Second, true},
+		{60, 2 * time.Second, 22 * time.Second, false}, // little is lost
+		{600, 5 * time.Second, 22 * time.Second, false},
+		{60, 500 * time.Second, 22 * time.Second, true}, // overdue, and much would be lost
+		{3, 0, 12 * time.Second, true},
+		{60, 50 * time.Second, 0, false},
+		{0, 50 * time.Second, 22 * time.Second, false}, // a service
+	} {
+		if got := mayEnd(c.estimate, c.ran, c.left); got != c.want {
+			t.Errorf("estimate %v s, ran %v, %v left: %v", c.estimate, c.ran, c.left, got)
+		}
+	}
+}
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"poppypass/internal/charge"
 	"poppypass/internal/httpjson"
 	"poppypass/internal/jobs"
 	"poppypass/internal/roster"
@@ -124,6 +123,7 @@
 	}
 	l.settle(a.Outcomes, now)
 	if a.Machine.Notice.After(now) {
+		l.leaving[a.Machine.Name] = true
 		l.drainSpot(a.Machine, now)
 	}
 	l.changed = l.changed || a.Changed
@@ -178,25 +178,3 @@
 		}
 	}
 }
-
-// drainSpot empties a machine that the cloud will soon take: tasks that can
-// save do, and those that will not end in time move at once.
-func (l *Loop) drainSpot(m *roster.Machine, now time.Time) {
-	left := m.Notice.Sub(now)
-	for _, p := range m.Places {
-		if p.Stop != nil {
-			continue
-		}
-		j := &p.Job.Job
-		save := seconds(j.SaveS) + tuning.GraceExtra
-		switch {
-		case p.State == wire.TaskRunning && j.CheckpointS > 0:
-			p.Stop = &jobs.Stop{GraceS: save.Seconds(), For: charge.Drained}
-		case p.State == wire.TaskRunning && j.EstimateS > 0 && seconds(j.EstimateS)-now.Sub(p.Running) < left/2:
-			// It will probably end by itself.
-		default:
-			p.Stop = &jobs.Stop{For: charge.Drained}
-		}
-	}
-	l.direct(valuesOf(m.Places))
-}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -229,6 +229,16 @@
 	AvoidFor = 300 * time.Second
 )
 
+// Machines that the cloud takes back.
+const (
+	// EstimateSpread is how far run times lie from their owners' estimates, as the standard deviation of the
+	// logarithm: often wrong by half.
+	EstimateSpread = 0.5
+	// LastCall is how long before a machine is taken what still runs there is stopped: for a command and its answer,
+	// and what the time of the notice may be off.
+	LastCall = 2500 * time.Millisecond
+)
+
 // Followers that help workers.
 const (
 	// RedirectMemory is how long a follower remembers that it sent a worker to
@@ -404,6 +414,9 @@
 	CutShare = 0.6
 	// ForgetReleased is how long the name of a returned machine is remembered, against late messages.
 	ForgetReleased = 15 * time.Minute
+	// ListNewer is for how many seconds a listed machine must have been there for those created before it that
+	// are not listed to be gone: several are created at once, and ages are rounded.
+	ListNewer = 2.0
 	// UnlistedLists is how many lists in a row must lack a silent machine before it counts as taken.
 	UnlistedLists = 3
 )
