Passes look at machines with room only; passes and plans rest for a least time

A pass over 3,300 machines, nearly all full, made a view of each; a seventeenth of a core for passes and as much for plans is two fifths of a share of 0.3; and more workers than the crowd's bound had each answer close its connection. Change: views of machines with room only (all, if others are to be stopped), kinds counted without a map, a rest of at least 20 ms after a pass and 200 ms after a plan, three quarters of the sockets for what comes in.

--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -40,7 +40,7 @@
 }
 
 func (l *Loop) stepFleet(now time.Time) {
-	if now.Before(l.fleet.rested) || l.env.Types() == nil {
+	if l.env.Types() == nil {
 		return
 	}
 	l.fleet.next = now.Add(tuning.FleetEvery)
@@ -149,9 +149,7 @@
 		}
 	}
 	placement.Sort(in.Items, in.Teams, now)
-	for _, m := range l.roster.Machines {
-		in.Count[fleet.Option{Type: m.Type, Zone: m.Zone, Spot: m.Spot}]++
-	}
+	l.countKinds(in.Count)
 	for _, w := range l.fleet.asked {
 		in.Room -= w.Count
 		in.Count[w.Option] += w.Count
@@ -170,8 +168,8 @@
 	if len(l.fleet.asked) >= tuning.RentAtOnce {
 		return
 	}
-	in.Booting = append(in.Booting, l.openMachines(now)...)
 	in.Items = l.expected(now)
+	in.Booting = append(in.Booting, l.roomyMachines(now, in.Items)...)
 	in.Teams = fleet.Unlimited(in.Items)
 	in.Thrifty = true
 	for _, w := range fleet.Plan(&in) {
@@ -179,6 +177,26 @@
 	}
 }
 
+// countKinds adds the machines of each kind. There are few kinds, and thousands of machines.
+func (l *Loop) countKinds(counts map[fleet.Option]int) {
+	type kind struct {
+		fleet.Option
+		n int
+	}
+	var kinds []kind
+	for _, m := range l.roster.Machines {
+		o := fleet.Option{Type: m.Type, Zone: m.Zone, Spot: m.Spot}
+		i := slices.IndexFunc(kinds, func(k kind) bool { return k.Option == o })
+		if i < 0 {
+			kinds, i = append(kinds, kind{Option: o}), len(kinds)
+		}
+		kinds[i].n++
+	}
+	for _, k := range kinds {
+		counts[k.Option] += k.n
+	}
+}
+
 // request asks for machines, if not too many requests are on their way.
 func (l *Loop) request(w fleet.Want) {
 	if len(l.fleet.asked) >= tuning.RentAtOnce {
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -178,12 +178,12 @@
 		if l.changed && !now.Before(l.rested) || !now.Before(l.nextPass) {
 			l.pass(now)
 			l.env.observe(func(o Observer) { o.Passed(l.env.Clock.Since(now)) })
-			l.rested = l.rest(now)
+			l.rested = l.rest(now, tuning.RestLeast)
 		}
-		if !now.Before(l.fleet.next) {
+		if !now.Before(l.fleet.next) && !now.Before(l.fleet.rested) {
 			begun := l.env.Clock.Now()
 			l.stepFleet(begun)
-			l.fleet.rested = l.rest(begun)
+			l.fleet.rested = l.rest(begun, tuning.PlanRest)
 		}
 	}
 	l.stepSlices(now)
@@ -193,10 +193,14 @@
 // rest is when work that began at a time and ends now may be done again: a pass
 // over a large cluster takes milliseconds of a share of a processor, and
 // hundreds of reports a second would each have one. Changes that come
-// meanwhile share the next.
-func (l *Loop) rest(begun time.Time) time.Time {
+// meanwhile share the next. Work that took any time rests for least at the least.
+func (l *Loop) rest(begun time.Time, least time.Duration) time.Time {
 	now := l.env.Clock.Now()
-	return now.Add(tuning.RestFactor * now.Sub(begun))
+	took := now.Sub(begun)
+	if took <= 0 {
+		return now
+	}
+	return now.Add(max(least, tuning.RestFactor*took))
 }
 
 // Status answers a user from memory; ok is false when the job is not known
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -21,8 +21,9 @@
 		l.nextPass = now.Add(tuning.PassWaitMax)
 		return
 	}
-	open, teams := l.openMachines(now), l.teams()
-	placed := placement.Pass(now, append(slices.Clone(items), l.reserved(now)...), open, teams)
+	wanted, teams := append(slices.Clone(items), l.reserved(now)...), l.teams()
+	open := l.roomyMachines(now, wanted)
+	placed := placement.Pass(now, wanted, open, teams)
 	next := map[string]int{}
 	for _, d := range placed {
 		j := byID[d.Item.Job.ID]
@@ -71,6 +72,7 @@
 	if len(due) == 0 || l.tenure.Term > 1 && now.Sub(l.begun) < tuning.PreemptAfter {
 		return
 	}
+	open = l.allMachines(now, open)
 	for _, v := range open {
 		v.Victims = victims(l.roster.Machines[v.Name], now)
 	}
@@ -172,36 +174,72 @@
 
 // openMachines are the machines that may get tasks now.
 func (l *Loop) openMachines(now time.Time) []*placement.Machine {
-	out := make([]*placement.Machine, 0, len(l.roster.Machines))
-	room := make([]placement.Machine, 0, len(l.roster.Machines)) // one allocation for all of them
+	return l.machinesWith(now, placement.Room{})
+}
+
+// roomyMachines are those of them that have room for some of the items: in a large cluster most are
+// full, and a view of each, for each pass, was most of its cost.
+func (l *Loop) roomyMachines(now time.Time, items []*placement.Item) []*placement.Machine {
+	if len(items) == 0 {
+		return nil
+	}
+	return l.machinesWith(now, placement.Least(items))
+}
+
+// machinesWith are the machines that may get tasks now and have at least so much free.
+func (l *Loop) machinesWith(now time.Time, least placement.Room) []*placement.Machine {
+	var out []*placement.Machine
 	for _, m := range l.roster.Machines {
+		t := l.env.typeOf(m.Type)
+		if t == nil || !freeOn(m, t).Holds(least) {
+			continue
+		}
 		if !m.Alive() || m.Returning || m.Draining || m.Bad || m.HasStrays() || !m.Notice.IsZero() ||
 			l.silent(m, now) || doubtful(m) || now.Before(m.NoRoom) {
 			continue
 		}
-		if v, ok := l.view(m); ok {
-			room = append(room, v)
-			out = append(out, &room[len(room)-1])
-		}
+		v := viewOf(m, t)
+		out = append(out, &v)
 	}
 	return out
 }
 
+// allMachines are the machines that may get tasks now, with those that were looked at already as they are.
+func (l *Loop) allMachines(now time.Time, seen []*placement.Machine) []*placement.Machine {
+	known := make(map[string]*placement.Machine, len(seen))
+	for _, v := range seen {
+		known[v.Name] = v
+	}
+	all := l.openMachines(now)
+	for i, v := range all {
+		if k := known[v.Name]; k != nil {
+			all[i] = k
+		}
+	}
+	return all
+}
+
 // view is a machine as placement sees it.
 func (l *Loop) view(m *roster.Machine) (placement.Machine, bool) {
 	t := l.env.typeOf(m.Type)
 	if t == nil {
 		return placement.Machine{}, false
 	}
-	v := placement.Machine{
+	return viewOf(m, t), true
+}
+
+func viewOf(m *roster.Machine, t *wire.MachineType) placement.Machine {
+	return placement.Machine{
 		Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Price: t.Price,
-		Total:  placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB},
+		Total: placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}, Free: freeOn(m, t),
 		FetchS: fetchTime(m, t),
 	}
+}
+
+// freeOn is what the tasks that may be on a machine leave of it.
+func freeOn(m *roster.Machine, t *wire.MachineType) placement.Room {
 	used := m.Used()
-	v.Free = v.Total
-	v.Free.Sub(placement.Room{CPUs: used.CPUs, GPUs: used.GPUs, MemoryGB: used.MemoryGB}, 1)
-	return v, true
+	return placement.Room{CPUs: t.CPUs - used.CPUs, GPUs: t.GPUs - used.GPUs, MemoryGB: t.MemoryGB - used.MemoryGB}
 }
 
 // fetchTime estimates how long a machine takes to get an image: nothing for
--- a/internal/leader/scale_test.go
+++ b/internal/leader/scale_test.go
@@ -89,8 +89,10 @@
 	l, clock := leaderWith(t)
 	begun := clock.Now()
 	clock.Advance(3 * time.Millisecond)
-	if got, want := l.rest(begun).Sub(clock.Now()), tuning.RestFactor*3*time.Millisecond; got != want {
-		t.Errorf("rests for %v, want %v", got, want)
+	for _, least := range []time.Duration{0, 20 * time.Millisecond, time.Second} {
+		if got, want := l.rest(begun, least).Sub(clock.Now()), max(least, tuning.RestFactor*3*time.Millisecond); got != want {
+			t.Errorf("rests for %v, want %v", got, want)
+		}
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -19,7 +19,8 @@
 // slack forgives the rounding of sums of decimal amounts.
 const slack = 1e-9
 
-func (r Room) holds(t Room) bool {
+// Holds tells whether there is room for a task.
+func (r Room) Holds(t Room) bool {
 	return t.CPUs <= r.CPUs+slack && t.GPUs <= r.GPUs+slack && t.MemoryGB <= r.MemoryGB+slack
 }
 
@@ -300,20 +301,26 @@
 	if len(items) == 0 {
 		return nil
 	}
-	least := items[0].Need()
-	for _, it := range items[1:] {
-		n := it.Need()
-		least = Room{min(least.CPUs, n.CPUs), min(least.GPUs, n.GPUs), min(least.MemoryGB, n.MemoryGB)}
-	}
+	least := Least(items)
 	out := make([]*Machine, 0, len(machines))
 	for _, m := range machines {
-		if m.Free.holds(least) {
+		if m.Free.Holds(least) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+// Least is the least of what tasks of the items need, of which there must be some.
+func Least(items []*Item) Room {
+	least := items[0].Need()
+	for _, it := range items[1:] {
+		n := it.Need()
+		least = Room{min(least.CPUs, n.CPUs), min(least.GPUs, n.GPUs), min(least.MemoryGB, n.MemoryGB)}
+	}
+	return least
+}
+
 // place places as many tasks of an item as its turn, its team's limit and the
 // machines allow.
 func (p *pass) place(placed []Placement, items []*Item, i int, t turn) []Placement {
@@ -351,7 +358,7 @@
 func (it *Item) hold(machines []*Machine, need Room) bool {
 	var best *Machine
 	for _, m := range machines {
-		if m.held == "" && m.Total.holds(need) && it.Allowed(m.Type, m.Zone, m.Spot) &&
+		if m.held == "" && m.Total.Holds(need) && it.Allowed(m.Type, m.Zone, m.Spot) &&
 			(it.Avoid == nil || !it.Avoid(m.Name)) && (best == nil || m.Free.CPUs > best.Free.CPUs) {
 			best = m
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -223,7 +223,7 @@
 // best looks at all machines.
 func best(it *Item, machines []*Machine, need Room) (best *Machine) {
 	for _, m := range machines {
-		if m.Free.holds(need) && (m.held == "" || m.held == it.Job.ID) && it.Allowed(m.Type, m.Zone, m.Spot) &&
+		if m.Free.Holds(need) && (m.held == "" || m.held == it.Job.ID) && it.Allowed(m.Type, m.Zone, m.Spot) &&
 			(it.Avoid == nil || !it.Avoid(m.Name)) && (best == nil || it.better(m, best)) {
 			best = m
 		}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -87,7 +87,7 @@
 }
 
 func (it *Item) offerOf(m *Machine, need Room, teams map[string]*Team) (o offer) {
-	if m.Total.holds(need) && it.Allowed(m.Type, m.Zone, m.Spot) && (it.Avoid == nil || !it.Avoid(m.Name)) {
+	if m.Total.Holds(need) && it.Allowed(m.Type, m.Zone, m.Spot) && (it.Avoid == nil || !it.Avoid(m.Name)) {
 		o.victims, o.cost, o.ok = it.victimsOn(m, need, teams)
 	}
 	return o
@@ -119,7 +119,7 @@
 	slices.SortFunc(may, func(a, b int) int { return cmp.Compare(m.Victims[a].Cost, m.Victims[b].Cost) })
 	free := m.Free
 	for _, i := range may {
-		if free.holds(need) {
+		if free.Holds(need) {
 			break
 		}
 		v := m.Victims[i]
@@ -127,5 +127,5 @@
 		idx = append(idx, i)
 		cost += v.Cost
 	}
-	return idx, cost, free.holds(need)
+	return idx, cost, free.Holds(need)
 }
--- a/internal/placement/preempt_test.go
+++ b/internal/placement/preempt_test.go
@@ -62,7 +62,7 @@
 			var chosen []int
 			var cost float64
 			for _, m := range machines {
-				if !m.Total.holds(need) || !it.Allowed(m.Type, m.Zone, m.Spot) {
+				if !m.Total.Holds(need) || !it.Allowed(m.Type, m.Zone, m.Spot) {
 					continue
 				}
 				if idx, c, ok := it.victimsOn(m, need, teams); ok && (best == nil || c < cost) {
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -83,7 +83,7 @@
 
 // takes tells whether a machine has room for the shape, and is of an allowed kind.
 func (s *search) takes(m *Machine) bool {
-	return m.Free.holds(s.shape.need) && (!m.Spot || s.shape.spot) && (s.types == nil || slices.Contains(s.types, m.Type))
+	return m.Free.Holds(s.shape.need) && (!m.Spot || s.shape.spot) && (s.types == nil || slices.Contains(s.types, m.Type))
 }
 
 func (s *search) candidate(m *Machine) candidate {
@@ -160,7 +160,7 @@
 		for len(f.heap) > 0 {
 			c := &f.heap[0]
 			if c.free != c.m.Free {
-				if !c.m.Free.holds(s.shape.need) {
+				if !c.m.Free.Holds(s.shape.need) {
 					s.drop(f)
 				} else {
 					c.free = c.m.Free
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -133,15 +133,15 @@
 	// every 5 s and workers report every few seconds.
 	IdleTimeout = 60 * time.Second
 	// ConnShare is the share of the socket limit that incoming connections may take.
-	ConnShare = 0.6
+	ConnShare = 0.75
 	// CrowdShare is the share of those above which each answer closes its connection, so that
 	// more workers than sockets take turns.
-	CrowdShare = 0.8
+	CrowdShare = 0.92
 	// IdleShare is the share of the socket limit that idle connections to workers may take, and
 	// SendShare that of commands on their way to them, at least SendLeast: a pass after a cut
 	// places on every machine at once.
-	IdleShare = 0.15
-	SendShare = 0.1
+	IdleShare = 0.06
+	SendShare = 0.08
 	SendLeast = 16
 	// FinalCache is how many final states of jobs are kept in memory at the least, and
 	// FinalsOfMB how many for each MiB that the machine has: at some 200 bytes a hundredth of it.
@@ -310,6 +310,10 @@
 	// one. A pass over 1,200 machines takes a millisecond or two of a share of a core, and the
 	// strictest aim on starts is a second.
 	RestFactor = 16
+	// RestLeast and PlanRest are the least such rests after passes and plans for the fleet: a seventeenth of a core
+	// is a fifth of a share of 0.3, and a start waits for a second or more, a machine boots for 20.
+	RestLeast = 20 * time.Millisecond
+	PlanRest  = 200 * time.Millisecond
 	// PreemptShare is the share of the wait allowed to a class (by its own aim
 	// or the guarantee's) after which others may be stopped for it.
 	PreemptShare = 0.5
