What is expected is tried on idle machines with room only, in one order

Cause: once a machine had been idle for half a minute, each second tried the expected work on every machine, full ones too, sorting it anew for each: 40 MB of garbage and all of the leader's share for that second.

--- a/internal/leader/returns.go
+++ b/internal/leader/returns.go
@@ -17,7 +17,7 @@
 // the machines in use and the cheap ones first.
 func (l *Loop) needed(now time.Time) map[string]bool {
 	items := l.expected(now)
-	open := l.openMachines(now)
+	open := l.roomyMachines(now, items)
 	needed := map[string]bool{}
 	type key struct {
 		*placement.Machine
@@ -31,11 +31,13 @@
 		return cmp.Or(cmp.Compare(btoi(a.idle), btoi(b.idle)), cmp.Compare(btoi(!a.Spot), btoi(!b.Spot)), cmp.Compare(a.Price, b.Price), cmp.Compare(a.Name, b.Name))
 	})
 	teams := fleet.Unlimited(items)
+	placement.Sort(items, teams, now)
 	for _, m := range order {
-		if !slices.ContainsFunc(items, func(it *placement.Item) bool { return it.Waiting > 0 }) {
+		items = slices.DeleteFunc(items, func(it *placement.Item) bool { return it.Waiting == 0 })
+		if len(items) == 0 {
 			break
 		}
-		if len(placement.Pass(now, items, []*placement.Machine{m.Machine}, teams)) > 0 && m.idle {
+		if len(placement.Sorted(now, items, []*placement.Machine{m.Machine}, teams)) > 0 && m.idle {
 			needed[m.Name] = true
 		}
 	}
