--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -84,6 +84,7 @@
 	Done       int
 	Placed     int
 	WaitSince  time.Time // since when some task of it waits without a break
+	Entered    time.Time // when it was accepted, by the steady clock
 	PauseUntil time.Time // no task is placed before, after failures
 	MakingRoom time.Time // until then, what was stopped for it is on its way out
 	Errors     int
@@ -201,7 +202,7 @@
 	// the job comes from the time of day, which may be a little off.
 	waited := max(0, wall.Sub(at))
 	j := &Job{
-		Job: r.Job, AcceptedAt: at, Tasks: make([]Task, r.Job.Tasks), WaitSince: now.Add(-waited),
+		Job: r.Job, AcceptedAt: at, Tasks: make([]Task, r.Job.Tasks), WaitSince: now.Add(-waited), Entered: now.Add(-waited),
 		version: item.Version, atMS: r.AtMS, cancelled: r.Cancelled,
 		chunks: make([]chunk, (r.Job.Tasks+tuning.ChunkTasks-1)/tuning.ChunkTasks),
 		zones:  map[string]int{}, Avoid: map[string]time.Time{},
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -147,6 +147,11 @@
 			Job: &j.Job, Since: j.WaitSince, Waiting: n, Started: j.Placed + j.Done, Zones: zonesOf(j), Prompt: prompt,
 		})
 		it := &room[len(room)-1]
+		// An array whose last tasks were lost does not queue up anew: of a team beyond its guarantee they
+		// waited 120 s until they aged, and their jobs, nearly done, were late.
+		if j.Kind == wire.KindArray {
+			it.Entered = j.Entered
+		}
 		// A job that fails everywhere may go anywhere.
 		if bad := len(j.Avoid); bad > 0 && bad < tuning.BadJobMachines {
 			it.Avoid = func(machine string) bool { return now.Before(j.Avoid[machine]) }
@@ -155,7 +160,7 @@
 			if j.Placed > 0 {
 				continue
 			}
-			it.Trial, it.Waiting, it.Since = true, 1, now
+			it.Trial, it.Waiting, it.Since, it.Entered = true, 1, now, now
 		}
 		byID[j.ID] = j
 		items = append(items, it)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -57,6 +57,7 @@
 type Item struct {
 	Job     *wire.Job
 	Since   time.Time      // since when it waits
+	Entered time.Time      // when its job came, if that counts for its place in the queue; zero: Since does
 	Waiting int            // tasks that wait
 	Started int            // tasks that are placed or done
 	Zones   map[string]int // its placed tasks by zone, if its job cares; the pass counts on in it
@@ -67,6 +68,14 @@
 	Ghost   bool // work that is expected: it takes room from lower priorities, and is not placed
 }
 
+// entered is from when the item's time in the queue counts.
+func (it *Item) entered() time.Time {
+	if it.Entered.IsZero() {
+		return it.Since
+	}
+	return it.Entered
+}
+
 // Need is what a task of the item takes.
 func (it *Item) Need() Room { return Room{it.Job.CPUs, it.Job.GPUs, it.Job.MemoryGB} }
 
@@ -94,7 +103,7 @@
 // job that had its fill does not age: its tasks are served, others wait.
 func Level(it *Item, teams map[string]*Team, now time.Time) int {
 	l := it.Job.Priority.Level()
-	if now.Sub(it.Since) >= tuning.AgeStep && !filled(it, teams) {
+	if now.Sub(it.entered()) >= tuning.AgeStep && !filled(it, teams) {
 		l++
 	}
 	return l
@@ -130,7 +139,7 @@
 	return int(min(share, 1) * tuning.FillSteps)
 }
 
-// response is how long an array has waited for each CPU second of the work that it waits for:
+// response is how long ago an array came for each CPU second of the work that it waits for:
 // who waits long for little goes first (highest response ratio next), so that a backlog
 // makes few jobs late rather than all. It is endless for others: a replica's absence is an outage.
 func response(it *Item, now time.Time) float64 {
@@ -138,7 +147,7 @@
 	if it.Job.Kind != wire.KindArray || work <= 0 {
 		return math.Inf(1)
 	}
-	return now.Sub(it.Since).Seconds() / work
+	return now.Sub(it.entered()).Seconds() / work
 }
 
 // Sort puts items in the order in which they are placed: by priority, then
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -440,3 +440,17 @@
 		})
 	}
 }
+
+// Guards against lost tasks that queue up anew: their job came long ago, and is nearly done.
+func TestALostTaskCountsFromItsJobsComing(t *testing.T) {
+	lost, fresh := item("b", wire.PriorityNormal, time.Second, 1, 4), item("a", wire.PriorityNormal, 100*time.Second, 40, 4)
+	lost.Job.EstimateS, fresh.Job.EstimateS = 60, 60
+	lost.Entered = now.Add(-tuning.AgeStep)
+	items := []*Item{fresh, lost}
+	if Sort(items, map[string]*Team{}, now); items[0] != lost {
+		t.Error("a task lost a second ago waits behind an array that has not begun")
+	}
+	if Level(lost, map[string]*Team{}, now) != wire.PriorityNormal.Level()+1 {
+		t.Error("its job does not age")
+	}
+}
