A new leader begins with what the former one knew machines to hold

Change: which images machines hold is stored every 10 s with changes to spare, as a hint (one value of at most the service's size, CBOR in a zstd frame); the next leader takes it in, and goes without if it cannot read it.

--- /dev/null
+++ b/internal/leader/images.go
@@ -0,0 +1,117 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"poppypass/internal/charge"
+	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// keyImages holds which machines hold which images: {"z": a zstd frame of CBOR, roster.Images}. Nothing of the rules
+// hangs on it; a leader that finds none, or one that it cannot read, begins without.
+const keyImages = "hint/images"
+
+type imagesRecord struct {
+	Frame []byte `json:"z"`
+}
+
+// imageHints is what the loop keeps for handing on what machines hold.
+type imageHints struct {
+	codec   *charge.Codec // nil until it is needed
+	next    time.Time     // nothing is stored before
+	writing bool
+	told    map[string][]roster.HeldImage // by a former leader, of machines that have not reported yet
+}
+
+// loadImages reads what the former leader left; it may fail.
+func (l *Loop) loadImages(ctx context.Context) {
+	item, ok, err := l.store.Urgent().Get(ctx, keyImages)
+	if err != nil || !ok {
+		return
+	}
+	var r imagesRecord
+	var images roster.Images
+	codec, err := charge.NewCodec()
+	if err == nil {
+		err = json.Unmarshal(item.Value, &r)
+	}
+	if err == nil {
+		err = codec.Expand(r.Frame, &images)
+	}
+	if err != nil {
+		l.log.Info("what machines hold is not known", "err", err)
+		return
+	}
+	told := images.ByMachine()
+	l.post(func() {
+		l.images.told = told
+		for _, m := range l.roster.Machines {
+			l.recall(m)
+		}
+	})
+}
+
+// recall takes in what was told of a machine, once.
+func (l *Loop) recall(m *roster.Machine) {
+	if held := l.images.told[m.Name]; held != nil {
+		delete(l.images.told, m.Name)
+		m.Recall(held, l.begun)
+	}
+}
+
+// stepImages stores what machines hold, now and then, when changes are to spare.
+func (l *Loop) stepImages(now time.Time) {
+	if l.images.writing || now.Before(l.images.next) {
+		return
+	}
+	if l.store.Room() < tuning.ImagesRoom {
+		return
+	}
+	l.images.next = now.Add(tuning.ImagesEvery)
+	images := l.roster.Images(func(typ string) float64 {
+		if t := l.env.typeOf(typ); t != nil {
+			return t.CacheGB
+		}
+		return 0
+	})
+	value := l.squeezeImages(images)
+	if value == nil {
+		return
+	}
+	l.images.writing = true
+	go func() {
+		_, err := l.commit(wire.Txn{Then: []wire.Change{{Put: keyImages, Value: value}}})
+		if errors.Is(err, errDeposed) {
+			l.end(err)
+			return
+		}
+		if err != nil {
+			l.log.Debug("what machines hold is not stored", "err", err)
+		}
+		l.post(func() { l.images.writing = false })
+	}()
+}
+
+// squeezeImages gives the record, without the images that fewest hold if it were too long; nil: there is nothing to tell.
+func (l *Loop) squeezeImages(images roster.Images) json.RawMessage {
+	if l.images.codec == nil {
+		codec, err := charge.NewCodec()
+		if err != nil {
+			l.log.Error("what machines hold cannot be stored", "err", err)
+			return nil
+		}
+		l.images.codec = codec
+	}
+	for ; len(images.Held) > 0; images.Held = images.Held[:len(images.Held)/2] {
+		value := wire.Value(imagesRecord{l.images.codec.Squeeze(images)})
+		if float64(len(value)) <= l.env.Settings.Cluster.State.ValueKB*1024 && len(value) <= tuning.CommitBytes {
+			return value
+		}
+	}
+	return nil
+}
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -33,6 +33,7 @@
 	roster  *roster.Roster
 	fleet   fleetState
 	leaving map[string]bool // machines that the cloud will soon take
+	images  imageHints
 	begun   time.Time
 	arrived int           // jobs that came in this tenure
 	loaded  bool          // all stored records are in: before, nothing is placed or concluded
@@ -69,7 +70,7 @@
 		env: env, tenure: t, log: env.Log.With("term", t.Term), inbox: make(chan func(), tuning.Inbox),
 		book: jobs.NewBook(state.TxnOps), roster: roster.New(t.Term, env.Settings.Cluster.Workers.LeaseS),
 		store: env.Store.Share(tuning.LeaderShare), overdue: rate.NewLimiter(rate.Limit(tuning.LazyShare*state.WriteRPS), tuning.LazyLeast),
-		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(), broken: map[Slice]bool{}, leaving: map[string]bool{},
+		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(), broken: map[Slice]bool{}, leaving: map[string]bool{}, images: imageHints{next: now.Add(tuning.ImagesEvery)},
 	}
 	for _, join := range env.Joins {
 		s, err := join(l.log)
@@ -188,6 +189,7 @@
 	}
 	l.stepSlices(now)
 	l.flush(now)
+	l.stepImages(now)
 }
 
 // rest is when work that began at a time and ends now may be done again: a pass
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -49,6 +49,7 @@
 		return
 	}
 	l.post(func() { l.takeProgress(progress, lefts) })
+	l.loadImages(ctx)
 	for ctx.Err() == nil {
 		r, err := l.store.Watch(ctx, jobs.PrefixJob, revision, tuning.JobWatch)
 		switch {
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -122,6 +122,7 @@
 		l.book.Began(p, now)
 	}
 	l.settle(a.Outcomes, now)
+	l.recall(a.Machine)
 	if a.Machine.Notice.After(now) {
 		l.leaving[a.Machine.Name] = true
 		l.drainSpot(a.Machine, now)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -225,6 +225,10 @@
 	// ImagesKnown bounds what is remembered of a machine's images, in names: more
 	// than any cache holds.
 	ImagesKnown = 256
+	// ImagesEvery is how often it is stored which machines hold which images, if there is room for ImagesRoom
+	// changes to spare: what the next leader does not know is fetched once more, a second or two for a start.
+	ImagesEvery = 10 * time.Second
+	ImagesRoom  = 4
 	// AvoidFor is how long a job avoids a machine on which its task failed.
 	AvoidFor = 300 * time.Second
 )
