--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -90,6 +90,7 @@
 	Errors     int
 	Tries      int                  // in vain, since a task of it last worked
 	Avoid      map[string]time.Time // machines on which a task of it failed, until when
+	Runs       []Run                // of its last completed tasks
 
 	version      uint64 // of the stored job
 	atMS         int64
@@ -103,6 +104,25 @@
 	zones        map[string]int
 }
 
+// Run is how long a completed task ran, and where.
+type Run struct {
+	Machine string
+	Seconds float64
+}
+
+// Ran notes a completed task, and gives how long the last others took elsewhere.
+func (j *Job) Ran(r Run) (elsewhere []float64) {
+	for _, o := range j.Runs {
+		if o.Machine != r.Machine {
+			elsewhere = append(elsewhere, o.Seconds)
+		}
+	}
+	if j.Runs = append(j.Runs, r); len(j.Runs) > tuning.SlowRuns {
+		j.Runs = j.Runs[1:]
+	}
+	return elsewhere
+}
+
 // Waiting is how many tasks wait to be placed.
 func (j *Job) Waiting() int { return len(j.Tasks) - j.Done - j.Placed }
 
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -444,3 +444,59 @@
 		t.Errorf("written at last: %+v", w)
 	}
 }
+
+// Guards against a transaction that is put together long before it may be sent: a production start that comes
+// meanwhile waits behind all of it.
+func TestATransactionTakesNoMoreThanMayBeSent(t *testing.T) {
+	s := newStore(t)
+	for i := range 9 {
+		s.accept(fmt.Sprintf("job-%d", i), 2)
+	}
+	b, _ := s.load(24)
+	for i := range 8 {
+		b.Place(b.Jobs[fmt.Sprintf("job-%d", i)], 0, "n-1", "a", 1, t0)
+	}
+	w := b.Take(t0, Budget{Changes: 3})
+	if len(w.Txn.Then) != 3 {
+		t.Fatalf("%d changes, of which three may be sent", len(w.Txn.Then))
+	}
+	late := b.Jobs["job-8"]
+	late.Priority = wire.PriorityProduction
+	p := b.Place(late, 0, "n-1", "a", 1, t0)
+	b.Written(w, s.apply(w.Txn))
+	w = b.Take(t0, Budget{Changes: 3})
+	if b.Written(w, s.apply(w.Txn)); !p.Committed {
+		t.Error("a production start waits behind starts that came before")
+	}
+}
+
+// Guards against progress that uses up the limit: it goes by each record's own age, within what is given for it.
+func TestOverdueProgressKeepsToItsShare(t *testing.T) {
+	s := newStore(t)
+	for i := range 6 {
+		s.accept(fmt.Sprintf("job-%d", i), 2)
+	}
+	b, _ := s.load(24)
+	var places []*Place
+	for i := range 6 {
+		places = append(places, b.Place(b.Jobs[fmt.Sprintf("job-%d", i)], 0, "n-1", "a", 1, t0))
+	}
+	s.flush(b)
+	for i, p := range places {
+		b.Finished(p, t0.Add(time.Duration(i)*time.Second))
+	}
+	at := t0.Add(tuning.LazyMax + 2500*time.Millisecond) // three of them are overdue
+	if w := b.Take(at, Budget{Overdue: 2}); w == nil || len(w.Txn.Then) != 2 {
+		t.Fatalf("with a share of two: %+v", w)
+	} else {
+		b.Written(w, s.apply(w.Txn))
+	}
+	if w := b.Take(at, Budget{Overdue: 9}); w == nil || len(w.Txn.Then) != 1 {
+		t.Fatalf("one more is overdue: %+v", w)
+	} else {
+		b.Written(w, s.apply(w.Txn))
+	}
+	if w := b.Take(at, Budget{Spare: 9}); w == nil || len(w.Txn.Then) != 3 || w.Counts.Progress != 3 {
+		t.Errorf("with room to spare: %+v", w)
+	}
+}
--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -7,6 +7,7 @@
 	"poppypass/internal/jobs"
 	"poppypass/internal/roster"
 	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
 )
 
 // failed takes in a task's failure. Mostly the machine is to blame, and the
@@ -56,13 +57,26 @@
 	}
 }
 
-// completed takes in that a task completed: its job works, and so does its machine.
-func (l *Loop) completed(p *jobs.Place, m *roster.Machine, now time.Time) {
+// completed takes in that a task completed, after the time at which its machine was heard before: its job works,
+// and so does its machine. One that runs everything slowly is given up like a faulty one.
+func (l *Loop) completed(p *jobs.Place, m *roster.Machine, heard, now time.Time) {
 	if p.Job.Tries > 0 {
 		l.acquit(p.Job, now)
 	}
-	if m != nil {
-		m.NoteDone()
+	if m == nil {
+		return
+	}
+	m.NoteDone()
+	if p.Job.Kind != wire.KindArray || p.Running.IsZero() || p.Inherited {
+		return // it is not known for how long it ran
+	}
+	// It may have ended at any time since: after a cut or without a leader ends are seen late, of many tasks
+	// of a machine together.
+	least := heard.Sub(p.Running).Seconds()
+	elsewhere := p.Job.Ran(jobs.Run{Machine: m.Name, Seconds: now.Sub(p.Running).Seconds()})
+	if m.Pace.Note(least, elsewhere) && !m.Bad {
+		m.Bad = true
+		l.log.Info("machine is slow", "machine", m.Name, "spot", m.Spot)
 	}
 }
 
--- /dev/null
+++ b/internal/leader/held_test.go
@@ -0,0 +1,47 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Guards against reports that outgrow what a request may be: ends are written late, and a worker of tiny tasks holds
+// each until its record is stored.
+func TestAWorkerThatHoldsManyEndsHasThemWritten(t *testing.T) {
+	for _, held := range []int{tuning.HeldExits, tuning.HeldExits + 1} {
+		l, clock := leaderWith(t)
+		now := clock.Now()
+		j := l.waits(t, wire.Job{ID: "job-000001", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: held + 1, CPUs: 0.1, MemoryGB: 0.1})
+		rep := &wire.Report{Machine: "n-large", Address: "127.0.0.1:1", Type: "large", Zone: "a", Session: 1, Seq: 2, Token: 1}
+		for i := range held {
+			p := l.book.Place(j, i, "n-large", "a", 1, now)
+			p.Committed = true
+			l.roster.Add(p, now)
+			rep.Tasks = append(rep.Tasks, wire.TaskReport{Task: p.Task().String(), Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone})
+		}
+		for w := l.book.Take(now, jobs.Budget{}); w != nil; w = l.book.Take(now, jobs.Budget{}) {
+			l.book.Written(w, 1)
+		}
+		if _, err := l.take(rep, false); err != nil { // the ends are taken in
+			t.Fatal(err)
+		}
+		if w := l.book.Take(now, jobs.Budget{}); w != nil {
+			t.Fatalf("%d ends are written at once", held)
+		}
+		rep.Seq++
+		if _, err := l.take(rep, false); err != nil {
+			t.Fatal(err)
+		}
+		w := l.book.Take(now, jobs.Budget{})
+		if got, want := w != nil, held > tuning.HeldExits; got != want {
+			t.Errorf("a worker holds %d ends: written %v", held, got)
+		}
+		if w != nil && len(w.Txn.Then) != (held+tuning.ChunkTasks-1)/tuning.ChunkTasks {
+			t.Error(fmt.Sprint("written are ", len(w.Txn.Then), " records"))
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/slow_test.go
@@ -0,0 +1,46 @@
+package leader
+
+import (
+	"testing"
+	"time"
+
+	"poppypass/internal/roster"
+	"poppypass/internal/wire"
+)
+
+// Guards against a machine that runs everything three times slower and gets tasks for ever, and against machines
+// that are given up since the ends of their tasks were seen late, as after a cut.
+func TestASlowMachineIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ran  time.Duration
+		late time.Duration // for so long the machine was not heard when the end came
+		bad  bool
+	}{
+		{"as elsewhere", 60 * time.Second, time.Second, false},
+		{"three times slower", 180 * time.Second, time.Second, true},
+		{"seen late", 180 * time.Second, 120 * time.Second, false},
+	} {
+		l, clock := leaderWith(t)
+		j := l.waits(t, wire.Job{ID: "job-000001", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 100, CPUs: 1, MemoryGB: 1})
+		ends := func(i int, machine string, ran, late time.Duration) {
+			p := l.book.Place(j, i, machine, "a", 1, clock.Now())
+			p.Committed, p.State, p.Running = true, wire.TaskRunning, clock.Now()
+			l.roster.Add(p, clock.Now())
+			clock.Advance(ran)
+			l.settle([]roster.Outcome{{Place: p, Why: wire.WhyDone, Idle: clock.Now().Add(-late)}}, clock.Now())
+		}
+		for i := range 8 {
+			ends(i, "n-small", 60*time.Second, time.Second)
+		}
+		for i := range 6 {
+			ends(8+i, "n-large", c.ran, c.late)
+		}
+		if got := l.roster.Machines["n-large"].Bad; got != c.bad {
+			t.Errorf("%s: given up %v", c.name, got)
+		}
+		if l.roster.Machines["n-small"].Bad {
+			t.Errorf("%s: the others are given up", c.name)
+		}
+	}
+}
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -158,7 +158,7 @@
 		m := l.roster.Machines[p.Machine]
 		if o.Why == wire.WhyDone {
 			l.book.Finished(p, now)
-			l.completed(p, m, now)
+			l.completed(p, m, o.Idle, now)
 			continue
 		}
 		l.book.Gone(p, now)
--- a/internal/leader/util.go
+++ b/internal/leader/util.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"maps"
 	"reflect"
-	"slices"
 	"time"
 
 	"poppypass/internal/statestore"
@@ -31,5 +30,3 @@
 	maps.Copy(out, m)
 	return out
 }
-
-func valuesOf[K comparable, V any](m map[K]V) []V { return slices.Collect(maps.Values(m)) }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -67,6 +67,7 @@
 	Up         bool      // the cloud lists it as running
 	Unlisted   int       // lists in a row that lacked it, since it was last listed or heard
 	errorsOf   map[string]bool
+	Pace       Pace // how fast it runs against others
 }
 
 // Alive tells whether the machine's present session can run tasks.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -211,6 +211,13 @@
 	SilentReports = 2.5
 	// BadMachineJobs is how many jobs must fail on a machine before it is avoided.
 	BadMachineJobs = 2
+	// SlowFactor is by how much a machine runs everything slower that is to be found, SlowEvidence the logarithm of how
+	// much likelier that must be than that it is like the others, SlowPeers with how many tasks of the same job a run
+	// is compared at the least, and SlowRuns how many of a job's are remembered.
+	SlowFactor   = 3.0
+	SlowEvidence = 9.0
+	SlowPeers    = 5
+	SlowRuns     = 16
 	// ErrorPause is the first pause of a job whose task failed; it doubles.
 	ErrorPause = 2 * time.Second
 	// ErrorPauseMax bounds it.
