Long tasks are tried on ordinary machines first, short ones on spot machines

Cause: most late arrays had lost one task with a spot machine; a short one that is lost still lets its job end in time, a long one does not, and run times differ between jobs (0.45 of a logarithm) far more than within one (0.17). Change: where arrays run on both kinds, those that would lose most are tried on ordinary ones first, in the shares in use, then all anywhere; a job's run time is taken from its completed tasks, for the queue and at notices too.

--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"poppypass/internal/charge"
@@ -123,6 +124,20 @@
 	return elsewhere
 }
 
+// RunS is for how long a task of the job is expected to run, in seconds: as long as those that completed, whose run
+// times differ little within a job (seen is true then), or else as its owner says.
+func (j *Job) RunS() (s float64, seen bool) {
+	if len(j.Runs) < tuning.SeenRuns {
+		return j.EstimateS, false
+	}
+	runs := make([]float64, len(j.Runs))
+	for i, r := range j.Runs {
+		runs[i] = r.Seconds
+	}
+	slices.Sort(runs)
+	return runs[len(runs)/2], true
+}
+
 // Waiting is how many tasks wait to be placed.
 func (j *Job) Waiting() int { return len(j.Tasks) - j.Done - j.Placed }
 
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -30,12 +30,13 @@
 	bookings   int                        // request names used in this term
 	asked      map[string]fleet.Want      // rentals on their way, by request name
 	refused    map[fleet.Option]time.Time // not asked before
+	spotLimitS float64                    // arrays that would lose more with a machine are tried on ordinary ones first
 }
 
 func newFleetState() fleetState {
 	return fleetState{
 		asked: map[string]fleet.Want{}, refused: map[fleet.Option]time.Time{},
-		moveBudget: tuning.MoveBudgetMax.Seconds(),
+		moveBudget: tuning.MoveBudgetMax.Seconds(), spotLimitS: math.Inf(1),
 	}
 }
 
@@ -45,6 +46,7 @@
 	}
 	l.fleet.next = now.Add(tuning.FleetEvery)
 	l.expect(now)
+	l.fleet.spotLimitS = l.spotLimit()
 	if l.tenure.Term == 1 || now.Sub(l.begun) > tuning.RentSettle {
 		l.rent(now)
 	}
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -23,6 +23,7 @@
 	}
 	wanted, teams := append(slices.Clone(items), l.reserved(now)...), l.teams()
 	open := l.roomyMachines(now, wanted)
+	l.takeSides(items)
 	placed := placement.Pass(now, wanted, open, teams)
 	next := map[string]int{}
 	for _, d := range placed {
@@ -147,6 +148,7 @@
 			Job: &j.Job, Since: j.WaitSince, Waiting: n, Started: j.Placed + j.Done, Zones: zonesOf(j), Prompt: prompt,
 		})
 		it := &room[len(room)-1]
+		it.RunS, _ = j.RunS()
 		// An array whose last tasks were lost does not queue up anew: of a team beyond its guarantee they
 		// waited 120 s until they aged, and their jobs, nearly done, were late.
 		if j.Kind == wire.KindArray {
--- /dev/null
+++ b/internal/leader/sides.go
@@ -0,0 +1,85 @@
+package leader
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/placement"
+	"poppypass/internal/wire"
+)
+
+// Where spot machines are short, arrays run on ordinary ones too. Which of them is not the same: spot machines go, and
+// what a task loses with one is up to its whole run. A short task that is lost still lets its job end in
+// time, a long one does not. So the arrays that would lose most are tried on ordinary machines first and the others
+// on spot ones, in the shares in which those kinds are in use by them; what is left goes anywhere, so no slot waits.
+
+// loses is what a task of an array loses at the most when its machine goes, in seconds.
+func loses(j *jobs.Job) float64 {
+	s, _ := j.RunS()
+	if j.CheckpointS > 0 {
+		return min(s, j.CheckpointS)
+	}
+	return s
+}
+
+// mayTakeSides tells whether a job's tasks may run on machines of both kinds.
+func mayTakeSides(j *wire.Job) bool { return j.Kind == wire.KindArray && j.Spot }
+
+// spotLimit is what a task may lose, in seconds, so that those of all live arrays that lose more have the share of the
+// work that runs on ordinary machines now. It is endless while nothing of it does.
+func (l *Loop) spotLimit() float64 {
+	var arrays []*jobs.Job
+	onSpot, placed, work := 0, 0, 0.0
+	for _, m := range l.roster.Machines {
+		for _, p := range m.Places {
+			if mayTakeSides(&p.Job.Job) {
+				placed++
+				if m.Spot {
+					onSpot++
+				}
+			}
+		}
+	}
+	if placed == onSpot {
+		return math.Inf(1)
+	}
+	if onSpot == 0 {
+		return 0
+	}
+	weight := func(j *jobs.Job) float64 {
+		s, _ := j.RunS()
+		return float64(j.Placed+j.Waiting()) * j.CPUs * s
+	}
+	for _, j := range l.book.Jobs {
+		if mayTakeSides(&j.Job) && j.Open() {
+			arrays = append(arrays, j)
+			work += weight(j)
+		}
+	}
+	slices.SortFunc(arrays, func(a, b *jobs.Job) int { return cmp.Or(cmp.Compare(loses(b), loses(a)), cmp.Compare(a.ID, b.ID)) })
+	share := work * float64(placed-onSpot) / float64(placed)
+	for _, j := range arrays {
+		if share -= weight(j); share <= 0 {
+			return loses(j)
+		}
+	}
+	return math.Inf(1)
+}
+
+// takeSides says which of the items are tried on which kind of machine first.
+func (l *Loop) takeSides(items []*placement.Item) {
+	if math.IsInf(l.fleet.spotLimitS, 1) {
+		return
+	}
+	for _, it := range items {
+		if !mayTakeSides(it.Job) {
+			continue
+		}
+		it.Side = placement.SpotSide
+		if loses(l.book.Jobs[it.Job.ID]) > l.fleet.spotLimitS {
+			it.Side = placement.OrdinarySide
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/sides_test.go
@@ -0,0 +1,56 @@
+package leader
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"poppypass/internal/placement"
+	"poppypass/internal/roster"
+	"poppypass/internal/wire"
+)
+
+// Guards against jobs that are late since one long task went with its spot machine, while short tasks, which would
+// have ended in time all the same, ran on ordinary ones.
+func TestWhatWouldLoseMostIsTriedOnOrdinaryMachinesFirst(t *testing.T) {
+	l, clock := leaderWith(t)
+	now := clock.Now()
+	clear(l.roster.Machines)
+	for i := range 4 {
+		if _, err := l.roster.Report(&wire.Report{
+			Machine: fmt.Sprintf("n-%d", i), Address: "127.0.0.1:1", Type: "small", Zone: "a", Spot: i%2 == 0, Session: 1, Seq: 1,
+		}, false, now, func(roster.Key) bool { return false }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	array := func(id string, estimate, checkpoint float64) *placement.Item {
+		j := l.waits(t, wire.Job{
+			ID: id, Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 10, CPUs: 1, MemoryGB: 1, Spot: true,
+			EstimateS: estimate, CheckpointS: checkpoint,
+		})
+		return &placement.Item{Job: &j.Job, Since: now, Waiting: 10}
+	}
+	short, long, saves := array("job-1", 40, 0), array("job-2", 150, 0), array("job-3", 150, 10)
+	if l.fleet.spotLimitS = l.spotLimit(); !math.IsInf(l.fleet.spotLimitS, 1) {
+		t.Errorf("nothing runs on ordinary machines, and the limit is %v", l.fleet.spotLimitS)
+	}
+	if l.takeSides([]*placement.Item{short, long}); short.Side != placement.AnySide || long.Side != placement.AnySide {
+		t.Error("sides are taken where spot machines suffice")
+	}
+	j := l.book.Jobs["job-1"]
+	for i := range 4 {
+		l.roster.Add(l.book.Place(j, i, fmt.Sprintf("n-%d", i), "a", 1, now), now)
+	}
+	l.fleet.spotLimitS = l.spotLimit()
+	items := []*placement.Item{short, long, saves}
+	l.takeSides(items)
+	if short.Side != placement.SpotSide || long.Side != placement.SpotSide && long.Side != placement.OrdinarySide || saves.Side != placement.SpotSide {
+		t.Errorf("sides %v, %v, %v with a limit of %v", short.Side, long.Side, saves.Side, l.fleet.spotLimitS)
+	}
+	// Two long jobs have more than the share of ordinary machines: the longest is tried there.
+	longest := array("job-4", 160, 0)
+	l.fleet.spotLimitS = l.spotLimit()
+	if l.takeSides([]*placement.Item{longest, short}); longest.Side != placement.OrdinarySide || short.Side != placement.SpotSide {
+		t.Errorf("the longest %v, the short %v with a limit of %v", longest.Side, short.Side, l.fleet.spotLimitS)
+	}
+}
--- a/internal/leader/spot.go
+++ b/internal/leader/spot.go
@@ -25,7 +25,7 @@
 		switch {
 		case p.State == wire.TaskRunning && j.CheckpointS > 0:
 			p.Stop = &jobs.Stop{GraceS: (seconds(j.SaveS) + tuning.GraceExtra).Seconds(), For: charge.Drained}
-		case p.State == wire.TaskRunning && mayEnd(j.EstimateS, now.Sub(p.Running), left-tuning.LastCall):
+		case p.State == wire.TaskRunning && mayEnd(p.Job, now.Sub(p.Running), left-tuning.LastCall):
 			continue
 		default:
 			p.Stop = &jobs.Stop{For: charge.Drained}
@@ -52,13 +52,18 @@
 
 // mayEnd tells whether a task that cannot save is better left to run on for as long as its machine is there: the
 // run that would be saved, if it ends in time, against the time that is lost if it does not. Its run time is
-// taken to lie around the owner's estimate as estimates do, given that it ran for so long already.
-func mayEnd(estimateS float64, ran, left time.Duration) bool {
-	if estimateS <= 0 || left <= 0 {
+// taken to lie around what is expected of its job, given that it ran for so long already.
+func mayEnd(j *jobs.Job, ran, left time.Duration) bool {
+	expectS, seen := j.RunS()
+	if expectS <= 0 || left <= 0 {
 		return false
 	}
+	spread := tuning.EstimateSpread
+	if seen {
+		spread = tuning.SeenSpread
+	}
 	longer := func(t float64) float64 { // the share of tasks that run longer
-		return 0.5 * math.Erfc(math.Log(t/estimateS)/(tuning.EstimateSpread*math.Sqrt2))
+		return 0.5 * math.Erfc(math.Log(t/expectS)/(spread*math.Sqrt2))
 	}
 	from, to := max(ran.Seconds(), 1), max(ran.Seconds(), 1)+left.Seconds()
 	alive := longer(from)
@@ -66,5 +71,5 @@
 		return true // far beyond its estimate: it may end any moment
 	}
 	ends := 1 - longer(to)/alive
-	return ends*max(estimateS, ran.Seconds()) > (1-ends)*left.Seconds()
+	return ends*max(expectS, ran.Seconds()) > (1-ends)*left.Seconds()
 }
--- a/internal/leader/spot_test.go
+++ b/internal/leader/spot_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"poppypass/internal/jobs"
 	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
 )
 
 // Guards against tasks that were stopped half a minute before their machine was taken, though half of
@@ -45,7 +47,7 @@
 		{60, 50 * time.Second, 0, false},
 		{0, 50 * time.Second, 22 * time.Second, false}, // a service
 	} {
-		if got := mayEnd(c.estimate, c.ran, c.left); got != c.want {
+		if got := mayEnd(&jobs.Job{Job: wire.Job{EstimateS: c.estimate}}, c.ran, c.left); got != c.want {
 			t.Errorf("estimate %v s, ran %v, %v left: %v", c.estimate, c.ran, c.left, got)
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -62,10 +62,34 @@
 	Started int            // tasks that are placed or done
 	Zones   map[string]int // its placed tasks by zone, if its job cares; the pass counts on in it
 	Avoid   func(machine string) bool
-	Prompt  bool // it is to start sooner than a machine boots
-	Thrifty bool // no dearer kind of machine is to be rented for it yet
-	Trial   bool // its job has only ever failed: nothing makes room for it
-	Ghost   bool // work that is expected: it takes room from lower priorities, and is not placed
+	RunS    float64 // for how long a task is expected to run, in seconds; 0: as its owner says
+	Side    Side    // the kind of machines that it is to be tried on first
+	Prompt  bool    // it is to start sooner than a machine boots
+	Thrifty bool    // no dearer kind of machine is to be rented for it yet
+	Trial   bool    // its job has only ever failed: nothing makes room for it
+	Ghost   bool    // work that is expected: it takes room from lower priorities, and is not placed
+}
+
+// Side is a kind of machines.
+type Side int
+
+// The sides that work may be tried on first. While spot machines are short, what would lose most with one
+// goes to ordinary ones and the rest to spot ones; then all to any.
+const (
+	AnySide Side = iota
+	OrdinarySide
+	SpotSide
+)
+
+// admits tells whether machines of a kind are on the side.
+func (s Side) admits(spot bool) bool { return s == AnySide || spot == (s == SpotSide) }
+
+// runS is for how long a task of the item is expected to run.
+func (it *Item) runS() float64 {
+	if it.RunS > 0 {
+		return it.RunS
+	}
+	return it.Job.EstimateS
 }
 
 // entered is from when the item's time in the queue counts.
@@ -143,7 +167,7 @@
 // who waits long for little goes first (highest response ratio next), so that a backlog
 // makes few jobs late rather than all. It is endless for others: a replica's absence is an outage.
 func response(it *Item, now time.Time) float64 {
-	work := it.Job.CPUs * float64(it.Waiting) * it.Job.EstimateS
+	work := it.Job.CPUs * float64(it.Waiting) * it.runS()
 	if it.Job.Kind != wire.KindArray || work <= 0 {
 		return math.Inf(1)
 	}
@@ -275,9 +299,17 @@
 		for hi = lo; hi < len(items) && Level(items[hi], teams, now) == Level(items[lo], teams, now); hi++ {
 		}
 		for _, t := range []turn{guaranteed, borrowing, expected} {
-			for i := lo; i < hi; i++ {
-				if !p.stuck[i] && items[i].Ghost == (t == expected) {
-					placed = p.place(placed, items, i, t)
+			// First all in order, those that are on a side only there; then what is left of these anywhere.
+			for _, again := range []bool{false, true} {
+				for i := lo; i < hi; i++ {
+					if again && items[i].Side == AnySide || p.stuck[i] || items[i].Ghost != (t == expected) {
+						continue
+					}
+					side := items[i].Side
+					if again {
+						side = AnySide
+					}
+					placed = p.place(placed, items, i, t, side)
 				}
 			}
 		}
@@ -332,7 +364,7 @@
 
 // place places as many tasks of an item as its turn, its team's limit and the
 // machines allow.
-func (p *pass) place(placed []Placement, items []*Item, i int, t turn) []Placement {
+func (p *pass) place(placed []Placement, items []*Item, i int, t turn, side Side) []Placement {
 	it := items[i]
 	team := p.teams[it.Job.Team]
 	if it.Ghost {
@@ -345,9 +377,12 @@
 	var s *search
 	for it.Waiting > 0 && team.fits(need) && (t != guaranteed || team.within(need)) {
 		if s == nil {
-			s = p.searchFor(it)
+			s = p.searchFor(it, side)
 		}
 		m := s.best(it)
+		if m == nil && side != AnySide {
+			break
+		}
 		if m == nil {
 			p.stuck[i] = true
 			if !p.held && !it.Ghost && p.now.Sub(it.Since) >= tuning.HeadHold {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -454,3 +454,27 @@
 		t.Error("its job does not age")
 	}
 }
+
+// Items on a side get room there before others take it, and no slot waits for them.
+func TestSidesComeFirstAndLeaveNothingFree(t *testing.T) {
+	on := func(id string, side Side, tasks int) *Item {
+		it := item(id, wire.PriorityNormal, time.Second, tasks, 4)
+		it.Job.Spot, it.Side = true, side
+		return it
+	}
+	for _, c := range []struct {
+		name  string
+		items []*Item
+		want  string
+	}{
+		{"each on its own", []*Item{on("a", SpotSide, 1), on("b", OrdinarySide, 1)}, "a:s b:o"},
+		{"however they are ordered", []*Item{on("a", OrdinarySide, 1), on("b", SpotSide, 1)}, "a:o b:s"},
+		{"what is left goes anywhere", []*Item{on("a", OrdinarySide, 2)}, "a:o a:s"},
+		{"also to ordinary ones", []*Item{on("a", SpotSide, 2)}, "a:s a:o"},
+		{"an item without a side keeps its place", []*Item{on("a", AnySide, 1), on("b", SpotSide, 1)}, "a:s b:o"},
+	} {
+		if got := run(c.items, []*Machine{machine("s", "a", true, 4), machine("o", "a", false, 4)}, 100); got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -24,10 +24,11 @@
 	imageGB      float64
 	types        string
 	spot, prompt bool
+	side         Side
 }
 
-func shapeOf(it *Item) shape {
-	s := shape{need: it.Need(), image: it.Job.Image, imageGB: it.Job.ImageGB, spot: it.Job.Spot, prompt: it.Prompt}
+func shapeOf(it *Item, side Side) shape {
+	s := shape{side: side, need: it.Need(), image: it.Job.Image, imageGB: it.Job.ImageGB, spot: it.Job.Spot, prompt: it.Prompt}
 	if it.Job.Types != nil {
 		s.types = "\x00" + strings.Join(it.Job.Types, "\x00") // none allowed is not the same as all
 	}
@@ -56,8 +57,8 @@
 }
 
 // searchFor gives the search of an item's shape.
-func (p *pass) searchFor(it *Item) *search {
-	key := shapeOf(it)
+func (p *pass) searchFor(it *Item, side Side) *search {
+	key := shapeOf(it, side)
 	if s := p.searches[key]; s != nil {
 		return s
 	}
@@ -83,7 +84,7 @@
 
 // takes tells whether a machine has room for the shape, and is of an allowed kind.
 func (s *search) takes(m *Machine) bool {
-	return m.Free.Holds(s.shape.need) && (!m.Spot || s.shape.spot) && (s.types == nil || slices.Contains(s.types, m.Type))
+	return m.Free.Holds(s.shape.need) && s.shape.side.admits(m.Spot) && (!m.Spot || s.shape.spot) && (s.types == nil || slices.Contains(s.types, m.Type))
 }
 
 func (s *search) candidate(m *Machine) candidate {
--- a/internal/placement/trial.go
+++ b/internal/placement/trial.go
@@ -25,7 +25,7 @@
 }
 
 // Best gives the machine on which one more task of an item would be placed; nil: there is none.
-func (t *Trial) Best(it *Item) *Machine { return t.p.searchFor(it).best(it) }
+func (t *Trial) Best(it *Item) *Machine { return t.p.searchFor(it, AnySide).best(it) }
 
 // Fit tells whether all waiting tasks of some items, whose teams have no limits, fit on the
 // machines but one, and takes their room if they do. That one is out of the trial then.
@@ -45,7 +45,7 @@
 		if it.Waiting == 0 {
 			continue
 		}
-		s := t.p.searchFor(it)
+		s := t.p.searchFor(it, AnySide)
 		t.used = append(t.used, s)
 		for need := it.Need(); it.Waiting > 0; {
 			m := s.best(it)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -218,6 +218,10 @@
 	SlowEvidence = 9.0
 	SlowPeers    = 5
 	SlowRuns     = 16
+	// SeenRuns is from how many completed tasks on a job's run times are taken from them, and SeenSpread how far its tasks
+	// lie from each other then, as the standard deviation of the logarithm.
+	SeenRuns   = 3
+	SeenSpread = 0.25
 	// ErrorPause is the first pause of a job whose task failed; it doubles.
 	ErrorPause = 2 * time.Second
 	// ErrorPauseMax bounds it.
