--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -107,14 +107,15 @@
 
 // Run is how long a completed task ran, and where.
 type Run struct {
-	Machine string
-	Seconds float64
+	Machine, Type string
+	Seconds       float64
 }
 
-// Ran notes a completed task, and gives how long the last others took elsewhere.
+// Ran notes a completed task, and gives how long the last others took on other machines of the type: another type
+// may be slower as it is.
 func (j *Job) Ran(r Run) (elsewhere []float64) {
 	for _, o := range j.Runs {
-		if o.Machine != r.Machine {
+		if o.Machine != r.Machine && o.Type == r.Type {
 			elsewhere = append(elsewhere, o.Seconds)
 		}
 	}
--- a/internal/leader/failures.go
+++ b/internal/leader/failures.go
@@ -73,7 +73,7 @@
 	// It may have ended at any time since: after a cut or without a leader ends are seen late, of many tasks
 	// of a machine together.
 	least := heard.Sub(p.Running).Seconds()
-	elsewhere := p.Job.Ran(jobs.Run{Machine: m.Name, Seconds: now.Sub(p.Running).Seconds()})
+	elsewhere := p.Job.Ran(jobs.Run{Machine: m.Name, Type: m.Type, Seconds: now.Sub(p.Running).Seconds()})
 	if m.Pace.Note(least, elsewhere) && !m.Bad {
 		m.Bad = true
 		l.log.Info("machine is slow", "machine", m.Name, "spot", m.Spot)
--- a/internal/leader/slow_test.go
+++ b/internal/leader/slow_test.go
@@ -12,16 +12,24 @@
 // that are given up since the ends of their tasks were seen late, as after a cut.
 func TestASlowMachineIsGivenUp(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		ran  time.Duration
-		late time.Duration // for so long the machine was not heard when the end came
-		bad  bool
+		name  string
+		ran   time.Duration
+		late  time.Duration // for so long the machine was not heard when the end came
+		other bool          // the others ran on another type
+		bad   bool
 	}{
-		{"as elsewhere", 60 * time.Second, time.Second, false},
-		{"three times slower", 180 * time.Second, time.Second, true},
-		{"seen late", 180 * time.Second, 120 * time.Second, false},
+		{"as elsewhere", 60 * time.Second, time.Second, false, false},
+		{"three times slower", 180 * time.Second, time.Second, false, true},
+		{"seen late", 180 * time.Second, 120 * time.Second, false, false},
+		{"slower than another type", 180 * time.Second, time.Second, true, false},
 	} {
 		l, clock := leaderWith(t)
+		for _, m := range l.roster.Machines {
+			m.Type = "large"
+		}
+		if c.other {
+			l.roster.Machines["n-small"].Type = "small"
+		}
 		j := l.waits(t, wire.Job{ID: "job-000001", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 100, CPUs: 1, MemoryGB: 1})
 		ends := func(i int, machine string, ran, late time.Duration) {
 			p := l.book.Place(j, i, machine, "a", 1, clock.Now())
