Workers are sent on rather than kept for some seconds while leases have time

Cause: in the second between a restart and the next leader, members kept all searching workers, which then waited for a whole interval of 10 s: 2,700 ended tasks were seen 10 s after the leader was there, their machines idle till then. Change: no worker is kept in the first seconds of a search, a quarter of what a lease leaves beyond the longest pause and 15 s (3.6 s with leases of 42 s, none with 10 or 18); it looks on and finds the leader.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	c.users = users.New(c.env, c.peers, c.leader)
-	c.reports = workers.New(s.Member, clock, c.elector, c.peers, c.keeper, c.zone, c.leader)
+	c.reports = workers.New(s.Member, s.Cluster.Workers, clock, c.elector, c.peers, c.keeper, c.zone, c.leader)
 	c.setCloudShare(false)
 	return c, nil
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -271,6 +271,12 @@
 	KeepExtra = 10 * time.Second
 	// KeepWait is how long a report may wait for that record: a worker waits 4 s, and the mesh was tried first.
 	KeepWait = 2 * time.Second
+	// ReportLate times the workers' interval is the longest pause between their reports. KeepSearch is how long they
+	// may have searched for a node, or nobody was there, before they came; KeepPatience is the share of what a lease leaves
+	// beyond both for which they are sent on rather than kept.
+	ReportLate   = 1.25
+	KeepSearch   = 15 * time.Second
+	KeepPatience = 0.25
 	// KeepProbe is after how long a worker kept without commands is sent to
 	// the leader once more; if it does not find it, it loses about 5 s of its lease.
 	KeepProbe = 20 * time.Second
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -13,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"poppypass/internal/config"
 	"poppypass/internal/httpjson"
 	"poppypass/internal/leader"
 	"poppypass/internal/leadership"
@@ -44,12 +45,13 @@
 	zone      ZoneKeeper
 	leader    func() *leader.Loop
 	redirects redirects
+	wanted    wanted
 }
 
 // New makes the door of a member. current gives the leader's loop while this
 // member has the right to act, nil otherwise.
-func New(member string, clock clockwork.Clock, e *leadership.Elector, p *peers.Peers, k Keeper, z ZoneKeeper, current func() *leader.Loop) *Door {
-	return &Door{member: member, clock: clock, elector: e, peers: p, keeper: k, zone: z, leader: current, redirects: newRedirects()}
+func New(member string, w config.Workers, clock clockwork.Clock, e *leadership.Elector, p *peers.Peers, k Keeper, z ZoneKeeper, current func() *leader.Loop) *Door {
+	return &Door{member: member, clock: clock, elector: e, peers: p, keeper: k, zone: z, leader: current, redirects: newRedirects(), wanted: wanted{patience: patience(w)}}
 }
 
 // ServeReport takes a worker's report. A leader within its right answers it.
@@ -149,7 +151,7 @@
 // worker's own token: it claims no right that the worker does not know. A
 // worker without tasks has nothing to lose.
 func (d *Door) keep(ctx context.Context, rep *wire.Report) (a wire.ReportAnswer, ok bool) {
-	if rep.Token == 0 || len(rep.Tasks) == 0 {
+	if rep.Token == 0 || len(rep.Tasks) == 0 || d.wanted.soon(d.clock.Now()) {
 		return a, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.KeepWait)
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -62,7 +62,7 @@
 		return peers.New(s, clock, slog.New(slog.DiscardHandler))
 	}
 	p := those(4)
-	d := New("m1", clock, nil, p, always{}, always{}, func() *leader.Loop { return nil })
+	d := New("m1", config.Workers{}, clock, nil, p, always{}, always{}, func() *leader.Loop { return nil })
 	rep := &wire.Report{Machine: "n-1", Token: 3, Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}}}
 	for range tuning.ReachMissed {
 		if p.Cut("m0") {
