Read again: a job's usual run time is worked out when a task ends, one codec for hints

Cause: the median of a job's runs was sorted anew for each waiting item, twice a pass, and in each comparison of a sort; a new leader made two codecs for the hint of images, of some MB each. Change: the median is kept when a run is noted; the loop goes on with the codec of the reading; a check that another implies is gone. The same behaviour, the same assertions.

--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -5,6 +5,7 @@
 package jobs
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -91,7 +92,8 @@
 	Errors     int
 	Tries      int                  // in vain, since a task of it last worked
 	Avoid      map[string]time.Time // machines on which a task of it failed, until when
-	Runs       []Run                // of its last completed tasks
+	runs       []Run                // of its last completed tasks
+	usualS     float64              // the median of theirs, from SeenRuns on
 
 	version      uint64 // of the stored job
 	atMS         int64
@@ -114,13 +116,17 @@
 // Ran notes a completed task, and gives how long the last others took on other machines of the type: another type
 // may be slower as it is.
 func (j *Job) Ran(r Run) (elsewhere []float64) {
-	for _, o := range j.Runs {
+	for _, o := range j.runs {
 		if o.Machine != r.Machine && o.Type == r.Type {
 			elsewhere = append(elsewhere, o.Seconds)
 		}
 	}
-	if j.Runs = append(j.Runs, r); len(j.Runs) > tuning.SlowRuns {
-		j.Runs = j.Runs[1:]
+	if j.runs = append(j.runs, r); len(j.runs) > tuning.SlowRuns {
+		j.runs = j.runs[1:]
+	}
+	if len(j.runs) >= tuning.SeenRuns {
+		sorted := slices.SortedFunc(slices.Values(j.runs), func(a, b Run) int { return cmp.Compare(a.Seconds, b.Seconds) })
+		j.usualS = sorted[len(sorted)/2].Seconds
 	}
 	return elsewhere
 }
@@ -128,15 +134,10 @@
 // RunS is for how long a task of the job is expected to run, in seconds: as long as those that completed, whose run
 // times differ little within a job (seen is true then), or else as its owner says.
 func (j *Job) RunS() (s float64, seen bool) {
-	if len(j.Runs) < tuning.SeenRuns {
+	if len(j.runs) < tuning.SeenRuns {
 		return j.EstimateS, false
 	}
-	runs := make([]float64, len(j.Runs))
-	for i, r := range j.Runs {
-		runs[i] = r.Seconds
-	}
-	slices.Sort(runs)
-	return runs[len(runs)/2], true
+	return j.usualS, true
 }
 
 // Waiting is how many tasks wait to be placed.
--- a/internal/leader/held_test.go
+++ b/internal/leader/held_test.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"fmt"
 	"testing"
 
 	"poppypass/internal/jobs"
@@ -41,7 +40,7 @@
 			t.Errorf("a worker holds %d ends: written %v", held, got)
 		}
 		if w != nil && len(w.Txn.Then) != (held+tuning.ChunkTasks-1)/tuning.ChunkTasks {
-			t.Error(fmt.Sprint("written are ", len(w.Txn.Then), " records"))
+			t.Errorf("written are %d records", len(w.Txn.Then))
 		}
 	}
 }
--- a/internal/leader/images.go
+++ b/internal/leader/images.go
@@ -49,7 +49,7 @@
 	}
 	told := images.ByMachine()
 	l.post(func() {
-		l.images.told = told
+		l.images.told, l.images.codec = told, codec // it takes some MB: the loop goes on with it
 		for _, m := range l.roster.Machines {
 			l.recall(m)
 		}
--- a/internal/workers/wanted.go
+++ b/internal/workers/wanted.go
@@ -30,7 +30,7 @@
 func (w *wanted) soon(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.last.IsZero() || now.Sub(w.last) > tuning.KeepSearch {
+	if now.Sub(w.last) > tuning.KeepSearch {
 		w.first = now
 	}
 	w.last = now
