--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -88,14 +88,14 @@
 		Settings: s, Knobs: own.Knobs(), Clock: clock, Log: log, Store: c.store, Cloud: c.cloud,
 		Workers: httpjson.NewClient(2, 1, int(float64(fds)*tuning.IdleShare), tuning.CommandTimeout),
 		Sending: make(chan struct{}, max(tuning.SendLeast, int(float64(fds)*tuning.SendShare))), Teams: teams, Finals: jobs.NewFinals(max(tuning.FinalCache, int(s.Cluster.Limits.RAMMB*tuning.FinalsOfMB))),
-		Valid: c.elector.Valid, Kept: c.kept, Types: c.catalog.Types,
+		Valid: c.elector.Valid, Kept: c.kept, Reach: c.peers.Reach, Types: c.catalog.Types,
 		Full: memory.New(s.Cluster.Limits.RAMMB, clock).Full,
 	}
 	if err := c.join(); err != nil {
 		return nil, err
 	}
-	c.users = users.New(c.env, c.peers, c.leader)
-	c.reports = workers.New(s.Member, s.Cluster.Workers, clock, c.elector, c.peers, c.keeper, c.zone, c.leader)
+	c.users = users.New(c.env, c.peers, c.leader, func() bool { return c.zone.Alone() && c.peers.Lonely() })
+	c.reports = workers.New(s.Member, s.Cluster.Workers, clock, c.elector, c.peers, c.keeper, c.zone, c.leader, c.show)
 	c.setCloudShare(false)
 	return c, nil
 }
@@ -247,7 +247,9 @@
 		c.setCloudShare(false)
 	}()
 	go c.catalog.Save(ctx)
-	l.Run()
+	if errors.Is(l.Run(), leader.ErrUnheard) {
+		c.elector.StandAside(tuning.StandAside)
+	}
 }
 
 // kept asks a member, this one or another, which machines it may have answered.
--- a/internal/controller/serve_peers.go
+++ b/internal/controller/serve_peers.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/http"
 
+	"poppypass/internal/httpjson"
 	"poppypass/internal/leadership"
 	"poppypass/internal/mesh"
 	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
 )
 
 // servePeer answers another member.
@@ -30,6 +32,8 @@
 		return yesOrNo(c.elector.NotLeading())
 	case mesh.Kept:
 		return c.serveKept(req.Names)
+	case mesh.Reach:
+		return yesOrNo(c.reaches(ctx, req.Names))
 	case mesh.Report:
 		return c.reports.AnswerPeer(ctx, req.Payload)
 	case mesh.Show:
@@ -42,6 +46,29 @@
 	return c.users.AnswerPeer(ctx, req)
 }
 
+// show asks a worker for its report.
+func (c *Controller) show(ctx context.Context, addr string) (rep wire.Report, ok bool) {
+	status, err := httpjson.Call(ctx, c.env.Workers, http.MethodGet, "http://"+addr+wire.PathShow, nil, httpjson.On(&rep))
+	return rep, err == nil && status == http.StatusOK && rep.Check() == nil
+}
+
+// reaches tells whether one of some workers, by their addresses, answers this member.
+func (c *Controller) reaches(ctx context.Context, addrs []string) bool {
+	answers := make(chan bool, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			_, ok := c.show(ctx, addr)
+			answers <- ok
+		}()
+	}
+	for range addrs {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 // servePromise answers a leader that asks for our promise.
 func (c *Controller) servePromise(ctx context.Context, term uint64) mesh.Response {
 	switch c.elector.Promise(ctx, term) {
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -54,6 +54,7 @@
 	State     wire.TaskState // as reported; empty: not yet
 	At        time.Time      // when it was placed (or found, by a new leader)
 	Running   time.Time      // when it was first reported running
+	Offered   time.Time      // when an answer to a report last held its start
 
 	// What its charge counts from; kept only while charges are (Book.Meter).
 	Kind        charge.Kind
--- a/internal/leader/env.go
+++ b/internal/leader/env.go
@@ -45,6 +45,9 @@
 	// Kept asks a member, this one or another, which of some machines it may have answered by
 	// its zone's right within a lease; sure is false when it cannot tell, or gives no answer.
 	Kept func(ctx context.Context, member string, names []string) (kept []string, sure bool)
+	// Reach asks the other members whether one of them gets an answer from one of some workers, by their addresses; nil:
+	// there are no others.
+	Reach func(ctx context.Context, addrs []string) bool
 	// Full tells that this process has no memory for more jobs; nil: it always has.
 	Full func() bool
 	// Types gives the machine types; nil while none are known.
@@ -60,6 +63,8 @@
 	Ended(class, how string)
 	Wrote(changes int)
 	Holds(jobs, machines int, waiting map[string]int)
+	Aside(why string) // a report was set aside
+	Ways(deaf, unproven int)
 }
 
 // observe calls fn if somebody observes.
--- a/internal/leader/expire.go
+++ b/internal/leader/expire.go
@@ -84,9 +84,9 @@
 	return kept
 }
 
-// silent tells whether a machine, nil if it is not known, has not reported for a while.
+// silent tells whether a machine, nil if it is not known, has neither reported nor answered us for a while.
 func (l *Loop) silent(m *roster.Machine, now time.Time) bool {
-	return m == nil || now.Sub(m.Heard) > l.silence()
+	return m == nil || now.Sub(m.Seen()) > l.silence()
 }
 
 // doubtful tells whether a machine that still counts as heard did not answer a command since:
@@ -114,7 +114,7 @@
 		}
 		c.all++
 		// One that a new leader has not heard yet may only be on its way to it.
-		if l.silent(m, now) && now.Sub(l.begun) > l.silence() {
+		if _, deaf := m.Reach.Deaf(); deaf || l.silent(m, now) && now.Sub(l.begun) > l.silence() {
 			c.silent++
 		}
 	}
--- a/internal/leader/expire_test.go
+++ b/internal/leader/expire_test.go
@@ -219,7 +219,7 @@
 		t.Errorf("open after a command without an answer: %s", got)
 	}
 	pass(time.Second)
-	if _, err := l.take(&wire.Report{Machine: "n-0", Type: "small", Zone: "a", Session: 1, Seq: 2, Token: 1}, false); err != nil {
+	if _, err := l.take(&wire.Report{Machine: "n-0", Address: "127.0.0.1:1", Type: "small", Zone: "a", Session: 1, Seq: 2, Token: 1}, false); err != nil {
 		t.Fatal(err)
 	}
 	if got := open(); got != "[n-0 n-1]" {
--- a/internal/leader/fleet.go
+++ b/internal/leader/fleet.go
@@ -283,12 +283,13 @@
 	delete(l.fleet.asked, name)
 	for _, m := range names {
 		if !l.roster.Was(m) {
-			l.roster.Know(m, w.Type, w.Zone, w.Spot, now, now)
+			l.roster.Know(m, w.Type, w.Zone, w.Spot, now, now).Ours = true
 		}
 	}
 	if len(names) < w.Count {
 		l.fleet.refused[w.Option] = now.Add(tuning.RefusedFor)
 	}
+	l.changed = true   // one may have reported already
 	l.fleet.next = now // for what is still wanted, of another kind if this one was refused
 	l.log.Info("rented", "type", w.Type, "zone", w.Zone, "spot", w.Spot, "asked", w.Count, "got", len(names))
 }
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -41,6 +41,7 @@
 	overdue *rate.Limiter // changes that nobody waits for, once they have waited long
 	asking  bool          // the machines that followers answer are being read
 	nextAsk time.Time
+	ways    ways
 
 	slices     []Slice
 	turn       int            // counts whose turn it is to write
@@ -58,6 +59,8 @@
 	// errChanged tells that a record is not as we know it.
 	errChanged    = errors.New("records were changed by another")
 	errTenureOver = errors.New("the tenure is over")
+	// ErrUnheard tells that this member's answers and commands reach no worker, though another member does.
+	ErrUnheard = errors.New("no worker hears this member, others they do")
 	// errDeposed tells that the leader key is another's, as after standing still.
 	errDeposed = errors.New("the leader key is another's")
 )
@@ -70,7 +73,7 @@
 		env: env, tenure: t, log: env.Log.With("term", t.Term), inbox: make(chan func(), tuning.Inbox),
 		book: jobs.NewBook(state.TxnOps), roster: roster.New(t.Term, env.Settings.Cluster.Workers.LeaseS),
 		store: env.Store.Share(tuning.LeaderShare), overdue: rate.NewLimiter(rate.Limit(tuning.LazyShare*state.WriteRPS), tuning.LazyLeast),
-		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(), broken: map[Slice]bool{}, leaving: map[string]bool{}, images: imageHints{next: now.Add(tuning.ImagesEvery)},
+		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(), ways: newWays(), broken: map[Slice]bool{}, leaving: map[string]bool{}, images: imageHints{next: now.Add(tuning.ImagesEvery)},
 	}
 	for _, join := range env.Joins {
 		s, err := join(l.log)
@@ -90,17 +93,22 @@
 func (l *Loop) Start(ctx context.Context) { l.ended, l.end = context.WithCancelCause(ctx) }
 
 // Run runs the loop until the tenure is lost. It ends by itself when records
-// cannot be trusted any more; the next leader then begins from what is stored.
-func (l *Loop) Run() {
+// cannot be trusted any more; the next leader then begins from what is stored. The error says why; nil: the tenure is over.
+func (l *Loop) Run() error {
 	defer l.end(errTenureOver)
 	go l.load(l.ended)
 	l.run(l.ended)
 	switch cause := context.Cause(l.ended); {
 	case errors.Is(cause, errDeposed):
 		l.log.Info("another leads", "err", cause)
+	case errors.Is(cause, ErrUnheard):
+		l.log.Info("handing over: workers hear others, not this member")
+		return cause
 	case cause != nil && !errors.Is(cause, context.Canceled):
 		l.log.Error("leadership given up", "err", cause)
+		return cause
 	}
+	return nil
 }
 
 func (l *Loop) run(ctx context.Context) {
@@ -174,6 +182,7 @@
 		return
 	}
 	l.expire(now)
+	l.stepWays(now)
 	l.stepLeaving(now)
 	if l.env.Valid(l.tenure.Term) {
 		if l.changed && !now.Before(l.rested) || !now.Before(l.nextPass) {
@@ -247,7 +256,7 @@
 		l.book.Cancel(j, func(s wire.JobState) { answer(result{state: s, known: true}) })
 		places := j.StopAll(charge.Cancelled)
 		l.direct(places)
-		if now := l.env.Clock.Now(); slices.ContainsFunc(places, func(p *jobs.Place) bool { return l.silent(l.roster.Machines[p.Machine], now) }) {
+		if now := l.env.Clock.Now(); slices.ContainsFunc(places, func(p *jobs.Place) bool { return l.outOfReach(l.roster.Machines[p.Machine], now) }) {
 			answer(result{known: true, err: errOutOfReach})
 		}
 	})
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -202,7 +202,7 @@
 			continue
 		}
 		if !m.Alive() || m.Returning || m.Draining || m.Bad || m.HasStrays() || !m.Notice.IsZero() ||
-			l.silent(m, now) || doubtful(m) || now.Before(m.NoRoom) {
+			l.silent(m, now) || doubtful(m) || !m.Usable(l.tenure.Term, now) || now.Before(m.NoRoom) {
 			continue
 		}
 		v := viewOf(m, t)
@@ -239,7 +239,7 @@
 	return placement.Machine{
 		Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Price: t.Price,
 		Total: placement.Room{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}, Free: freeOn(m, t),
-		FetchS: fetchTime(m, t),
+		FetchS: fetchTime(m, t), Unproven: !m.Reach.Proven(),
 	}
 }
 
--- a/internal/leader/returns.go
+++ b/internal/leader/returns.go
@@ -67,6 +67,7 @@
 			continue
 		}
 		var why string
+		since, deaf := m.Reach.Deaf()
 		switch {
 		case m.Heard.IsZero() && m.Up:
 			if now.Sub(m.Added) > keeper.Stretched(l.workerLease())+release {
@@ -80,6 +81,10 @@
 			if now.Sub(m.LeaseEnd) > release {
 				why = "silent"
 			}
+		case deaf:
+			if now.Sub(since) > release {
+				why = "deaf"
+			}
 		case m.HasStrays():
 		case m.Bad:
 			why = "faulty"
@@ -111,7 +116,7 @@
 func (l *Loop) silentRelease() time.Duration {
 	silent := 0
 	for _, m := range l.roster.Machines {
-		if !m.Alive() && (m.Up || m.Session > 0) {
+		if _, deaf := m.Reach.Deaf(); deaf || !m.Alive() && (m.Up || m.Session > 0) {
 			silent++
 		}
 	}
@@ -215,7 +220,8 @@
 			}
 		}
 		if m := l.roster.Machines[lm.Name]; m != nil {
-			m.Up = lm.State == wire.MachineRunning
+			l.changed = l.changed || !m.Known // it may be used from now on
+			m.Up, m.Known, m.Listed = lm.State == wire.MachineRunning, true, lm.Address
 		}
 	}
 	if len(failed) > 0 {
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -59,6 +59,7 @@
 	if err == nil && (status == http.StatusOK || status == http.StatusConflict) && rep.Check() == nil && rep.Machine == name {
 		l.post(func() {
 			l.roster.Sent(name, req)
+			l.ways.heard(l.env.Clock.Now())
 			if _, err := l.take(&rep, true); err != nil {
 				l.log.Debug("answer to commands not used", "machine", name, "err", err)
 			}
@@ -69,7 +70,9 @@
 	l.post(func() {
 		if m := l.roster.Machines[name]; m != nil && m.Unanswered.Before(begun) {
 			m.Unanswered = begun
+			m.Reach.Failed(begun, l.env.Clock.Now())
 		}
+		l.ways.unheard(name)
 	})
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -109,6 +112,7 @@
 	}
 	a, err := l.roster.Report(rep, direct, now, l.mayForget)
 	if err != nil {
+		l.setAside(rep, err)
 		return nil, err
 	}
 	if len(a.Held) > tuning.HeldExits {
--- /dev/null
+++ b/internal/leader/ways.go
@@ -0,0 +1,237 @@
+package leader
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"poppypass/internal/httpjson"
+	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Reports that arrive prove only that a machine speaks. The leader asks those machines of which it doubts that they hear
+// it: whose reports show no effect of its answers, who sent a report that looks older than one before (a copy that
+// the network kept, or a machine that was started anew), who were found deaf, and whose reports go to somebody else: a
+// controller that is cut off from all but its workers keeps these with answers that bear no command. The question holds
+// our token, which the worker keeps, so the member that answers it can see that a leader reaches it, and sends it on.
+
+// ways is what the loop keeps of that.
+type ways struct {
+	next    time.Time
+	limit   *rate.Limiter // questions
+	onWay   int
+	unmet   map[string]bool // machines that left a command unanswered since any was answered
+	met     time.Time       // when any was answered last; zero: none yet
+	probing bool            // the other members are being asked
+	again   time.Time       // they are not asked before
+}
+
+func newWays() ways {
+	return ways{limit: rate.NewLimiter(tuning.AskRateLeast, tuning.AskLeast), unmet: map[string]bool{}}
+}
+
+func (w *ways) heard(now time.Time) {
+	w.met = now
+	clear(w.unmet)
+}
+
+func (w *ways) unheard(machine string) { w.unmet[machine] = true }
+
+// setAside counts a report that changes nothing.
+func (l *Loop) setAside(rep *wire.Report, err error) {
+	why := "older"
+	switch {
+	case errors.Is(err, roster.ErrReturned):
+		why = "returned"
+	case errors.Is(err, roster.ErrContradicts):
+		why = "contradicts"
+	}
+	l.env.observe(func(o Observer) { o.Aside(why) })
+	l.log.Debug("report set aside", "machine", rep.Machine, "why", why, "session", rep.Session, "seq", rep.Seq)
+}
+
+// outOfReach tells whether no command is likely to get to a machine now.
+func (l *Loop) outOfReach(m *roster.Machine, now time.Time) bool {
+	if l.silent(m, now) {
+		return true
+	}
+	_, deaf := m.Reach.Deaf()
+	return deaf
+}
+
+// askAfter is how long a machine may not have reported before it is asked: the longest pause between reports, and one try of
+// another controller.
+func (l *Loop) askAfter() time.Duration {
+	return seconds(tuning.ReportLate*l.env.Settings.Cluster.Workers.ReportS) + tuning.WorkerTry
+}
+
+// doubts tells whether there is reason to ask a machine, the more pressing the lower.
+func (l *Loop) doubts(m *roster.Machine, now time.Time) (rank int, ok bool) {
+	_, deaf := m.Reach.Deaf()
+	heard := m.Heard
+	if heard.Before(l.begun) {
+		heard = l.begun
+	}
+	switch {
+	case m.Reach.Doubted() && !deaf:
+		return 0, true
+	case m.Doubt:
+		return 1, true
+	case m.Session > m.Dead && len(m.Places) > 0 && now.Sub(heard) > l.askAfter():
+		return 2, true
+	case deaf, m.Token > l.tenure.Term:
+		return 3, true
+	}
+	return 0, false
+}
+
+// stepWays asks the machines of which there is doubt, a few at a time.
+func (l *Loop) stepWays(now time.Time) {
+	if now.Before(l.ways.next) || !l.env.Valid(l.tenure.Term) {
+		return
+	}
+	l.ways.next = now.Add(tuning.SliceTick)
+	most := max(tuning.AskLeast, int(tuning.AskShare*float64(cap(l.env.Sending))))
+	perS := max(tuning.AskRateLeast, tuning.AskRate*float64(len(l.roster.Machines))/max(1, l.env.Settings.Cluster.Workers.ReportS))
+	l.ways.limit.SetLimitAt(now, rate.Limit(perS))
+	l.ways.limit.SetBurstAt(now, max(tuning.AskLeast, int(perS*tuning.SliceTick.Seconds())+1))
+	type doubt struct {
+		m    *roster.Machine
+		rank int
+	}
+	var doubts []doubt
+	deaf, unproven := 0, 0
+	for _, m := range l.roster.Machines {
+		if _, is := m.Reach.Deaf(); is {
+			deaf++
+		}
+		if m.Alive() && !m.Reach.Proven() {
+			unproven++
+		}
+		if rank, ok := l.doubts(m, now); ok && m.Reach.Due(now) {
+			doubts = append(doubts, doubt{m, rank})
+		}
+	}
+	l.env.observe(func(o Observer) { o.Ways(deaf, unproven) })
+	slices.SortFunc(doubts, func(a, b doubt) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.m.Name, b.m.Name)) })
+	for _, d := range doubts {
+		if l.ways.onWay >= most || !l.ways.limit.AllowN(now, 1) {
+			break
+		}
+		l.question(d.m, now)
+	}
+	l.stepAside(now)
+}
+
+// question asks a machine for its report.
+func (l *Loop) question(m *roster.Machine, now time.Time) {
+	addr, req, mark, ok := l.roster.Question(m, now)
+	if !ok {
+		return
+	}
+	m.Reach.Ask(now)
+	l.ways.onWay++
+	name := m.Name
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ended, tuning.CommandTimeout)
+		defer cancel()
+		var rep wire.Report
+		status, err := httpjson.Call(ctx, l.env.Workers, http.MethodPost, "http://"+addr+wire.PathCommands, req, func(status int) any {
+			if status == http.StatusOK || status == http.StatusConflict {
+				return &rep
+			}
+			return nil
+		})
+		answered := err == nil && (status == http.StatusOK || status == http.StatusConflict) && rep.Check() == nil && rep.Machine == name
+		l.post(func() { l.asked(name, mark, &rep, answered) })
+	}()
+}
+
+// asked takes in how a question to a machine ended.
+func (l *Loop) asked(name string, mark roster.Mark, rep *wire.Report, answered bool) {
+	l.ways.onWay--
+	m, now := l.roster.Machines[name], l.env.Clock.Now()
+	if m == nil {
+		return
+	}
+	m.Reach.Asked()
+	if !answered {
+		_, was := m.Reach.Deaf()
+		m.Reach.Failed(mark.Sent, now)
+		l.ways.unheard(name)
+		if _, is := m.Reach.Deaf(); is && !was {
+			l.log.Info("machine reports, but does not hear us", "machine", name, "zone", m.Zone, "tasks", len(m.Places))
+		}
+		return
+	}
+	l.ways.heard(now)
+	switch l.roster.Reborn(m, mark, rep) {
+	case roster.AskLater:
+		m.Doubt = true
+		return
+	case roster.AskAgain:
+		l.question(m, now)
+		return
+	case roster.GiveUp:
+		if !m.Returning {
+			m.Returning = true
+			l.log.Info("returning machine", "machine", name, "why", "started anew with a start on its way")
+			l.deleteMachines([]string{name})
+		}
+		return
+	case roster.Anew:
+		l.log.Info("machine was started anew", "machine", name, "session", rep.Session, "tasks", len(m.Places))
+		l.settle(l.roster.Begin(m, rep, now), now)
+		l.changed = true
+		return
+	}
+	m.Doubt = false
+	if _, err := l.take(rep, true); err != nil {
+		l.log.Debug("answer to a question not used", "machine", name, "err", err)
+	}
+}
+
+// stepAside leaves the leadership to another member if no worker answers this one, though their reports come, and
+// another member reaches them: then it is this one's own way that is cut.
+func (l *Loop) stepAside(now time.Time) {
+	w := &l.ways
+	met := w.met
+	if met.Before(l.begun) {
+		met = l.begun
+	}
+	if l.env.Reach == nil || w.probing || now.Before(w.again) || len(w.unmet) < tuning.UnheardMachines || now.Sub(met) < tuning.UnheardFor {
+		return
+	}
+	var addrs []string
+	for name := range w.unmet {
+		m := l.roster.Machines[name]
+		if m == nil {
+			delete(w.unmet, name)
+			continue
+		}
+		// One that is dead reports to nobody, and is no reason.
+		if m.Address != "" && now.Sub(m.Heard) <= l.silence() && len(addrs) < tuning.UnheardMachines {
+			addrs = append(addrs, m.Address)
+		}
+	}
+	if len(addrs) < tuning.UnheardMachines {
+		return
+	}
+	w.probing, w.again = true, now.Add(tuning.UnheardFor)
+	go func() {
+		reached := l.env.Reach(l.ended, addrs)
+		l.post(func() {
+			w.probing = false
+			if reached && len(w.unmet) >= tuning.UnheardMachines {
+				l.end(ErrUnheard)
+			}
+		})
+	}()
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -80,6 +80,8 @@
 	failures    int       // renewals in a row without success
 	servedAt    int       // how many there were when another member was first seen to be served
 	fence       fence     // that our own tenure has set
+	aside       time.Time // until then the leadership is left to others, unless none takes it
+	vacant      time.Time // since when the leader key was found vacant; zero: it was held
 }
 
 // New makes an elector for a member.
@@ -122,12 +124,26 @@
 func (e *Elector) setLeader(name string, term uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	switch {
+	case name != "":
+		e.vacant = time.Time{}
+	case e.vacant.IsZero():
+		e.vacant = e.clock.Now()
+	}
 	if name == "" {
 		e.overTerm = max(e.overTerm, e.leaderTerm)
 	}
 	e.leader, e.leaderTerm = name, term
 }
 
+// StandAside leaves the leadership to others for a while: this member cannot do its work, though its lease holds. It
+// campaigns all the same once the leader key was vacant for long enough that no other takes it.
+func (e *Elector) StandAside(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.aside = e.clock.Now().Add(d)
+}
+
 // Hint takes in who leads by another member's knowledge: the state service may
 // refuse us alone, and workers that come here must find the leader all the
 // same. No right to act hangs on it.
@@ -202,7 +218,8 @@
 	if free && e.quietUntil.Equal(e.born) {
 		e.quietUntil = time.Time{}
 	}
-	if e.clock.Now().Before(e.quietUntil) {
+	now = e.clock.Now()
+	if now.Before(e.quietUntil) || now.Before(e.aside) && now.Sub(e.vacant) < tuning.AsideVacant {
 		return false
 	}
 	e.campaigning = true
@@ -235,6 +252,10 @@
 			continue
 		}
 		if held {
+			if h.Member == e.member {
+				e.endFormer(ctx, h)
+				continue
+			}
 			e.setLeader(h.Member, h.Term)
 			e.readAsLeading(h.Term, sent)
 			e.waitForChange(ctx, revision)
@@ -344,6 +365,17 @@
 	return Tenure{Term: term, Guard: wire.Condition{Key: keyHolder, Version: revision}}, true
 }
 
+// endFormer ends a tenure that the leader key gives to this member, which does not lead: that of an earlier process of it,
+// which is gone, since its addresses are ours; or of a campaign that had no answer, on which nobody acts. Both
+// otherwise keep the key until the lease runs out, 4 s more without a leader for a process that is back at once.
+func (e *Elector) endFormer(ctx context.Context, h holder) {
+	e.log.Info("ending the tenure of an earlier process", "term", h.Term)
+	if err := e.store.Revoke(ctx, h.Lease); err != nil {
+		e.log.Debug("its lease is not ended", "err", err)
+	}
+	e.pause(ctx, tuning.RetryCampaign)
+}
+
 func (e *Elector) giveBack(ctx context.Context, lease uint64) {
 	if err := e.store.Revoke(ctx, lease); err != nil {
 		e.log.Debug("lease not given back", "err", err)
--- a/internal/mesh/fb/Verb.go
+++ b/internal/mesh/fb/Verb.go
@@ -19,6 +19,7 @@
 	VerbShow       Verb = 9
 	VerbKept       Verb = 10
 	VerbDo         Verb = 11
+	VerbReach      Verb = 12
 )
 
 var EnumNamesVerb = map[Verb]string{
@@ -34,6 +35,7 @@
 	VerbShow:       "Show",
 	VerbKept:       "Kept",
 	VerbDo:         "Do",
+	VerbReach:      "Reach",
 }
 
 var EnumValuesVerb = map[string]Verb{
@@ -49,6 +51,7 @@
 	"Show":       VerbShow,
 	"Kept":       VerbKept,
 	"Do":         VerbDo,
+	"Reach":      VerbReach,
 }
 
 func (v Verb) String() string {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -44,6 +44,7 @@
 	Show       = Verb(fb.VerbShow)       // what a subsystem of the leader knows, by a path
 	Kept       = Verb(fb.VerbKept)       // which of some machines a member may have kept by its zone's right
 	Do         = Verb(fb.VerbDo)         // a command to a subsystem of the leader
+	Reach      = Verb(fb.VerbReach)      // whether one of some workers, by their addresses, answers a member
 	Ping       = Verb(fb.VerbPing)       // whether a member can be reached, and who leads by its knowledge
 )
 
@@ -53,7 +54,7 @@
 	Job     string
 	Payload []byte   // what a worker or user sent, relayed as it came
 	Number  uint64   // the term that a promise or voucher is about, or the lease to end
-	Names   []string // the machines that are asked about
+	Names   []string // the machines that are asked about, or workers' addresses
 }
 
 // Response is its answer; Status is an HTTP status.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -34,6 +34,9 @@
 	written  prometheus.Counter
 	machines prometheus.Gauge
 	jobs     prometheus.Gauge
+	aside    *prometheus.CounterVec
+	deaf     prometheus.Gauge
+	unproven prometheus.Gauge
 
 	charges     *prometheus.CounterVec
 	coreSeconds *prometheus.CounterVec
@@ -61,13 +64,16 @@
 		written:     prometheus.NewCounter(prometheus.CounterOpts{Name: "poppypass_state_changes_total", Help: "Changes that the leader wrote to the state service."}),
 		machines:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines", Help: "Machines that the leader knows."}),
 		jobs:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_jobs", Help: "Jobs that are not over."}),
+		aside:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_reports_set_aside_total", Help: "Workers' reports that changed nothing: older than one before, of a returned machine, or contradicting what is known of it."}, []string{"why"}),
+		deaf:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines_deaf", Help: "Machines that report but do not hear the leader."}),
+		unproven:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines_unproven", Help: "Machines that report and have not yet proved to hear this leader."}),
 		charges:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charges_total", Help: "Charges that this controller made."}, []string{"team", "how"}),
 		coreSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charged_core_seconds_total", Help: "Core time that this controller charged."}, []string{"team"}),
 		money:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charged_money_total", Help: "Money that this controller charged, in the currency of the cloud's prices."}, []string{"team"}),
 	}
 	limit := prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_state_changes_limit", Help: "Changes a second that the state service allows."})
 	limit.Set(writeRPS)
-	m.registry.MustRegister(m.leading, m.takeOver, m.pass, m.report, m.queue, m.started, m.ended, m.written, m.machines, m.jobs, limit, m.charges, m.coreSeconds, m.money,
+	m.registry.MustRegister(m.leading, m.takeOver, m.pass, m.report, m.queue, m.started, m.ended, m.written, m.machines, m.jobs, m.aside, m.deaf, m.unproven, limit, m.charges, m.coreSeconds, m.money,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -82,6 +88,7 @@
 	m.queue.Reset()
 	m.machines.Set(0)
 	m.jobs.Set(0)
+	m.Ways(0, 0)
 }
 
 // TookOver takes in how long it took to load the records.
@@ -112,6 +119,15 @@
 	}
 }
 
+// Aside takes in that a report was set aside.
+func (m *Metrics) Aside(why string) { m.aside.WithLabelValues(why).Inc() }
+
+// Ways takes in how many machines report but do not hear the leader, and how many have not proved yet that they do.
+func (m *Metrics) Ways(deaf, unproven int) {
+	m.deaf.Set(float64(deaf))
+	m.unproven.Set(float64(unproven))
+}
+
 // Charged takes in a charge of the ledger.
 func (m *Metrics) Charged(team, how string, sum charge.Amounts) {
 	m.charges.WithLabelValues(team, how).Inc()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,6 +35,9 @@
 	elector  *leadership.Elector
 	reach    reach
 	full     atomic.Bool // the leader has no memory for more jobs
+
+	mu    sync.Mutex
+	heard time.Time // when any other member answered a ping last, or this one began
 }
 
 // New makes the peers that the settings name. Follow must be called before
@@ -178,6 +181,13 @@
 	return kept, true
 }
 
+// Reach asks the other members whether one of them gets an answer from one of some workers, by their addresses.
+func (p *Peers) Reach(ctx context.Context, addrs []string) bool {
+	ctx, cancel := context.WithTimeout(ctx, tuning.CommandTimeout)
+	defer cancel()
+	return p.anyOf(ctx, mesh.Request{Verb: mesh.Reach, Names: addrs})
+}
+
 // Yield has the other members end the lease of this one, which gave up its right.
 func (p *Peers) Yield(ctx context.Context, lease uint64) {
 	p.anyOf(ctx, mesh.Request{Verb: mesh.Yield, Number: lease})
@@ -230,9 +240,23 @@
 	return leader == r.leader && r.missed >= tuning.ReachMissed
 }
 
+func (p *Peers) hear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard = p.clock.Now()
+}
+
+// Lonely tells whether there are other members, and none of them has answered for a while.
+func (p *Peers) Lonely() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.heard.IsZero() && p.clock.Since(p.heard) > tuning.LonelyFor
+}
+
 // Run looks again and again whether the leader can be reached, and hears
 // from the others who leads.
 func (p *Peers) Run(ctx context.Context) {
+	p.hear()
 	for ctx.Err() == nil {
 		leader := p.elector.Leader()
 		if !p.Known(leader) {
@@ -244,6 +268,7 @@
 				r, err := p.client.Call(ctx, addr, mesh.Request{Verb: mesh.Ping})
 				if err == nil {
 					p.elector.Hint(r.Leader, r.Term)
+					p.hear()
 				}
 				if name == leader {
 					p.Note(leader, Unanswered(err))
--- /dev/null
+++ b/internal/placement/overdue.go
@@ -0,0 +1,72 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"poppypass/internal/tuning"
+)
+
+// The order within a priority favours little work: the longest wait for each CPU second goes first, and what had its fill
+// goes last. A job that is large in any way can so wait for ever: each machine that gets free is too small for its task and
+// taken by small ones, its team's limit is used up by them, or it is behind them in every pass. So the wait to begin is
+// bounded. A job none of whose tasks was placed within tuning.BeginBound is overdue: before anything else of its priority it
+// gets one task; if none fits, a machine, and what it needs of its team's limit, is kept from those behind it until one
+// does. With that task it has begun, and the order is the usual one again, so that the small lose one task's time to
+// each large job.
+
+// overdueIn gives the places of the overdue items among those from lo to hi, the largest first, of equals those that came
+// first. The small ones have the usual order in their favour, and the large are few: one task for each is little.
+func overdueIn(items []*Item, lo, hi int, now time.Time) []int {
+	var late []int
+	for i := lo; i < hi; i++ {
+		if items[i].overdue(now) {
+			late = append(late, i)
+		}
+	}
+	slices.SortFunc(late, func(a, b int) int {
+		return cmp.Or(cmp.Compare(items[b].size(), items[a].size()), items[a].entered().Compare(items[b].entered()), cmp.Compare(items[a].Job.ID, items[b].Job.ID))
+	})
+	return late
+}
+
+// size is what all tasks of an item's job take together, in CPUs.
+func (it *Item) size() float64 { return it.Job.CPUs * float64(it.Job.Tasks) }
+
+// overdue tells whether an item's job waits for its first task for too long.
+func (it *Item) overdue(now time.Time) bool {
+	return it.Started == 0 && !it.Ghost && !it.Trial && it.Waiting > 0 && now.Sub(it.entered()) >= tuning.BeginBound
+}
+
+// begin places one task of an overdue item, or keeps for it what it lacks.
+func (p *pass) begin(placed []Placement, it *Item) []Placement {
+	team, need := p.teams[it.Job.Team], it.Need()
+	if team == nil {
+		return placed
+	}
+	if team.leaves(it) {
+		if m := p.searchFor(it, AnySide).best(it); m != nil {
+			it.take(m, need, team)
+			return append(placed, Placement{it, m})
+		}
+	}
+	// Both at a time: one after the other took as long as both.
+	if team.keeps == "" {
+		team.keeps, team.kept = it.Job.ID, need
+	}
+	if team.keeps == it.Job.ID && p.holds < max(1, len(p.machines)/tuning.BeginHoldShare) && it.hold(p.machines, need) {
+		p.holds++
+	}
+	return placed
+}
+
+// leaves tells whether a task of an item fits the team's limit beside what is kept for the begin of another job.
+func (t *Team) leaves(it *Item) bool {
+	need := it.Need()
+	if t.keeps != "" && t.keeps != it.Job.ID {
+		need.CPUs += t.kept.CPUs
+		need.GPUs += t.kept.GPUs
+	}
+	return t.fits(need)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,6 +39,7 @@
 	Total, Free      Room
 	FetchS           func(image string, gb float64) float64 // until it would have the image; nil: no time
 	Victims          []Victim                               // tasks on it that may be stopped for others
+	Unproven         bool                                   // nothing has proved yet that it hears this leader
 	held             string                                 // the job that holds it against those behind
 }
 
@@ -108,6 +109,8 @@
 	CPUs, GPUs       float64 // used by all tasks that may be somewhere
 	CPUsMax, GPUsMax float64
 	CPUsMin, GPUsMin float64 // its guarantee
+	keeps            string  // the overdue job for whose begin a part of the limit is kept from the others
+	kept             Room    // that part
 	Fill             float64 // CPUs that one job of a team without a cap may have had before it lets others begin; 0: any
 }
 
@@ -136,7 +139,7 @@
 // filled tells whether an item of a team without a limit has had its fill.
 func filled(it *Item, teams map[string]*Team) bool {
 	t := teams[it.Job.Team]
-	return t != nil && t.Fill > 0 && float64(it.Started+1)*it.Job.CPUs > t.Fill
+	return t != nil && it.Started > 0 && t.Fill > 0 && float64(it.Started+1)*it.Job.CPUs > t.Fill
 }
 
 // had is how many quarters of what its team's limit allows at a time the item
@@ -232,7 +235,7 @@
 // soonest, to the second: one that holds its image, or fetches fast and has
 // little to fetch. Then the machine that costs least to keep: what runs on a
 // machine keeps it rented, so the dear ones empty and can be returned. For
-// patient work the start comes after the price. Then the most free room.
+// patient work the start comes after the price. Then one that proved to hear the leader; then the most free room.
 func (it *Item) better(a, b *Machine) bool {
 	if a.Spot != b.Spot {
 		return a.Spot
@@ -250,6 +253,9 @@
 	if it.Job.Spread && a.Zone != b.Zone && it.Zones[a.Zone] != it.Zones[b.Zone] {
 		return it.Zones[a.Zone] < it.Zones[b.Zone]
 	}
+	if a.Unproven != b.Unproven {
+		return b.Unproven
+	}
 	if a.Free.CPUs != b.Free.CPUs {
 		return a.Free.CPUs > b.Free.CPUs
 	}
@@ -282,7 +288,7 @@
 // that small tasks do not take every slot before a large one fits. Within a
 // priority, what fits its team's guarantee goes before what teams borrow: room
 // that was taken back from a borrower must not go to the next one that waited
-// longer. Last come ghosts, which keep room from lower priorities only.
+// longer. Jobs that wait for their first task for too long come before all of that, with one task each. Last come ghosts, which keep room from lower priorities only.
 //
 // It changes the items' waiting counts and zones, the machines' free room and
 // the teams' use.
@@ -298,6 +304,9 @@
 	for lo, hi := 0, 0; lo < len(items); lo = hi {
 		for hi = lo; hi < len(items) && Level(items[hi], teams, now) == Level(items[lo], teams, now); hi++ {
 		}
+		for _, i := range overdueIn(items, lo, hi, now) {
+			placed = p.begin(placed, items[i])
+		}
 		for _, t := range []turn{guaranteed, borrowing, expected} {
 			// First all in order, those that are on a side only there; then what is left of these anywhere.
 			for _, again := range []bool{false, true} {
@@ -334,6 +343,7 @@
 	stuck    []bool // items for which there is no room
 	searches map[shape]*search
 	held     bool // a head holds a machine
+	holds    int  // machines held for overdue items
 }
 
 // roomy are the machines with room for the least of what the items need. In a
@@ -375,7 +385,7 @@
 	}
 	need := it.Need()
 	var s *search
-	for it.Waiting > 0 && team.fits(need) && (t != guaranteed || team.within(need)) {
+	for it.Waiting > 0 && team.leaves(it) && (t != guaranteed || team.within(need)) {
 		if s == nil {
 			s = p.searchFor(it, side)
 		}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -189,8 +189,24 @@
 // turn looks at all items and all machines.
 func plain(items []*Item, machines []*Machine, teams map[string]*Team) (placed []Placement) {
 	Sort(items, teams, now)
-	held, stuck := false, map[*Item]bool{}
+	held, holds, stuck := false, 0, map[*Item]bool{}
 	for level := 4; level >= 0; level-- {
+		of := slices.DeleteFunc(slices.Clone(items), func(it *Item) bool { return Level(it, teams, now) != level })
+		for _, i := range overdueIn(of, 0, len(of), now) {
+			it := of[i]
+			team, need := teams[it.Job.Team], it.Need()
+			if m := best(it, machines, need); m != nil && team.leaves(it) {
+				it.take(m, need, team)
+				placed = append(placed, Placement{it, m})
+				continue
+			}
+			if team.keeps == "" {
+				team.keeps, team.kept = it.Job.ID, need
+			}
+			if team.keeps == it.Job.ID && holds < max(1, len(machines)/tuning.BeginHoldShare) && it.hold(machines, need) {
+				holds++
+			}
+		}
 		for _, t := range []turn{guaranteed, borrowing, expected} {
 			for _, it := range items {
 				for Level(it, teams, now) == level && it.Ghost == (t == expected) && it.Waiting > 0 && !stuck[it] {
@@ -198,7 +214,7 @@
 					if it.Ghost {
 						team = &Team{CPUsMax: 1e9}
 					}
-					if !team.fits(need) || t == guaranteed && !team.within(need) {
+					if !team.leaves(it) || t == guaranteed && !team.within(need) {
 						break
 					}
 					m := best(it, machines, need)
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -112,6 +112,9 @@
 	if a.m.Price != b.m.Price && (a.m.Spot || !s.shape.spot) {
 		return a.m.Price < b.m.Price
 	}
+	if a.fetch == b.fetch && a.m.Unproven != b.m.Unproven {
+		return b.m.Unproven
+	}
 	return cmp.Or(cmp.Compare(a.fetch, b.fetch), cmp.Compare(b.free.CPUs, a.free.CPUs), cmp.Compare(b.free.MemoryGB, a.free.MemoryGB),
 		cmp.Compare(a.m.Name, b.m.Name)) < 0
 }
--- /dev/null
+++ b/internal/roster/asked.go
@@ -0,0 +1,88 @@
+package roster
+
+import (
+	"time"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Mark is the newest message of a machine that was known when it was asked. Its answer is newer in the same life of its
+// worker, since (session, seq) only grow; an answer that is older comes from another life: the machine was started anew.
+type Mark struct {
+	Session, Seq uint64
+	Sent         time.Time
+}
+
+// Question makes the request that asks a machine for its report: no commands, but our token, which the worker keeps. What
+// it answers was so after the question was sent. ok is false where nobody can be asked.
+func (r *Roster) Question(m *Machine, now time.Time) (addr string, req *wire.DirectCommands, mark Mark, ok bool) {
+	session := m.Session
+	if m.life != 0 {
+		session = m.life
+	}
+	addr = m.Address
+	if addr == "" {
+		addr = m.Listed
+	}
+	if addr == "" || session == 0 || m.Returning {
+		return "", nil, mark, false
+	}
+	return addr, &wire.DirectCommands{Token: r.term, Session: session, Commands: []wire.Command{}}, Mark{m.Session, m.seq, now}, true
+}
+
+// Rebirth is what an answer proves of its machine's worker.
+type Rebirth int
+
+// What it may prove.
+const (
+	SameLife Rebirth = iota
+	AskLater         // perhaps started anew; an answer to one of its reports may still be on its way
+	AskAgain         // started anew; that older leaders' commands are refused is not known yet
+	GiveUp           // started anew; a start of ours may still arrive there, so only its deletion proves anything
+	Anew             // started anew: nothing of its former life is there, nor can come
+)
+
+// Reborn judges an answer to a question. A worker drops answers after 4 s. Within that of the last report that we took, an
+// answer with a start may be on its way to the new life: its first report may have been taken for one of the former
+// life, and a copy of a later one of that for its next.
+func (r *Roster) Reborn(m *Machine, mark Mark, rep *wire.Report) Rebirth {
+	switch {
+	case rep.Session > mark.Session || rep.Session == mark.Session && rep.Seq > mark.Seq:
+		return SameLife
+	case mark.Sent.Sub(m.Heard) < tuning.AnswerLife:
+		return AskLater
+	case len(m.sent) > 0:
+		return GiveUp
+	case rep.Token < r.term:
+		m.life = rep.Session
+		return AskAgain
+	}
+	return Anew
+}
+
+// Begin takes in that a machine's worker was started anew, as an answer shows that holds our token: what was placed there in
+// its former life is gone. The worker lists all that is on its machine; older leaders' commands are refused by their
+// tokens; answers to reports of the former life reach nobody, and none to one of the new life is on its way (Reborn); and no direct start of ours is open. Without this a
+// machine that was back at once was shut out as a copy until its new life had sent as many reports as the former one.
+func (r *Roster) Begin(m *Machine, rep *wire.Report, now time.Time) []Outcome {
+	var a Answer
+	there := map[Key]bool{}
+	for i := range rep.Tasks {
+		if id, ok := wire.ParseTaskID(rep.Tasks[i].Task); ok {
+			there[Key{Task: id, Attempt: rep.Tasks[i].Attempt}] = true
+		}
+	}
+	for k, p := range m.Places {
+		if !there[k] {
+			a.Outcomes = append(a.Outcomes, Outcome{Place: p, Why: wire.WhyStopped, Lost: true})
+		}
+	}
+	clear(m.strays)
+	clear(m.images)
+	m.Session, m.seq, m.Token, m.Dead, m.life = rep.Session, rep.Seq, rep.Token, rep.Session-1, 0
+	m.Doubt, m.told, m.Notice = false, told{}, time.Time{}
+	m.LeaseEnd = now.Add(r.lease) // nobody of ours had answered this life before
+	m.Reach.Proved(now)
+	return a.Outcomes
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"poppypass/internal/jobs"
+	"poppypass/internal/reach"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
@@ -39,6 +40,7 @@
 type Machine struct {
 	Name, Address, Type, Zone string
 	Spot                      bool
+	Listed                    string // its address by the cloud's list; empty: not listed
 
 	Session uint64 // the newest session known
 	seq     uint64 // of the newest report of that session
@@ -68,10 +70,66 @@
 	Unlisted   int       // lists in a row that lacked it, since it was last listed or heard
 	errorsOf   map[string]bool
 	Pace       Pace // how fast it runs against others
+
+	Reach reach.State // whether it hears us
+	Known bool        // the cloud or a record names it; else only its own reports do, which may be copies
+	Ours  bool        // rented in this term, so that no leader before can have returned it
+	Doubt bool        // a report came that looks older than one before: a copy, or the machine was started anew
+	life  uint64      // the session to which it is to be asked; 0: the newest known
+	told  told        // what the answer to its newest report said
+}
+
+// told is an answer to a report: the next report shows whether it arrived, since a worker has one report in flight.
+type told struct {
+	token    bool // it brought a token that the worker had not seen
+	commands []wire.Command
+}
+
+// effect compares a report with the answer to the one before: whether something shows that the answer was carried out, and
+// whether something shows that it was not.
+func (t *told) effect(rep *wire.Report, listed map[Key]*wire.TaskReport, term uint64) (seen, missed bool) {
+	if t.token {
+		seen, missed = rep.Token >= term, rep.Token < term
+	}
+	for i := range t.commands {
+		c := &t.commands[i]
+		id, ok := wire.ParseTaskID(c.Task)
+		if !ok {
+			continue
+		}
+		task := listed[Key{Task: id, Attempt: c.Attempt}]
+		there := task != nil && task.State != wire.TaskExited
+		switch c.Op {
+		case wire.OpStart: // whatever came of it, it is listed until it is forgotten
+			seen, missed = seen || task != nil, missed || task == nil
+		case wire.OpStop:
+			missed = missed || there && task.State != wire.TaskSaving
+		case wire.OpForget:
+			seen, missed = seen || task == nil, missed || task != nil
+		}
+	}
+	return seen, missed && !seen
+}
+
+// Usable tells whether the machine may be given work now, as far as the way to it goes: it proved to hear us, or there is
+// no reason to think that its reports are copies, and it is not found deaf. term is ours.
+func (m *Machine) Usable(term uint64, now time.Time) bool {
+	if m.Token > term {
+		return false // it obeys a later leader, or nobody
+	}
+	return m.Reach.Usable(now, m.Ours || m.Known && m.Token+1 >= term)
 }
 
 // Alive tells whether the machine's present session can run tasks.
-func (m *Machine) Alive() bool { return !m.Heard.IsZero() && m.Session > m.Dead }
+func (m *Machine) Alive() bool { return (!m.Heard.IsZero() || m.Reach.Proven()) && m.Session > m.Dead }
+
+// Seen is when the machine last reported or answered us.
+func (m *Machine) Seen() time.Time {
+	if at := m.Reach.ProvenAt(); at.After(m.Heard) {
+		return at
+	}
+	return m.Heard
+}
 
 // HasStrays tells whether tasks run there that no record places there.
 func (m *Machine) HasStrays() bool { return len(m.strays) > 0 }
@@ -169,6 +227,8 @@
 	ErrStale = errors.New("a newer report is known")
 	// ErrReturned tells that the machine was returned; it is gone.
 	ErrReturned = errors.New("the machine was returned")
+	// ErrContradicts tells that a report says of its machine what cannot change while it is there.
+	ErrContradicts = errors.New("the report contradicts what is known of its machine")
 )
 
 // Was tells whether a machine was returned not long ago.
@@ -193,7 +253,7 @@
 	m.Places[keyOf(p)] = p
 	m.use(p, begun)
 	m.Session = max(m.Session, p.Session)
-	m.Zone = p.Zone
+	m.Zone, m.Known = p.Zone, true
 	if m.LeaseEnd.Before(begun.Add(r.lease)) {
 		m.LeaseEnd = begun.Add(r.lease)
 	}
@@ -202,7 +262,10 @@
 // Know takes in a machine from the cloud: rented or listed.
 func (r *Roster) Know(name, typ, zone string, spot bool, rented, now time.Time) *Machine {
 	m := r.ensure(name, now)
-	m.Type, m.Zone, m.Spot, m.Rented = typ, zone, spot, rented
+	m.Rented, m.Known = rented, true
+	if m.Address == "" { // else it said so itself
+		m.Type, m.Zone, m.Spot = typ, zone, spot
+	}
 	return m
 }
 
@@ -261,18 +324,24 @@
 // command, so that no commands can be given back and it renews no lease; and
 // it proves nothing of tasks that it lacks, since a report's answer may still
 // be on its way to the worker.
-func (r *Roster) Report(rep *wire.Report, direct bool, now time.Time, mayForget MayForget) (Answer, error) {
-	var a Answer
+func (r *Roster) Report(rep *wire.Report, direct bool, now time.Time, mayForget MayForget) (a Answer, err error) {
 	if r.Was(rep.Machine) {
 		return a, ErrReturned
 	}
 	m := r.Machines[rep.Machine]
 	if m != nil {
-		older := rep.Session < m.Session || rep.Session == m.Session && rep.Seq <= m.seq && !m.Heard.IsZero()
+		// A direct answer tells the order as well, also of a machine that has not reported to us yet.
+		older := rep.Session < m.Session || rep.Session == m.Session && rep.Seq <= m.seq && (m.seq > 0 || !m.Heard.IsZero())
 		// A session whose lease ran out is over, whatever a late report says.
 		if older || rep.Session <= m.Dead {
+			m.Doubt = m.Doubt || !direct
 			return a, ErrStale
 		}
+		// A report in which its machine is another one is set aside, before it changes anything.
+		if m.Address != "" && (m.Address != rep.Address || m.Type != rep.Type || m.Zone != rep.Zone || m.Spot != rep.Spot) {
+			m.Doubt = m.Doubt || !direct
+			return a, ErrContradicts
+		}
 	} else if direct {
 		return a, ErrStale
 	}
@@ -280,9 +349,20 @@
 	a.Machine = m
 	a.Changed = m.Heard.IsZero() || rep.Session > m.Session
 	if rep.Session > m.Session {
-		m.Session = rep.Session
+		// Its lease ran out though its reports were answered: the answers did not arrive.
+		if !direct && now.Sub(m.Heard) < r.lease/2 {
+			m.Reach.Missed(now)
+		}
+		m.Session, m.told = rep.Session, told{}
 		r.endSession(m, rep.Session-1, &a)
 	}
+	unseen := rep.Token < r.term
+	usable := m.Usable(r.term, now)
+	defer func() { a.Changed = a.Changed || !usable && m.Usable(r.term, now) }()
+	if direct || !unseen && !m.Reach.Proven() {
+		m.Reach.Proved(now)
+		m.Doubt, m.life = m.Doubt && !direct, 0
+	}
 	m.seq, m.Token = rep.Seq, rep.Token
 	m.Address, m.Type, m.Zone, m.Spot = rep.Address, rep.Type, rep.Zone, rep.Spot
 	if m.Heard.IsZero() && len(m.Places) == 0 {
@@ -291,6 +371,8 @@
 	before := m.Heard
 	m.Unlisted = 0
 	switch {
+	case !m.Reach.Proven():
+		// The first report that a new leader sees may be a copy, whose notice is as old as it is.
 	case rep.NoticeS == nil:
 		m.Notice = time.Time{}
 	case m.Notice.IsZero():
@@ -304,7 +386,7 @@
 	// Whatever an older term's leader sent directly can no longer start once
 	// the worker has seen our token.
 	fenced := rep.Token >= r.term
-	listed := make(map[Key]bool, len(rep.Tasks))
+	listed := make(map[Key]*wire.TaskReport, len(rep.Tasks))
 	var stops, forgets, starts []wire.Command
 	zero := 0.0
 	for i := range rep.Tasks {
@@ -314,7 +396,7 @@
 			continue
 		}
 		k := Key{Task: id, Attempt: t.Attempt}
-		listed[k] = true
+		listed[k] = t
 		p := m.Places[k]
 		switch {
 		case p == nil && t.State == wire.TaskExited:
@@ -347,32 +429,43 @@
 	}
 	for k := range m.strays {
 		// A stray that the newest report lacks is gone.
-		if !listed[k] && !direct {
+		if listed[k] == nil && !direct {
 			delete(m.strays, k)
 			a.Changed = true
 		}
 	}
 	for k, p := range m.Places {
-		if listed[k] || !p.Committed || p.Session != rep.Session {
+		if listed[k] != nil || !p.Committed || p.Session != rep.Session {
 			continue
 		}
 		switch {
 		case p.Stop == nil:
 			// Starting the same attempt again has no effect if it is known there.
 			starts = append(starts, startCommand(p))
+			if !direct {
+				p.Offered = now
+			}
 		case direct || !fenced:
-		case m.sent[k] > 0:
-			// A direct start may still arrive. Started and stopped here, the
+		case m.sent[k] > 0 || now.Sub(p.Offered) < tuning.AnswerLife:
+			// A direct start may still arrive, or the answer that held one: the report may be a copy from a former life of
+			// a machine that was started anew. Started and stopped here, the
 			// attempt becomes known, and the late start has no effect.
 			starts = append(starts, startCommand(p), stopCommand(p))
+			p.Offered = now
 		default:
-			// The worker has one report in flight, so no answer of ours that
-			// held its start is still on the way: it is not there.
+			// No answer of ours that held its start is still on the way, since workers drop them after 4 s: it is not there.
 			a.Outcomes = append(a.Outcomes, Outcome{Place: p, Why: wire.WhyStopped, Idle: now})
 		}
 	}
 	if !direct {
+		switch seen, missed := m.told.effect(rep, listed, r.term); {
+		case seen:
+			m.Reach.Proved(now)
+		case missed:
+			m.Reach.Missed(now)
+		}
 		a.Commands = append(append(append(make([]wire.Command, 0, len(stops)+len(forgets)+len(starts)), stops...), forgets...), starts...)
+		m.told = told{unseen, a.Commands}
 	}
 	return a, nil
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -34,6 +34,9 @@
 	// YieldAfter is how many more renewals must fail before the leader hands over to
 	// a member that was seen to be served: one may have been on its way.
 	YieldAfter = 2
+	// AsideVacant is how long the leader key must be vacant for a member to campaign that stands aside: another's campaign
+	// takes three calls, and one that was just started waits for PromiseFor.
+	AsideVacant = 5 * time.Second
 	// PromiseEvery is how often the leader asks for promises: several rounds may fail.
 	PromiseEvery = 250 * time.Millisecond
 	// ProbeTimeout ends the look at the state service before a promise; it
@@ -206,6 +209,9 @@
 const (
 	// LeaseMargin is added to a worker's lease before its tasks count as gone.
 	LeaseMargin = 100 * time.Millisecond
+	// AnswerLife is for how long after a report came its answer may still be executed: workers drop answers after 4 s, by
+	// a clock that may run slow.
+	AnswerLife = 4100 * time.Millisecond
 	// SilentReports is after how many report intervals without a report a
 	// machine gets no new task.
 	SilentReports = 2.5
@@ -254,6 +260,33 @@
 	LastCall = 2500 * time.Millisecond
 )
 
+// The way to machines.
+const (
+	// DeafPause is how long a machine that did not hear us gets no work once it does again; it doubles each time up to
+	// DeafPauseMax, and counts anew after DeafForget: a way that flaps costs a lease each time.
+	DeafPause    = 5 * time.Second
+	DeafPauseMax = 5 * time.Minute
+	DeafForget   = 15 * time.Minute
+	// AskPause is the first pause between questions to a machine that does not answer; it doubles up to AskPauseMax, so
+	// that one that is back is found within that.
+	AskPause    = 2 * time.Second
+	AskPauseMax = 30 * time.Second
+	// AskShare is the share of the commands on their way that questions may take, at least AskLeast: commands of a pass
+	// must not wait behind questions to hundreds of dead machines, each of which takes CommandTimeout.
+	AskShare = 0.125
+	AskLeast = 4
+	// AskRate is how many questions are sent a second, as a share of the reports that the machines send in one, at least
+	// AskRateLeast: a question costs about as much as a report.
+	AskRate      = 0.5
+	AskRateLeast = 10.0
+	// UnheardMachines is how many machines must have left commands unanswered, and UnheardFor how long none of any may
+	// have been answered, for the leader to ask whether others reach them: then it is the leader's own way that is cut.
+	UnheardMachines = 4
+	UnheardFor      = 8 * time.Second
+	// StandAside is how long a leader that reaches no worker, though another member does, leaves the leadership to others.
+	StandAside = 60 * time.Second
+)
+
 // Followers that help workers.
 const (
 	// RedirectMemory is how long a follower remembers that it sent a worker to
@@ -277,6 +310,10 @@
 	ReportLate   = 1.25
 	KeepSearch   = 15 * time.Second
 	KeepPatience = 0.25
+	// KeptAsks is how many workers that are kept are asked at a time whether they are there, and KeptAskRate how many a
+	// second: each costs about as much as a report.
+	KeptAsks    = 32
+	KeptAskRate = 40.0
 	// KeepProbe is after how long a worker kept without commands is sent to
 	// the leader once more; if it does not find it, it loses about 5 s of its lease.
 	KeepProbe = 20 * time.Second
@@ -285,6 +322,9 @@
 	// miss a starved process.
 	ReachEvery  = 1 * time.Second
 	ReachMissed = 2
+	// LonelyFor is how long no other member may have answered for this one to count as cut off from all of them; with a
+	// state service that does not answer either it is not healthy. A starved process misses a few pings.
+	LonelyFor = 6 * time.Second
 	// ZoneRight is how long a member that reaches neither the leader nor the state service
 	// goes on answering the workers of its own zone: most cuts of a zone last about a minute, and one
 	// of 170 s was served better with 300 s than with 120, arrays too. If the member ends with its
@@ -316,6 +356,12 @@
 	// FillSteps is in how many steps a job's fill, what its team's limit allows at
 	// a time, is counted: those that had fewer go first.
 	FillSteps = 4
+	// BeginBound is how long a job may wait for its first task before that goes before all else of its priority: users
+	// expect the largest jobs to begin within four minutes, and a machine or a share of a team's limit that is kept
+	// for one gets free as what runs ends, within two minutes mostly. BeginHoldShare is the share of the machines with
+	// room, as a divisor, that may be held for such jobs at a time, one at the least.
+	BeginBound     = 60 * time.Second
+	BeginHoldShare = 8
 	// SearchShapes is for how many shapes of tasks a pass keeps the machines in order: with 40
 	// bytes for each machine and shape, 16 MB at the most with 10,000 machines, until the pass ends.
 	SearchShapes = 40
--- a/internal/users/submissions.go
+++ b/internal/users/submissions.go
@@ -23,6 +23,9 @@
 		httpjson.Fail(w, http.StatusBadRequest, httpjson.OneLine(err))
 		return
 	}
+	if d.leave(w) {
+		return
+	}
 	begun := d.clock.Now()
 	// One deadline covers all that is tried, however many members there are.
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.SubmitTotal)
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -34,23 +34,30 @@
 	polls    *poller
 	full     func() bool // this process has no memory for more jobs; nil: it always has
 	accounts bool        // charges are kept: jobs may name an account
+	alone    func() bool // neither the state service nor any other member answers this one
 }
 
 // New makes the door. current gives the leader's loop while this member has
-// the right to act, nil otherwise; the rest is what that loop finds as well.
-func New(env *leader.Env, p *peers.Peers, current func() *leader.Loop) *Door {
+// the right to act, nil otherwise; alone tells that neither the state service nor any other member answers
+// this one; the rest is what that loop finds as well.
+func New(env *leader.Env, p *peers.Peers, current func() *leader.Loop, alone func() bool) *Door {
 	d := &Door{
 		settings: env.Settings, clock: env.Clock, log: env.Log, store: env.Store, peers: p,
-		teams: env.Teams, finals: env.Finals, types: env.Types, leader: current, full: env.Full, accounts: env.Accounts,
+		teams: env.Teams, finals: env.Finals, types: env.Types, leader: current, full: env.Full, accounts: env.Accounts, alone: alone,
 	}
 	d.polls = newPoller(d)
 	return d
 }
 
 // ServeHealth answers the load balancer. The node can take requests once it
-// knows the machine types; whether the state service answers is not weighed,
-// since in its outages all nodes would leave the balance for minutes.
+// knows the machine types. Whether the state service answers is not weighed by itself,
+// since in its outages all nodes would leave the balance for minutes; but one that no other member
+// answers either can serve nobody, and its users had better ask another.
 func (d *Door) ServeHealth(w http.ResponseWriter, _ *http.Request) {
+	if d.alone() {
+		httpjson.Unavailable(w, "neither the state service nor any other controller answers")
+		return
+	}
 	if d.types() == nil {
 		httpjson.Unavailable(w, "the machine types are not known yet")
 		return
@@ -65,6 +72,9 @@
 		httpjson.Fail(w, http.StatusNotFound, "no such job")
 		return
 	}
+	if d.leave(w) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollWait)
 	defer cancel()
 	status, s := d.status(ctx, id, d.polls.status)
@@ -78,6 +88,17 @@
 	}
 }
 
+// leave answers a user of a member that can serve nobody at once, and closes the connection: through the load balancer the
+// user finds another, which an open connection keeps it from. Its polls otherwise failed here for as long as that lasts.
+func (d *Door) leave(w http.ResponseWriter) bool {
+	if !d.alone() {
+		return false
+	}
+	w.Header().Set("Connection", "close")
+	httpjson.Unavailable(w, "this controller is cut off from all others")
+	return true
+}
+
 // status finds a job's state: 200, 404, or 503 when it cannot be told now. It
 // comes from a final state, from the leader's memory within its right, or
 // from a fresh read of the state service.
@@ -148,6 +169,9 @@
 		httpjson.Fail(w, http.StatusNotFound, "no such job")
 		return
 	}
+	if d.leave(w) {
+		return
+	}
 	status, s := d.cancel(r.Context(), id)
 	if status < 0 {
 		if resp, ok := d.peers.Relay(r.Context(), mesh.Request{Verb: mesh.Cancel, Job: id}); ok {
--- a/internal/users/users_test.go
+++ b/internal/users/users_test.go
@@ -39,7 +39,7 @@
 		Settings: s, Clock: clock, Log: log, Store: store, Finals: jobs.NewFinals(8),
 		Teams: map[string]config.Team{"t": {Name: "t", CPUsMax: 100}},
 		Types: func() []wire.MachineType { return types },
-	}, p, func() *leader.Loop { return nil }), clock
+	}, p, func() *leader.Loop { return nil }, func() bool { return false }), clock
 }
 
 var body = []byte(`{"ref":"job-7","lane":"l","desk":"t","shape":"array","urgency":"standard","seats":1,"cpus":4,"gpus":0,"mem_gb":1,
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -10,6 +10,7 @@
 const (
 	PathReport   = "/agent/beat"
 	PathCommands = "/do"
+	PathShow     = "/show"
 )
 
 // TaskState is the state of a task on its machine.
--- /dev/null
+++ b/internal/workers/kept.go
@@ -0,0 +1,136 @@
+package workers
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Show asks a worker for its report; ok is false when it gives none.
+type Show func(ctx context.Context, addr string) (rep wire.Report, ok bool)
+
+// kept is what this member knows of the workers that it answers in the leader's stead. Two things are to be found out:
+//
+//   - Whether a report is the worker's own, now, or a copy that the network kept: a copy must not have a dead machine
+//     count as kept. A report that is no newer than one before is a copy, unless the worker says otherwise; and each
+//     worker that is kept is asked, beside its answers, whether it is there. Its first answer does not wait for
+//     that: in a cut hundreds come together, and their leases are short.
+//   - Whether a leader reaches the worker, though it does not reach us. A controller that has lost the state service and
+//     all others cannot tell that from a zone that is cut off. A worker that was kept with one token and comes with a
+//     higher one was given it by a leader meanwhile: it is sent on. If it comes back it found nobody, and is kept.
+type kept struct {
+	lease time.Duration
+	show  Show // nil: nobody is asked
+	limit *rate.Limiter
+	onWay chan struct{}
+
+	mu   sync.Mutex
+	by   map[string]*keptWorker
+	next int // how many there must be before the old ones are looked for
+}
+
+// keptWorker is one of them.
+type keptWorker struct {
+	session, seq uint64    // of its newest report here
+	token        uint64    // with which it was answered last
+	at           time.Time // when that was
+	proven       time.Time // when it last said that it is there; zero: not yet
+	asking       bool
+	failed       bool // it was asked since and did not say so
+}
+
+func newKept(lease time.Duration, show Show) *kept {
+	return &kept{
+		lease: lease, show: show, by: map[string]*keptWorker{},
+		limit: rate.NewLimiter(tuning.KeptAskRate, tuning.KeptAsks), onWay: make(chan struct{}, tuning.KeptAsks),
+	}
+}
+
+// may tells whether a worker may be answered in the leader's stead now, as far as this member knows of it.
+func (k *kept) may(ctx context.Context, rep *wire.Report, now time.Time) bool {
+	k.mu.Lock()
+	w := k.by[rep.Machine]
+	if w != nil && now.Sub(w.at) > k.lease {
+		w = nil // its lease, if we gave it one, is over
+	}
+	if w == nil {
+		w = &keptWorker{session: rep.Session, seq: rep.Seq, token: rep.Token, at: now}
+		k.forget(now)
+		k.by[rep.Machine] = w
+		k.mu.Unlock()
+		k.ask(ctx, rep, w, now)
+		return true
+	}
+	older := rep.Session < w.session || rep.Session == w.session && rep.Seq <= w.seq
+	reached := rep.Token > w.token
+	refused := older || reached || w.failed
+	if !older {
+		w.session, w.seq, w.token = rep.Session, rep.Seq, rep.Token
+	}
+	if !refused {
+		w.at = now
+	}
+	doubt := older || w.failed || now.Sub(w.proven) > k.lease
+	k.mu.Unlock()
+	if doubt {
+		k.ask(ctx, rep, w, now)
+	}
+	return !refused
+}
+
+// ask asks a worker beside its answer whether it is there, if it is not being asked and there is room for it.
+func (k *kept) ask(ctx context.Context, rep *wire.Report, w *keptWorker, now time.Time) {
+	if k.show == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if w.asking || !k.limit.AllowN(now, 1) {
+		return
+	}
+	select {
+	case k.onWay <- struct{}{}:
+	default:
+		return
+	}
+	w.asking = true
+	machine, addr := rep.Machine, rep.Address
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, tuning.CommandTimeout)
+		defer cancel()
+		said, ok := k.show(ctx, addr)
+		<-k.onWay
+		k.told(machine, w, said, ok && said.Machine == machine, now)
+	}()
+}
+
+// told takes in what a worker that was asked at a time said, if anything. What it says is newer than all reports that came
+// before it was asked; if it looks older, it was started anew.
+func (k *kept) told(machine string, w *keptWorker, said wire.Report, ok bool, asked time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	w.asking = false
+	if w.failed = !ok; !ok || k.by[machine] != w {
+		return
+	}
+	w.proven = asked
+	if said.Session < w.session || said.Session == w.session && said.Seq < w.seq {
+		w.session, w.seq, w.token = said.Session, said.Seq, said.Token
+	}
+}
+
+// forget drops what is too old to matter; the caller holds the lock.
+func (k *kept) forget(now time.Time) {
+	if len(k.by) < k.next {
+		return
+	}
+	maps.DeleteFunc(k.by, func(_ string, w *keptWorker) bool { return now.Sub(w.at) > 2*k.lease && !w.asking })
+	k.next = max(tuning.RedirectsLeast, 2*len(k.by))
+}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -46,12 +46,16 @@
 	leader    func() *leader.Loop
 	redirects redirects
 	wanted    wanted
+	kept      *kept
 }
 
 // New makes the door of a member. current gives the leader's loop while this
-// member has the right to act, nil otherwise.
-func New(member string, w config.Workers, clock clockwork.Clock, e *leadership.Elector, p *peers.Peers, k Keeper, z ZoneKeeper, current func() *leader.Loop) *Door {
-	return &Door{member: member, clock: clock, elector: e, peers: p, keeper: k, zone: z, leader: current, redirects: newRedirects(), wanted: wanted{patience: patience(w)}}
+// member has the right to act, nil otherwise; show asks a worker for its report.
+func New(member string, w config.Workers, clock clockwork.Clock, e *leadership.Elector, p *peers.Peers, k Keeper, z ZoneKeeper, current func() *leader.Loop, show Show) *Door {
+	return &Door{
+		member: member, clock: clock, elector: e, peers: p, keeper: k, zone: z, leader: current, redirects: newRedirects(), wanted: wanted{patience: patience(w)},
+		kept: newKept(time.Duration(w.LeaseS*float64(time.Second)), show),
+	}
 }
 
 // ServeReport takes a worker's report. A leader within its right answers it.
@@ -154,6 +158,9 @@
 	if rep.Token == 0 || len(rep.Tasks) == 0 || d.wanted.soon(d.clock.Now()) {
 		return a, false
 	}
+	if !d.kept.may(ctx, rep, d.clock.Now()) {
+		return a, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.KeepWait)
 	defer cancel()
 	if !d.zone.Answer(rep.Machine, rep.Zone) && !d.keeper.Keep(ctx, rep.Machine) {
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -62,8 +62,8 @@
 		return peers.New(s, clock, slog.New(slog.DiscardHandler))
 	}
 	p := those(4)
-	d := New("m1", config.Workers{}, clock, nil, p, always{}, always{}, func() *leader.Loop { return nil })
-	rep := &wire.Report{Machine: "n-1", Token: 3, Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}}}
+	d := New("m1", config.Workers{}, clock, nil, p, always{}, always{}, func() *leader.Loop { return nil }, nil)
+	rep := &wire.Report{Machine: "n-1", Session: 1, Token: 3, Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}}}
 	for range tuning.ReachMissed {
 		if p.Cut("m0") {
 			t.Error("one missed ping is no cut")
@@ -73,7 +73,7 @@
 	if p.Cut("m2") {
 		t.Error("another leader was not asked yet")
 	}
-	kept := func() bool { _, ok := d.help(t.Context(), nil, rep, "m0"); return ok }
+	kept := func() bool { rep.Seq++; _, ok := d.help(t.Context(), nil, rep, "m0"); return ok }
 	for range 2 {
 		if !kept() {
 			t.Error("sent to a leader that does not answer")
