--- a/internal/roster/world_test.go
+++ b/internal/roster/world_test.go
@@ -24,9 +24,9 @@
 	term    uint64
 	workers []*simWorker
 	tasks   []*simTask
-	mail    []letter // what the network keeps
-	calm    bool     // no more troubles
-	trace   string
+	mail    []letter        // what the network keeps
+	calm    bool            // no more troubles
+	trace   strings.Builder // what happened, for people
 }
 
 type simTask struct {
