Tests of machines that do not hear, copies at members, processes back at once

A stream of copies got a member's answer once in a lease: who did not answer when asked is kept again only once it does.

--- /dev/null
+++ b/internal/leader/ways_test.go
@@ -0,0 +1,319 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/roster"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// answering has a worker that answers direct commands as fn says; nil: it does not answer.
+func answering(t *testing.T, fn func(wire.DirectCommands) *wire.Report) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var req wire.DirectCommands
+		if json.NewDecoder(r.Body).Decode(&req) != nil || req.Commands == nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		rep := fn(req)
+		if rep == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if req.Session != rep.Session {
+			w.WriteHeader(http.StatusConflict)
+		}
+		_ = json.NewEncoder(w).Encode(rep)
+	}))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// asks has the loop ask whom it doubts, and takes in what comes of it.
+func (l *Loop) asks() {
+	l.ways.next = time.Time{}
+	for l.stepWays(l.env.Clock.Now()); l.ways.onWay > 0; {
+		select {
+		case fn := <-l.inbox:
+			fn()
+		case <-l.ended.Done():
+			return
+		}
+	}
+}
+
+// heardBy makes a leader in the middle of its tenure and a machine at an address that reported to it.
+func heardBy(t *testing.T, addr string) (l *Loop, m *roster.Machine, rep *wire.Report, pass func(time.Duration)) {
+	l, pass = twoZones(t, 1)
+	l.env.Valid = func(uint64) bool { return true }
+	rep = &wire.Report{Machine: "n-9", Address: addr, Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}
+	l.takes(t, rep)
+	return l, l.roster.Machines["n-9"], rep, pass
+}
+
+func (l *Loop) takes(t *testing.T, rep *wire.Report) []wire.Command {
+	t.Helper()
+	c := *rep
+	commands, err := l.take(&c, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return commands
+}
+
+func (l *Loop) opens(name string) bool {
+	for _, v := range l.openMachines(l.env.Clock.Now()) {
+		if v.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against the most attractive machine of all: it reports, looks empty, and whatever is placed there is lost with its
+// session, since no answer or command gets to it.
+func TestAMachineThatDoesNotHearUsGetsNothing(t *testing.T) {
+	hears := false
+	var rep *wire.Report
+	addr := answering(t, func(wire.DirectCommands) *wire.Report {
+		if !hears {
+			return nil
+		}
+		rep.Seq++
+		return rep
+	})
+	l, m, r, pass := heardBy(t, addr)
+	rep = r
+	p := l.runs(t, "job-9", "n-9", 1)
+	p.State, p.Running = "", time.Time{}
+	for range 2 { // the answer to the first holds the start, the second does not show it
+		pass(time.Second)
+		rep.Seq++
+		if cmds := l.takes(t, rep); len(cmds) != 1 || cmds[0].Op != wire.OpStart {
+			t.Fatalf("commands %v", cmds)
+		}
+	}
+	if !l.opens("n-9") {
+		t.Error("given up for one answer that may have been slow")
+	}
+	l.asks()
+	if l.opens("n-9") || len(m.Places) != 1 {
+		t.Errorf("given work though it hears nothing (%v), or its task counts as gone", l.opens("n-9"))
+	}
+	if cut := l.cutZones(l.env.Clock.Now()); len(cut) != 0 {
+		t.Errorf("one machine is no zone: %v", cut)
+	}
+	tries := p.Job.Tries
+	// Its session ends since no answer reached it: the task is proven gone, and wanted elsewhere.
+	pass(time.Second)
+	rep.Session, rep.Seq = 2, rep.Seq+1
+	l.takes(t, rep)
+	if !p.Removed || p.Job.Tries != tries {
+		t.Errorf("gone %v, tries %d", p.Removed, p.Job.Tries)
+	}
+	hears = true
+	pass(tuning.AskPauseMax)
+	l.asks()
+	if l.opens("n-9") {
+		t.Error("given work at once")
+	}
+	pass(tuning.DeafPause)
+	rep.Seq++
+	l.takes(t, rep)
+	if !l.opens("n-9") {
+		t.Error("not used though it hears us")
+	}
+}
+
+// A slow answer is none that is lost: the machine answers the question.
+func TestAMachineThatAnswersIsNotDeaf(t *testing.T) {
+	var rep *wire.Report
+	l, _, r, pass := heardBy(t, answering(t, func(wire.DirectCommands) *wire.Report { rep.Seq++; return rep }))
+	rep = r
+	l.runs(t, "job-9", "n-9", 1).State = ""
+	for range 8 {
+		pass(time.Second)
+		rep.Seq++
+		l.takes(t, rep)
+		l.asks()
+		if !l.opens("n-9") {
+			t.Fatal("a machine that answers each question is given up")
+		}
+	}
+}
+
+// A zone in which nothing hears us is cut off: nothing is rented there, and its machines are not returned at once.
+func TestAZoneThatDoesNotHearUsIsCutOff(t *testing.T) {
+	l, pass := twoZones(t, 6)
+	l.env.Valid = func(uint64) bool { return true }
+	seq := uint64(1)
+	report := func() {
+		pass(time.Second)
+		seq++
+		for i := range 12 {
+			rep := &wire.Report{Machine: fmt.Sprintf("n-%d", i), Address: "127.0.0.1:1", Type: "small", Zone: []string{"a", "b"}[i/6], Session: 1, Seq: seq, Token: 1}
+			if i < 6 { // zone a shows what it was told
+				rep.Tasks = []wire.TaskReport{{Task: fmt.Sprintf("job-1/%d", i), Attempt: 1, State: wire.TaskRunning}}
+			}
+			l.takes(t, rep)
+		}
+	}
+	for range 8 {
+		report()
+		l.asks()
+	}
+	report()
+	now := l.env.Clock.Now()
+	if cut := l.cutZones(now); !cut["b"] || cut["a"] {
+		t.Errorf("cut off: %v", cut)
+	}
+	if got := l.silentRelease(); got != tuning.SilentReleaseMany {
+		t.Errorf("its machines are returned after %v", got)
+	}
+}
+
+// Guards against the work of machines that another member keeps, cut off from all but its workers: it heard no command and
+// its ends were not seen for as long as that member's right lasted.
+func TestWorkersThatReportElsewhereAreAsked(t *testing.T) {
+	var asked wire.DirectCommands
+	l, pass := twoZones(t, 1)
+	l.env.Valid = func(uint64) bool { return true }
+	l.tenure.Term = 2
+	l.roster = roster.New(2, 10)
+	j := l.book.Jobs["job-1"]
+	p := j.Tasks[0].Place
+	l.roster.Inherit(p, l.env.Clock.Now())
+	m := l.roster.Machines["n-0"]
+	m.Listed = answering(t, func(req wire.DirectCommands) *wire.Report {
+		asked = req
+		return &wire.Report{Machine: "n-0", Address: m.Listed, Type: "small", Zone: "a", Session: 1, Seq: 7, Token: 2,
+			Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: 1, State: wire.TaskExited, Why: wire.WhyDone}}}
+	})
+	l.asks()
+	if asked.Token != 0 {
+		t.Fatal("asked before it could have reported")
+	}
+	pass(l.askAfter() + time.Second)
+	l.asks()
+	if asked.Token != 2 || asked.Session != 1 || len(asked.Commands) != 0 {
+		t.Errorf("asked %+v", asked)
+	}
+	if !p.Removed || j.Done != 1 {
+		t.Error("the end of its task is not seen")
+	}
+	// A copy of an earlier report is none the newer for that.
+	if _, err := l.take(&wire.Report{Machine: "n-0", Address: m.Listed, Type: "small", Zone: "a", Session: 1, Seq: 6, Token: 1}, false); !errors.Is(err, roster.ErrStale) {
+		t.Errorf("a copy after a direct answer: %v", err)
+	}
+}
+
+// Guards against machines that are back at once and are shut out as copies, with tasks that wait for ever.
+func TestAMachineThatWasStartedAnew(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		session, seq  uint64 // that its new life reports
+		inherited     bool   // known from a record only
+		openStart     bool   // a direct start had no answer
+		gone, deleted bool
+	}{
+		{"with a lower punch", 1, 2, false, false, true, false},
+		{"with a session that looks old", 1, 900, false, false, true, false},
+		{"a new leader knows it from records", 1, 900, true, false, true, false},
+		{"a start may still arrive", 1, 2, false, true, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rep := &wire.Report{}
+			l, m, first, pass := heardBy(t, answering(t, func(req wire.DirectCommands) *wire.Report {
+				rep.Seq++
+				if req.Session == rep.Session {
+					rep.Token = max(rep.Token, req.Token)
+				}
+				return rep
+			}))
+			if c.inherited {
+				delete(l.roster.Machines, "n-9")
+				m = nil
+			}
+			p := l.runs(t, "job-9", "n-9", 1)
+			p.Session = 3
+			if c.inherited {
+				l.roster.Remove(p, l.env.Clock.Now())
+				delete(l.roster.Machines, "n-9")
+				l.roster.Inherit(p, l.env.Clock.Now())
+				m = l.roster.Machines["n-9"]
+				m.Listed = first.Address
+			} else {
+				older := *first
+				older.Session, older.Seq = 3, 50
+				older.Tasks = []wire.TaskReport{{Task: "job-9/0", Attempt: p.Attempt, State: wire.TaskRunning}}
+				l.takes(t, &older)
+			}
+			if c.openStart {
+				l.roster.Direct("n-9", []*jobs.Place{p})
+			}
+			*rep = *first
+			rep.Session, rep.Seq, rep.Token = c.session, c.seq, 0
+			pass(tuning.AnswerLife)
+			if _, err := l.take(&wire.Report{Machine: "n-9", Address: rep.Address, Type: "small", Zone: "a", Session: rep.Session, Seq: rep.Seq}, false); !errors.Is(err, roster.ErrStale) {
+				t.Fatalf("taken before it is known what it is: %v", err)
+			}
+			l.asks()
+			if p.Removed != c.gone || m.Returning != c.deleted {
+				t.Fatalf("task gone %v, machine deleted %v", p.Removed, m.Returning)
+			}
+			if c.deleted {
+				return
+			}
+			rep.Seq++
+			if l.takes(t, rep); !l.opens("n-9") {
+				t.Error("it is not used")
+			}
+		})
+	}
+}
+
+// Guards against a leader that hears all and reaches no worker, for as long as its lease holds.
+func TestALeaderThatReachesNoWorkerStandsAside(t *testing.T) {
+	for _, others := range []bool{true, false} {
+		l, pass := twoZones(t, 4)
+		ctx, end := context.WithCancelCause(t.Context())
+		l.ended, l.end = ctx, end
+		l.env.Valid = func(uint64) bool { return true }
+		l.env.Reach = func(_ context.Context, addrs []string) bool { return others && len(addrs) == tuning.UnheardMachines }
+		for s := range 20 {
+			pass(time.Second)
+			for i := range 8 {
+				l.takes(t, &wire.Report{Machine: fmt.Sprintf("n-%d", i), Address: "127.0.0.1:1", Type: "small", Zone: []string{"a", "b"}[i/4], Session: 1, Seq: uint64(s + 2), Token: 1,
+					Tasks: []wire.TaskReport{{Task: fmt.Sprintf("job-1/%d", i), Attempt: 1, State: wire.TaskRunning}}})
+				if i < tuning.UnheardMachines {
+					l.send(fmt.Sprintf("n-%d", i), "127.0.0.1:1", &wire.DirectCommands{Session: 1})
+				}
+			}
+			for len(l.inbox) > 0 {
+				(<-l.inbox)()
+			}
+			if l.asks(); l.ways.probing {
+				select {
+				case fn := <-l.inbox:
+					fn()
+				case <-ctx.Done():
+				}
+			}
+			if ctx.Err() != nil {
+				break
+			}
+		}
+		if got := errors.Is(context.Cause(ctx), ErrUnheard); got != others {
+			t.Errorf("others reach workers: %v, stood aside: %v", others, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/leadership/former_test.go
@@ -0,0 +1,168 @@
+package leadership
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/standin"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// mortal is a store whose member ends at its n-th call: before the call is executed, or after, without its answer.
+type mortal struct {
+	Store
+	mu    sync.Mutex
+	left  int
+	after bool
+	end   func()
+}
+
+var errEnded = errors.New("the process ended")
+
+// dies tells whether this call is the last; the second result is whether it is still executed.
+func (m *mortal) dies() (last, executed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.left--
+	if m.left > 0 {
+		return false, true
+	}
+	if m.left < 0 {
+		return true, false
+	}
+	return true, m.after
+}
+
+func call[T any](m *mortal, fn func() (T, error)) (T, error) {
+	var v T
+	last, executed := m.dies()
+	var err error
+	if executed {
+		v, err = fn()
+	}
+	if last {
+		m.end()
+		var none T
+		return none, errEnded
+	}
+	return v, err
+}
+
+func (m *mortal) Get(ctx context.Context, key string) (wire.Item, bool, error) {
+	type got struct {
+		item wire.Item
+		ok   bool
+	}
+	g, err := call(m, func() (got, error) { item, ok, err := m.Store.Get(ctx, key); return got{item, ok}, err })
+	return g.item, g.ok, err
+}
+
+func (m *mortal) Commit(ctx context.Context, t wire.Txn) (uint64, error) {
+	return call(m, func() (uint64, error) { return m.Store.Commit(ctx, t) })
+}
+
+func (m *mortal) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	return call(m, func() (uint64, error) { return m.Store.Grant(ctx, ttl) })
+}
+
+func (m *mortal) Renew(ctx context.Context, lease uint64) error {
+	_, err := call(m, func() (bool, error) { return true, m.Store.Renew(ctx, lease) })
+	return err
+}
+
+func (m *mortal) Revoke(ctx context.Context, lease uint64) error {
+	_, err := call(m, func() (bool, error) { return true, m.Store.Revoke(ctx, lease) })
+	return err
+}
+
+// live starts a life of a member, which ends at its n-th call; 0: it does not.
+func live(t *testing.T, s *standin.State, clock clockwork.Clock, n int, after bool) (m *member, ended <-chan struct{}) {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	var store Store = statestore.New(s.Addr(), 1e6, 1e6)
+	if n > 0 {
+		store = &mortal{Store: store, left: n, after: after, end: stop}
+	}
+	m = &member{Elector: New(store, alone, "a", clock, slog.New(slog.DiscardHandler)), stop: stop, tenures: make(chan Tenure, 64), over: make(chan Tenure, 64)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Run(ctx, func(ctx context.Context, t Tenure) { m.tenures <- t; <-ctx.Done(); m.over <- t })
+	}()
+	t.Cleanup(func() { stop(); <-done })
+	return m, done
+}
+
+// passUntil lets time pass in small steps until a channel is ready, and gives how long that took.
+func passUntil[T any](t *testing.T, s *standin.State, clock *clockwork.FakeClock, ch <-chan T) (v T, took time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second) // a hang is a failure
+	defer cancel()
+	begun := clock.Now()
+	for {
+		waits := make(chan error, 1)
+		step, enough := context.WithCancel(ctx)
+		go func() { waits <- clock.BlockUntilContext(step, 1) }()
+		select {
+		case v = <-ch:
+			enough()
+			<-waits
+			return v, clock.Since(begun)
+		case err := <-waits:
+			enough()
+			if err != nil {
+				t.Fatal("never happened")
+			}
+			clock.Advance(20 * time.Millisecond)
+			s.Expire()
+		}
+	}
+}
+
+// Guards against what a former life of a process leaves behind: it ends at each step of an election and of its reign, with or
+// without the step being executed, and is back at once. One of its lives leads within a second or two, rather than when the
+// lease of the former one has run out, and in a higher term.
+func TestAProcessThatIsBackAtOnceLeadsSoon(t *testing.T) {
+	const bound = 1500 * time.Millisecond // what a life without memory waits for before it campaigns, and some pauses
+	for n := 1; n <= 10; n++ {
+		for _, after := range []bool{false, true} {
+			clock := clockwork.NewFakeClock()
+			s := standin.NewState(clock)
+			first, ended := live(t, s, clock, n, after)
+			passUntil(t, s, clock, ended)
+			term := uint64(0)
+			if len(first.tenures) > 0 {
+				term = (<-first.tenures).Term
+			}
+			second, _ := live(t, s, clock, 0, false)
+			tenure, took := passUntil(t, s, clock, second.tenures)
+			if took > bound || tenure.Term <= term || !second.Valid(tenure.Term) || first.Valid(tenure.Term) {
+				t.Errorf("ended at call %d (executed: %v): leads after %v in term %d, the former one was %d", n, after, took, tenure.Term, term)
+			}
+			second.stop()
+			s.Close()
+		}
+	}
+}
+
+// A member that stands aside leaves the leadership to others, and takes it when none does.
+func TestAMemberStandsAside(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := standin.NewState(clock)
+	t.Cleanup(s.Close)
+	a, _ := live(t, s, clock, 0, false)
+	a.StandAside(tuning.StandAside)
+	begun := clock.Now()
+	passUntil(t, s, clock, a.tenures)
+	if took := clock.Since(begun); took < tuning.AsideVacant || took > tuning.AsideVacant+time.Second {
+		t.Errorf("led after %v, though it stands aside and nobody else is there", took)
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,33 @@
+package peers
+
+import (
+	"log/slog"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/config"
+	"poppypass/internal/tuning"
+)
+
+// Guards against a member that counts as cut off since a few pings were missed, and one that never does.
+func TestAMemberIsLonelyAfterAWhile(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := New(&config.Settings{Members: []config.Member{{Name: "m1", Endpoint: "127.0.0.1:1"}}}, clock, slog.New(slog.DiscardHandler))
+	clock.Advance(2 * tuning.LonelyFor)
+	if p.Lonely() {
+		t.Error("lonely before it has asked anybody")
+	}
+	p.hear()
+	clock.Advance(tuning.LonelyFor)
+	if p.Lonely() {
+		t.Error("lonely too soon")
+	}
+	clock.Advance(tuning.LonelyFor / 2)
+	if !p.Lonely() {
+		t.Error("not lonely")
+	}
+	if p.hear(); p.Lonely() {
+		t.Error("lonely though a member answered")
+	}
+}
--- a/internal/placement/overdue_test.go
+++ b/internal/placement/overdue_test.go
@@ -18,7 +18,7 @@
 	items    []*Item
 	running  []ending
 	began    map[string]time.Duration // after its coming
-	done     float64 // CPU seconds of tasks that ended
+	done     float64                  // CPU seconds of tasks that ended
 }
 
 type ending struct {
--- a/internal/roster/world_test.go
+++ b/internal/roster/world_test.go
@@ -258,7 +258,7 @@
 	k.rep.Seq++
 	k.next = w.now.Add(time.Second)
 	sent := clone(&k.rep)
-	if w.chance(10, "copy") {
+	if w.chance(25, "copy") {
 		w.mail = append(w.mail, letter{at: w.now.Add(w.within(5*simLease, "late")), copyOf: sent})
 	}
 	if w.now.Before(k.silent) {
@@ -350,7 +350,7 @@
 		if p := task.stored; p != nil && task.place != p && (w.calm || w.chance(20, "written")) {
 			task.stored = task.place
 		}
-		if task.place != nil && task.place.Stop == nil && w.chance(3, "stop") {
+		if task.place != nil && task.place.Stop == nil && w.chance(10, "stop") {
 			task.place.Stop = &jobs.Stop{}
 			w.direct(task.place.Machine, []*jobs.Place{task.place})
 		}
--- a/internal/users/users_test.go
+++ b/internal/users/users_test.go
@@ -131,3 +131,38 @@
 		t.Errorf("with memory: %d", w.Code)
 	}
 }
+
+// Guards against users that stay with a controller which has lost the state service and all others: their polls failed for
+// as long as that lasted. It says at once that it serves nobody, and has them ask another.
+func TestAMemberThatIsCutOffFromAllSendsItsUsersOn(t *testing.T) {
+	state := standin.NewState(clockwork.NewFakeClock())
+	t.Cleanup(state.Close)
+	d, _ := doorWith(t, state.Addr())
+	alone := true
+	d.alone = func() bool { return alone }
+	status := func(serve http.HandlerFunc, method, path string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequestWithContext(t.Context(), method, path, bytes.NewReader(body))
+		r.SetPathValue("id", "job-7")
+		serve(w, r)
+		return w
+	}
+	for _, c := range []struct {
+		name  string
+		serve http.HandlerFunc
+	}{{"poll", d.ServeGet}, {"submission", d.ServeSubmit}, {"cancellation", d.ServeCancel}} {
+		if w := status(c.serve, http.MethodPost, "/"); w.Code != http.StatusServiceUnavailable || w.Header().Get("Connection") != "close" || w.Header().Get("Retry-After") == "" {
+			t.Errorf("%s: %d, connection %q", c.name, w.Code, w.Header().Get("Connection"))
+		}
+	}
+	if w := status(d.ServeHealth, http.MethodGet, "/up"); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("healthy: %d", w.Code)
+	}
+	alone = false
+	if w := status(d.ServeHealth, http.MethodGet, "/up"); w.Code != http.StatusOK {
+		t.Errorf("not healthy at once: %d", w.Code)
+	}
+	if w := status(d.ServeGet, http.MethodGet, "/"); w.Code != http.StatusNotFound {
+		t.Errorf("poll: %d", w.Code)
+	}
+}
--- a/internal/workers/kept.go
+++ b/internal/workers/kept.go
@@ -40,6 +40,7 @@
 	session, seq uint64    // of its newest report here
 	token        uint64    // with which it was answered last
 	at           time.Time // when that was
+	seen         time.Time // when a report of it came last
 	proven       time.Time // when it last said that it is there; zero: not yet
 	asking       bool
 	failed       bool // it was asked since and did not say so
@@ -56,11 +57,11 @@
 func (k *kept) may(ctx context.Context, rep *wire.Report, now time.Time) bool {
 	k.mu.Lock()
 	w := k.by[rep.Machine]
-	if w != nil && now.Sub(w.at) > k.lease {
+	if w != nil && now.Sub(w.at) > k.lease && !w.failed {
 		w = nil // its lease, if we gave it one, is over
 	}
 	if w == nil {
-		w = &keptWorker{session: rep.Session, seq: rep.Seq, token: rep.Token, at: now}
+		w = &keptWorker{session: rep.Session, seq: rep.Seq, token: rep.Token, at: now, seen: now}
 		k.forget(now)
 		k.by[rep.Machine] = w
 		k.mu.Unlock()
@@ -73,6 +74,7 @@
 	if !older {
 		w.session, w.seq, w.token = rep.Session, rep.Seq, rep.Token
 	}
+	w.seen = now
 	if !refused {
 		w.at = now
 	}
@@ -131,6 +133,6 @@
 	if len(k.by) < k.next {
 		return
 	}
-	maps.DeleteFunc(k.by, func(_ string, w *keptWorker) bool { return now.Sub(w.at) > 2*k.lease && !w.asking })
+	maps.DeleteFunc(k.by, func(_ string, w *keptWorker) bool { return now.Sub(w.seen) > 2*k.lease && !w.asking })
 	k.next = max(tuning.RedirectsLeast, 2*len(k.by))
 }
--- /dev/null
+++ b/internal/workers/kept_test.go
@@ -0,0 +1,166 @@
+package workers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// keptWorld is a member that keeps workers, each of which says what it is asked, or nothing.
+type keptWorld struct {
+	*kept
+	t    *testing.T
+	now  time.Time
+	says map[string]*wire.Report // by address
+	told chan struct{}
+}
+
+func newKeptWorld(t *testing.T) *keptWorld {
+	w := &keptWorld{t: t, now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), says: map[string]*wire.Report{}, told: make(chan struct{}, 64)}
+	w.kept = newKept(10*time.Second, func(_ context.Context, addr string) (wire.Report, bool) {
+		defer func() { w.told <- struct{}{} }()
+		if rep := w.says[addr]; rep != nil {
+			rep.Seq++
+			return *rep, true
+		}
+		return wire.Report{}, false
+	})
+	return w
+}
+
+// report tells whether a worker is kept, and lets what it was asked be known.
+func (w *keptWorld) report(rep *wire.Report) bool {
+	w.t.Helper()
+	ok := w.may(w.t.Context(), rep, w.now)
+	for {
+		w.mu.Lock()
+		asking := w.by[rep.Machine].asking
+		w.mu.Unlock()
+		if !asking {
+			return ok
+		}
+		<-w.told
+		for { // until what it said is taken in
+			w.mu.Lock()
+			done := !w.by[rep.Machine].asking
+			w.mu.Unlock()
+			if done {
+				break
+			}
+		}
+	}
+}
+
+func worker(seq, token uint64) *wire.Report {
+	return &wire.Report{Machine: "n-1", Address: "a:1", Type: "g8", Zone: "z", Session: 1, Seq: seq, Token: token,
+		Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}}}
+}
+
+// Guards against a dead machine that counts as kept for as long as copies of its reports come: its tasks were not started
+// elsewhere. Its first copy cannot be told from a report; the next ones can.
+func TestCopiesKeepNoDeadMachine(t *testing.T) {
+	w := newKeptWorld(t)
+	if !w.report(worker(5, 3)) {
+		t.Error("a worker in a cut waits to be asked")
+	}
+	for seq := uint64(6); seq < 20; seq++ { // a stream of copies, each newer than the one before
+		w.now = w.now.Add(time.Second)
+		if w.report(worker(seq, 3)) {
+			t.Fatal("kept though it does not answer")
+		}
+	}
+	w = newKeptWorld(t)
+	live := worker(5, 3)
+	w.says["a:1"] = live
+	w.report(worker(5, 3))
+	w.now = w.now.Add(time.Second)
+	if w.report(worker(5, 3)) || w.report(worker(4, 3)) {
+		t.Error("a copy is answered")
+	}
+	for seq := uint64(10); seq < 30; seq += 2 {
+		w.now = w.now.Add(time.Second)
+		live.Seq = seq
+		if !w.report(worker(seq, 3)) {
+			t.Fatal("a worker that is there is not kept")
+		}
+	}
+}
+
+// Guards against a worker that is shut out as a copy since its machine was started anew.
+func TestAWorkerThatWasStartedAnewIsKept(t *testing.T) {
+	w := newKeptWorld(t)
+	w.says["a:1"] = worker(500, 3)
+	w.report(worker(500, 3))
+	w.now = w.now.Add(time.Second)
+	w.says["a:1"] = worker(2, 3)
+	if w.report(worker(2, 3)) {
+		t.Error("what looks older is answered before the worker was asked")
+	}
+	w.now = w.now.Add(time.Second)
+	if !w.report(worker(4, 3)) {
+		t.Error("shut out though it said that it was started anew")
+	}
+}
+
+// Guards against workers that stay with a controller which has lost the state service and all others, and so hear no
+// command, while a leader reaches them: the higher token that it gave them tells. One that comes back found nobody.
+func TestAWorkerThatALeaderReachesIsSentOn(t *testing.T) {
+	for _, leaseS := range []float64{10, 18, 26.5, 42} {
+		w := newKeptWorld(t)
+		w.lease = time.Duration(leaseS * float64(time.Second))
+		live := worker(1, 3)
+		w.says["a:1"] = live
+		for seq := uint64(2); seq < 12; seq += 2 {
+			live.Seq = seq
+			if !w.report(worker(seq, 3)) {
+				t.Fatal("a worker that nobody else reaches is sent on")
+			}
+			w.now = w.now.Add(w.lease / 6)
+		}
+		live.Seq = 20
+		if w.report(worker(20, 4)) {
+			t.Errorf("lease %v: kept though a leader gave it a token meanwhile", w.lease)
+		}
+		w.now = w.now.Add(w.lease / 3)
+		live.Seq = 30
+		if !w.report(worker(30, 4)) {
+			t.Errorf("lease %v: not kept though it found nobody", w.lease)
+		}
+	}
+	// One that comes with a token that this member has not heard of may come from anywhere.
+	w := newKeptWorld(t)
+	w.says["a:1"] = worker(1, 9)
+	if !w.report(worker(2, 9)) {
+		t.Error("a worker that was not kept before is sent on")
+	}
+}
+
+// What is asked is bounded: hundreds of workers come together in a cut.
+func TestKeptWorkersAreAskedAFewAtATime(t *testing.T) {
+	block := make(chan struct{})
+	k := newKept(10*time.Second, func(context.Context, string) (wire.Report, bool) { <-block; return wire.Report{}, false })
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	for i := range 500 {
+		rep := worker(1, 3)
+		rep.Machine = "n-" + time.Duration(i).String()
+		if !k.may(t.Context(), rep, now) {
+			t.Fatal("not kept since there was no room to ask it")
+		}
+	}
+	if n := len(k.onWay); n > tuning.KeptAsks {
+		t.Errorf("%d are asked", n)
+	}
+	close(block)
+	// Their memory goes with their leases.
+	for i := range 4 * tuning.RedirectsLeast {
+		rep := worker(1, 3)
+		rep.Machine = "m-" + time.Duration(i).String()
+		k.may(t.Context(), rep, now.Add(time.Duration(i)*time.Second))
+	}
+	if len(k.by) > 3*tuning.RedirectsLeast {
+		t.Errorf("%d workers are remembered", len(k.by))
+	}
+}
