Stored jobs that the leader misses are found; who is served, by class, team and size

Need: an accepted job stays known and runs; operators want to see the oldest that has not begun, and who is served. Change: every 30 s the stored jobs are compared with the book; metrics and job why tell of jobs that wait to begin.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -109,14 +109,14 @@
 }
 
 // pass lets time pass once a call that is to be repeated waits for that,
-// beside the five that always wait: the leader's tick, the renewal of its lease,
-// its next asking for promises, its next look at the fence and the next reading
-// of the machine types.
+// beside the six that always wait: the leader's tick, the renewal of its lease,
+// its next asking for promises, its next look at the fence, the next reading
+// of the machine types and the next comparison with the stored jobs.
 func (w *world) pass(d time.Duration) {
 	w.t.Helper()
 	ctx, cancel := context.WithTimeout(w.t.Context(), patience)
 	defer cancel()
-	if err := w.clock.BlockUntilContext(ctx, 6); err != nil {
+	if err := w.clock.BlockUntilContext(ctx, 7); err != nil {
 		w.t.Fatal("nothing waits to be repeated")
 	}
 	w.clock.Advance(d)
--- a/internal/leader/env.go
+++ b/internal/leader/env.go
@@ -62,8 +62,12 @@
 	Started(class string)
 	Ended(class, how string)
 	Wrote(changes int)
-	Holds(jobs, machines int, waiting map[string]int)
-	Aside(why string) // a report was set aside
+	// Holds: waiting tasks, and seconds for which the oldest job waits to begin, by class.
+	Holds(jobs, machines int, waiting map[string]int, oldest map[string]float64)
+	Came(class, team, size string)
+	Began(class, team, size string, waited time.Duration) // a job's first task runs
+	Found(jobs int)                                       // stored jobs that the leader did not know
+	Aside(why string)                                     // a report was set aside
 	Ways(deaf, unproven int)
 }
 
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -42,6 +42,7 @@
 	asking  bool          // the machines that followers answer are being read
 	nextAsk time.Time
 	ways    ways
+	served  served
 
 	slices     []Slice
 	turn       int            // counts whose turn it is to write
@@ -73,7 +74,7 @@
 		env: env, tenure: t, log: env.Log.With("term", t.Term), inbox: make(chan func(), tuning.Inbox),
 		book: jobs.NewBook(state.TxnOps), roster: roster.New(t.Term, env.Settings.Cluster.Workers.LeaseS),
 		store: env.Store.Share(tuning.LeaderShare), overdue: rate.NewLimiter(rate.Limit(tuning.LazyShare*state.WriteRPS), tuning.LazyLeast),
-		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(), ways: newWays(), broken: map[Slice]bool{}, leaving: map[string]bool{}, images: imageHints{next: now.Add(tuning.ImagesEvery)},
+		begun: now, passWait: tuning.PassWaitMin, fleet: newFleetState(), ways: newWays(), served: newServed(), broken: map[Slice]bool{}, leaving: map[string]bool{}, images: imageHints{next: now.Add(tuning.ImagesEvery)},
 	}
 	for _, join := range env.Joins {
 		s, err := join(l.log)
--- /dev/null
+++ b/internal/leader/reconcile_test.go
@@ -0,0 +1,54 @@
+package leader
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Guards against a job that is stored, known to its user, and in no place here: it would never run.
+func TestStoredJobsThatTheBookLacksAreFound(t *testing.T) {
+	l, clock := leaderWith(t)
+	known := l.waits(t, wire.Job{ID: "job-1", Team: "t", Class: "c", Kind: wire.KindArray, Tasks: 1, CPUs: 1})
+	item := func(id string) wire.Item {
+		value, err := json.Marshal(jobs.Record{Job: wire.Job{ID: id, Team: "t", Class: "c", Kind: wire.KindArray, Tasks: 2, CPUs: 1}, AtMS: clock.Now().UnixMilli()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return wire.Item{Key: jobs.KeyJob(id), Value: value, Version: 3}
+	}
+	l.env.Finals.Add(wire.JobStatus{ID: "job-3", State: wire.StateDone}) // it ended after it was read
+	l.changed = false
+	l.compareJobs([]wire.Item{item("job-1"), item("job-2"), item("job-3"), {Key: jobs.KeyJob("job-4"), Value: []byte("{")}})
+	if l.book.Jobs["job-2"] == nil || l.book.Jobs["job-3"] != nil || l.book.Jobs["job-1"] != known || !l.changed {
+		t.Errorf("known: %v, changed %v", len(l.book.Jobs), l.changed)
+	}
+}
+
+// Operators see who is served: the largest tenth of a class beside the others, and for how long the oldest waits to begin.
+func TestTheLargestOfAClassAreTold(t *testing.T) {
+	l, clock := leaderWith(t)
+	var last *jobs.Job
+	for i := range 20 {
+		last = l.waits(t, wire.Job{ID: fmt.Sprintf("job-%d", i), Team: "t", Class: "c", Kind: wire.KindArray, Tasks: 1 + i%10, CPUs: 4})
+		p := l.served.came(last)
+		if large := i >= tuning.ServedLeast-1 && i%10 == 9; p.large != large {
+			t.Errorf("job %d of %d tasks: large %v", i, 1+i%10, p.large)
+		}
+	}
+	clock.Advance(time.Minute)
+	if got := int(l.oldest(clock.Now())["c"]); got != 60 {
+		t.Errorf("the oldest waits for %v s", got)
+	}
+	if p := l.served.began(last); p == nil || !p.large || l.served.began(last) != nil {
+		t.Error("it does not begin once")
+	}
+	if l.served.over(last.ID); l.served.began(last) != nil {
+		t.Error("remembered though it is over")
+	}
+}
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -50,6 +50,7 @@
 	}
 	l.post(func() { l.takeProgress(progress, lefts) })
 	l.loadImages(ctx)
+	go l.reconcile(ctx)
 	for ctx.Err() == nil {
 		r, err := l.store.Watch(ctx, jobs.PrefixJob, revision, tuning.JobWatch)
 		switch {
@@ -88,6 +89,9 @@
 			continue
 		}
 		if !known {
+			if p := l.served.came(j); l.loaded {
+				l.env.observe(func(o Observer) { o.Came(j.Class, j.Team, p.sizeName()) })
+			}
 			l.fleet.next = now // rent at once if it finds no room
 			if l.arrived++; !l.rush(now) || l.arrived%tuning.RushShare == 0 {
 				l.fleet.recent = append(l.fleet.recent, fleet.Arrival{At: j.WaitSince, Job: &j.Job})
@@ -137,6 +141,9 @@
 		l.log.Error("charges are lost", "err", err)
 	}
 	l.loaded, l.changed = true, true
+	for id, p := range l.served.live {
+		p.begun = l.book.Jobs[id].Placed+l.book.Jobs[id].Done > 0
+	}
 	for _, s := range l.slices {
 		s.Loaded(l.book, now)
 	}
@@ -245,6 +252,7 @@
 		"garbage", batch.Counts.Garbage, "took_ms", l.env.Clock.Since(begun).Milliseconds())
 	start, over := l.book.Written(batch, revision)
 	for _, o := range over {
+		l.served.over(o.Job.ID)
 		l.env.Finals.Add(wire.JobStatus{ID: o.Job.ID, State: o.State, Done: o.Job.Done})
 		for _, s := range l.slices {
 			s.Over(o, l.env.Clock.Now())
--- /dev/null
+++ b/internal/leader/served.go
@@ -0,0 +1,69 @@
+package leader
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
+)
+
+// served tells operators who is served: jobs that came and jobs that began, by class, team and size. A job is large when
+// it is among the largest tenth of its class's last ones, by the CPUs of all its tasks.
+type served struct {
+	sizes map[string][]float64 // of the last jobs of a class, in the order in which they came
+	live  map[string]*presence
+}
+
+// presence is a live job.
+type presence struct{ large, begun bool }
+
+func newServed() served { return served{sizes: map[string][]float64{}, live: map[string]*presence{}} }
+
+// sizeName is how metrics call it.
+func (p *presence) sizeName() string {
+	if p.large {
+		return "largest"
+	}
+	return "other"
+}
+
+// came takes in a job, and tells how it stands.
+func (s *served) came(j *jobs.Job) *presence {
+	size := j.CPUs * float64(j.Job.Tasks)
+	last := append(s.sizes[j.Class], size)
+	if len(last) > tuning.ServedSizes {
+		last = last[1:]
+	}
+	s.sizes[j.Class] = last
+	sorted := slices.Sorted(slices.Values(last))
+	p := &presence{
+		large: len(sorted) >= tuning.ServedLeast && size >= sorted[int(math.Ceil(float64(len(sorted))*tuning.ServedLarge))] && size > sorted[0],
+		begun: j.Placed+j.Done > 0,
+	}
+	s.live[j.ID] = p
+	return p
+}
+
+// began takes in that a task of a job runs; first is nil unless it is the job's first.
+func (s *served) began(j *jobs.Job) (first *presence) {
+	if p := s.live[j.ID]; p != nil && !p.begun {
+		p.begun = true
+		return p
+	}
+	return nil
+}
+
+func (s *served) over(id string) { delete(s.live, id) }
+
+// oldest gives for each class for how long its oldest job waits to begin, in seconds.
+func (l *Loop) oldest(now time.Time) map[string]float64 {
+	out := map[string]float64{}
+	for _, j := range l.book.Jobs {
+		if j.Open() && j.Placed+j.Done == 0 {
+			out[j.Class] = max(out[j.Class], now.Sub(j.Entered).Seconds())
+		}
+	}
+	return out
+}
--- a/internal/leader/slices.go
+++ b/internal/leader/slices.go
@@ -225,5 +225,5 @@
 			waiting[j.Class] += j.Waiting()
 		}
 	}
-	o.Holds(len(l.book.Jobs), len(l.roster.Machines), waiting)
+	o.Holds(len(l.book.Jobs), len(l.roster.Machines), waiting, l.oldest(l.env.Clock.Now()))
 }
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -124,6 +124,9 @@
 	}
 	for _, p := range a.Began {
 		l.book.Began(p, now)
+		if first := l.served.began(p.Job); first != nil {
+			l.env.observe(func(o Observer) { o.Began(p.Job.Class, p.Job.Team, first.sizeName(), now.Sub(p.Job.Entered)) })
+		}
 	}
 	l.settle(a.Outcomes, now)
 	l.recall(a.Machine)
--- a/internal/leader/why.go
+++ b/internal/leader/why.go
@@ -53,10 +53,14 @@
 	if now.Before(j.PauseUntil) {
 		add("after failures, no task starts for %d s", 1+int(j.PauseUntil.Sub(now).Seconds()))
 	}
-	it := &placement.Item{Job: &j.Job, Since: j.WaitSince, Waiting: n}
+	it := &placement.Item{Job: &j.Job, Since: j.WaitSince, Waiting: n, Started: j.Placed + j.Done, Entered: j.Entered, Trial: l.onTrial(j, now)}
+	if it.Overdue(now) {
+		add("it has waited %d s to begin: one task of it goes before all else of its priority, and a machine is held for it", int(now.Sub(j.Entered).Seconds()))
+	}
 	switch placed := j.Placed > 0; {
 	case placement.Left(it, l.teams()) == 0:
 		add("the team's tasks use as much as the team's limit allows")
+	case it.Overdue(now):
 	case len(r.Reasons) == 0 && placed:
 		add("no machine has room for more of its tasks; work of higher priority, or that waited longer, goes first")
 	case len(r.Reasons) == 0:
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -37,6 +37,11 @@
 	aside    *prometheus.CounterVec
 	deaf     prometheus.Gauge
 	unproven prometheus.Gauge
+	oldest   *prometheus.GaugeVec
+	came     *prometheus.CounterVec
+	begun    *prometheus.CounterVec
+	begin    *prometheus.HistogramVec
+	found    prometheus.Counter
 
 	charges     *prometheus.CounterVec
 	coreSeconds *prometheus.CounterVec
@@ -58,22 +63,29 @@
 		report: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "poppypass_report_seconds", Help: "How long a worker's report waits for the leader's answer.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
 		}),
-		queue:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "poppypass_queue_tasks", Help: "Tasks that wait to be placed."}, []string{"class"}),
-		started:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_starts_total", Help: "Attempts that were placed."}, []string{"class"}),
-		ended:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_ends_total", Help: "Attempts that are proven over."}, []string{"class", "how"}),
-		written:     prometheus.NewCounter(prometheus.CounterOpts{Name: "poppypass_state_changes_total", Help: "Changes that the leader wrote to the state service."}),
-		machines:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines", Help: "Machines that the leader knows."}),
-		jobs:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_jobs", Help: "Jobs that are not over."}),
-		aside:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_reports_set_aside_total", Help: "Workers' reports that changed nothing: older than one before, of a returned machine, or contradicting what is known of it."}, []string{"why"}),
-		deaf:        prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines_deaf", Help: "Machines that report but do not hear the leader."}),
-		unproven:    prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines_unproven", Help: "Machines that report and have not yet proved to hear this leader."}),
+		queue:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "poppypass_queue_tasks", Help: "Tasks that wait to be placed."}, []string{"class"}),
+		started:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_starts_total", Help: "Attempts that were placed."}, []string{"class"}),
+		ended:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_ends_total", Help: "Attempts that are proven over."}, []string{"class", "how"}),
+		written:  prometheus.NewCounter(prometheus.CounterOpts{Name: "poppypass_state_changes_total", Help: "Changes that the leader wrote to the state service."}),
+		machines: prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines", Help: "Machines that the leader knows."}),
+		jobs:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_jobs", Help: "Jobs that are not over."}),
+		aside:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_reports_set_aside_total", Help: "Workers' reports that changed nothing: older than one before, of a returned machine, or contradicting what is known of it."}, []string{"why"}),
+		deaf:     prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines_deaf", Help: "Machines that report but do not hear the leader."}),
+		unproven: prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_machines_unproven", Help: "Machines that report and have not yet proved to hear this leader."}),
+		oldest:   prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "poppypass_oldest_unbegun_seconds", Help: "For how long the oldest job waits to begin."}, []string{"class"}),
+		came:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_jobs_accepted_total", Help: "Jobs that came; size is largest for the largest tenth of the class's last ones."}, []string{"class", "team", "size"}),
+		begun:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_jobs_begun_total", Help: "Jobs of which a first task ran."}, []string{"class", "team", "size"}),
+		begin: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "poppypass_begin_seconds", Help: "From a job's acceptance until its first task ran.", Buckets: prometheus.ExponentialBuckets(0.5, 2, 11),
+		}, []string{"class", "size"}),
+		found:       prometheus.NewCounter(prometheus.CounterOpts{Name: "poppypass_jobs_found_total", Help: "Stored jobs that the leader did not know."}),
 		charges:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charges_total", Help: "Charges that this controller made."}, []string{"team", "how"}),
 		coreSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charged_core_seconds_total", Help: "Core time that this controller charged."}, []string{"team"}),
 		money:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "poppypass_charged_money_total", Help: "Money that this controller charged, in the currency of the cloud's prices."}, []string{"team"}),
 	}
 	limit := prometheus.NewGauge(prometheus.GaugeOpts{Name: "poppypass_state_changes_limit", Help: "Changes a second that the state service allows."})
 	limit.Set(writeRPS)
-	m.registry.MustRegister(m.leading, m.takeOver, m.pass, m.report, m.queue, m.started, m.ended, m.written, m.machines, m.jobs, m.aside, m.deaf, m.unproven, limit, m.charges, m.coreSeconds, m.money,
+	m.registry.MustRegister(m.leading, m.takeOver, m.pass, m.report, m.queue, m.started, m.ended, m.written, m.machines, m.jobs, m.aside, m.oldest, m.came, m.begun, m.begin, m.found, m.deaf, m.unproven, limit, m.charges, m.coreSeconds, m.money,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -86,6 +98,7 @@
 	}
 	m.leading.Set(0)
 	m.queue.Reset()
+	m.oldest.Reset()
 	m.machines.Set(0)
 	m.jobs.Set(0)
 	m.Ways(0, 0)
@@ -109,8 +122,25 @@
 // Wrote takes in that changes were written.
 func (m *Metrics) Wrote(changes int) { m.written.Add(float64(changes)) }
 
-// Holds takes in what the leader holds: jobs, machines, and waiting tasks by class.
-func (m *Metrics) Holds(jobs, machines int, waiting map[string]int) {
+// Came takes in a job that came.
+func (m *Metrics) Came(class, team, size string) { m.came.WithLabelValues(class, team, size).Inc() }
+
+// Began takes in a job whose first task runs.
+func (m *Metrics) Began(class, team, size string, waited time.Duration) {
+	m.begun.WithLabelValues(class, team, size).Inc()
+	m.begin.WithLabelValues(class, size).Observe(waited.Seconds())
+}
+
+// Found takes in stored jobs that the leader did not know.
+func (m *Metrics) Found(jobs int) { m.found.Add(float64(jobs)) }
+
+// Holds takes in what the leader holds: jobs, machines, and by class the waiting tasks and the seconds for which the
+// oldest job waits to begin.
+func (m *Metrics) Holds(jobs, machines int, waiting map[string]int, oldest map[string]float64) {
+	m.oldest.Reset()
+	for class, s := range oldest {
+		m.oldest.WithLabelValues(class).Set(s)
+	}
 	m.jobs.Set(float64(jobs))
 	m.machines.Set(float64(machines))
 	m.queue.Reset()
--- a/internal/placement/overdue.go
+++ b/internal/placement/overdue.go
@@ -21,7 +21,7 @@
 func overdueIn(items []*Item, lo, hi int, now time.Time) []int {
 	var late []int
 	for i := lo; i < hi; i++ {
-		if items[i].overdue(now) {
+		if items[i].Overdue(now) {
 			late = append(late, i)
 		}
 	}
@@ -34,8 +34,8 @@
 // size is what all tasks of an item's job take together, in CPUs.
 func (it *Item) size() float64 { return it.Job.CPUs * float64(it.Job.Tasks) }
 
-// overdue tells whether an item's job waits for its first task for too long.
-func (it *Item) overdue(now time.Time) bool {
+// Overdue tells whether an item's job waits for its first task for too long.
+func (it *Item) Overdue(now time.Time) bool {
 	return it.Started == 0 && !it.Ghost && !it.Trial && it.Waiting > 0 && now.Sub(it.entered()) >= tuning.BeginBound
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -199,6 +199,14 @@
 	// for its own sake: most arrays' tasks end within a minute, and a new leader
 	// otherwise counts from when the task was placed.
 	BeganAfter = 10 * time.Second
+	// ReconcileEvery is how often the stored jobs are compared with those that the leader knows: one that it missed has to
+	// begin within minutes. A thousand jobs are two calls.
+	ReconcileEvery = 30 * time.Second
+	// ServedSizes is of how many jobs of a class the sizes are remembered, ServedLarge from which share of them on one is
+	// among the largest, and ServedLeast how many there must be to tell.
+	ServedSizes = 200
+	ServedLarge = 0.9
+	ServedLeast = 10
 	// JobWatch is how long the leader's watch for new jobs waits.
 	JobWatch = 10 * time.Second
 	// LoadPage is how many keys a new leader reads in one call.
