A copy's notice counts until its machine proved itself; doubled attempts are malformed

Need: the first report that a new leader sees may be a copy; without its notice spot machines were not emptied in a roll. Change: such a notice is dropped once the machine speaks for itself. Reports that hold an attempt twice get a 400.

--- /dev/null
+++ b/internal/leader/ways_bench_test.go
@@ -0,0 +1,88 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"poppypass/internal/roster"
+	"poppypass/internal/wire"
+)
+
+// fleetHeard makes a leader with n machines that hear it, each with a task.
+func fleetHeard(t testing.TB, n int) (*Loop, []*wire.Report) {
+	l, clock := leaderWith(t)
+	clear(l.roster.Machines)
+	l.env.Valid = func(uint64) bool { return true }
+	l.env.Settings.Cluster.Workers.ReportS = 10
+	j := l.waits(t, wire.Job{ID: "job-1", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: n, CPUs: 1, MemoryGB: 1})
+	reports := make([]*wire.Report, n)
+	for i := range reports {
+		rep := &wire.Report{Machine: fmt.Sprintf("n-%06d", i), Address: "127.0.0.1:1", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 1}
+		if _, err := l.roster.Report(rep, false, clock.Now(), func(roster.Key) bool { return false }); err != nil {
+			t.Fatal(err)
+		}
+		p := l.book.Place(j, i, rep.Machine, "a", 1, clock.Now())
+		p.Committed, p.State, p.Running = true, wire.TaskRunning, clock.Now()
+		l.roster.Add(p, clock.Now())
+		rep.Tasks = []wire.TaskReport{{Task: p.Task().String(), Attempt: 1, State: wire.TaskRunning}}
+		reports[i] = rep
+	}
+	return l, reports
+}
+
+// BenchmarkWays is what looking at all machines for doubts costs, twice a second.
+func BenchmarkWays(b *testing.B) {
+	for _, n := range []int{400, 3300, 10000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, _ := fleetHeard(b, n)
+			for b.Loop() {
+				l.ways.next = time.Time{}
+				l.stepWays(l.env.Clock.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkOneReport is what a report costs the roster, its age and the effect of the answer before it included.
+func BenchmarkOneReport(b *testing.B) {
+	l, reports := fleetHeard(b, 3300)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		rep := reports[i%len(reports)]
+		rep.Seq++
+		if _, err := l.roster.Report(rep, false, l.env.Clock.Now(), func(roster.Key) bool { return false }); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// Guards against questions that come in the thousands when half of a large fleet is out of reach: they keep to their share
+// of what is on its way, and to their rate.
+func TestQuestionsAreBounded(t *testing.T) {
+	l, _ := fleetHeard(t, 2000)
+	l.env.Sending = make(chan struct{}, 400)
+	for _, m := range l.roster.Machines {
+		m.Doubt = true
+	}
+	l.stepWays(l.env.Clock.Now())
+	if most := 400 / 8; l.ways.onWay == 0 || l.ways.onWay > most {
+		t.Errorf("%d questions at a time, at most %d", l.ways.onWay, most)
+	}
+}
+
+// Guards against a job of as many tasks as one may have, whose questions hold up all others: its state is told from memory.
+func TestALargeJobIsAnsweredLikeAnyOther(t *testing.T) {
+	l, clock := leaderWith(t)
+	j := l.waits(t, wire.Job{ID: "job-1", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: wire.MaxTasks, CPUs: 1, MemoryGB: 1})
+	for i := range 2000 {
+		p := l.book.Place(j, i, "n-large", "a", 1, clock.Now())
+		p.State = wire.TaskRunning
+	}
+	if s := j.Status(); s.Running != 2000 || s.State != wire.StateRunning {
+		t.Errorf("%+v", s)
+	}
+	if n := testing.AllocsPerRun(10, func() { _ = j.Status() }); n > 0 {
+		t.Errorf("%v allocations for each poll", n)
+	}
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -274,6 +274,7 @@
 				m := machine(fmt.Sprintf("m-%02d", i), []string{"a", "b"}[r.IntN(2)], r.IntN(2) == 0, float64(r.IntN(17)))
 				m.Free.MemoryGB, m.Price = float64(r.IntN(20)), float64(r.IntN(3))
 				fetch := float64(r.IntN(4))
+				m.Unproven = r.IntN(4) == 0
 				m.Type = []string{"x", "y"}[r.IntN(2)]
 				m.FetchS = func(image string, _ float64) float64 { return fetch * float64(len(image)) }
 				machines = append(machines, m)
--- /dev/null
+++ b/internal/roster/copies_test.go
@@ -0,0 +1,81 @@
+package roster
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"poppypass/internal/wire"
+)
+
+func noticed(rep *wire.Report, s float64) *wire.Report {
+	rep.NoticeS = &s
+	return rep
+}
+
+// Guards against the notice of a copy: it drained a healthy machine, or had one that will be taken look safe.
+func TestACopysNoticeDoesNotLast(t *testing.T) {
+	f := newFixture(t)
+	f.Inherit(place(1), t0)
+	f.report(noticed(report(1, 5, term-1), 25), 0, no) // may be a copy
+	if m := f.Machines["n-1"]; m.Notice.IsZero() {
+		t.Error("a notice is not taken as long as nothing tells against it")
+	}
+	f.report(report(1, 9, term), time.Second, no)
+	if m := f.Machines["n-1"]; !m.Notice.IsZero() {
+		t.Error("the machine itself says that it has none")
+	}
+	f.report(noticed(report(1, 10, term), 25), 2*time.Second, no)
+	before := f.Machines["n-1"].Notice
+	for _, late := range []*wire.Report{report(1, 8, term), noticed(report(1, 10, term), 3)} {
+		if _, err := f.Report(late, false, t0.Add(3*time.Second), no); !errors.Is(err, ErrStale) {
+			t.Errorf("a copy: %v", err)
+		}
+	}
+	if m := f.Machines["n-1"]; m.Notice != before || before.IsZero() || !m.Doubt {
+		t.Errorf("a copy changed the notice (%v, %v), or is not looked into", before, m.Notice)
+	}
+}
+
+// Guards against a machine that a former leader returned: a copy of its report had it look idle and roomy.
+func TestAMachineThatNothingButAReportNamesGetsNoWorkBeforeItProvesItself(t *testing.T) {
+	f := newFixture(t)
+	f.report(report(1, 5, term-1), 0, no)
+	m := f.Machines["n-1"]
+	if m.Usable(term, t0) {
+		t.Error("trusted")
+	}
+	f.Know("n-1", "g8", "a", false, t0, t0) // the cloud lists it
+	if !m.Usable(term, t0) {
+		t.Error("not trusted though it is listed and met the last leader")
+	}
+	old := newFixture(t)
+	old.Know("n-1", "g8", "a", false, t0, t0)
+	old.report(report(1, 5, term-2), 0, no)
+	if old.Machines["n-1"].Usable(term, t0) {
+		t.Error("trusted by a report from before the last term")
+	}
+	if old.report(report(1, 6, term), time.Second, no); !old.Machines["n-1"].Usable(term, t0) {
+		t.Error("not used though it heard us")
+	}
+}
+
+// Guards against a report that makes its machine another one.
+func TestAReportThatContradictsIsSetAside(t *testing.T) {
+	f := newFixture(t)
+	f.report(report(1, 5, term), 0, no)
+	for _, change := range []func(*wire.Report){
+		func(r *wire.Report) { r.Address = "10.0.0.1:9" }, func(r *wire.Report) { r.Type = "g9" },
+		func(r *wire.Report) { r.Zone = "b" }, func(r *wire.Report) { r.Spot = true },
+	} {
+		rep := report(2, 9, term, taskIs("job-1/0", 1, wire.TaskRunning, ""))
+		change(rep)
+		before := *f.Machines["n-1"]
+		if _, err := f.Report(rep, false, t0.Add(time.Second), no); !errors.Is(err, ErrContradicts) {
+			t.Errorf("%+v: %v", rep, err)
+		}
+		if m := f.Machines["n-1"]; m.Session != before.Session || m.Address != before.Address || m.Heard != before.Heard || m.HasStrays() {
+			t.Errorf("it changed %+v", m)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -76,6 +76,7 @@
 	Ours  bool        // rented in this term, so that no leader before can have returned it
 	Doubt bool        // a report came that looks older than one before: a copy, or the machine was started anew
 	life  uint64      // the session to which it is to be asked; 0: the newest known
+	loose bool        // its notice comes from a report that may be a copy
 	told  told        // what the answer to its newest report said
 }
 
@@ -370,13 +371,18 @@
 	}
 	before := m.Heard
 	m.Unlisted = 0
+	// The first report that a new leader sees may be a copy, whose notice is as old as it is: it counts until the
+	// machine has proved itself, and clears none.
+	if m.Reach.Proven() && m.loose {
+		m.Notice, m.loose = time.Time{}, false
+	}
 	switch {
-	case !m.Reach.Proven():
-		// The first report that a new leader sees may be a copy, whose notice is as old as it is.
+	case !m.Reach.Proven() && rep.NoticeS == nil:
 	case rep.NoticeS == nil:
 		m.Notice = time.Time{}
 	case m.Notice.IsZero():
 		m.Notice = now.Add(time.Duration(max(0, *rep.NoticeS) * float64(time.Second)))
+		m.loose = !m.Reach.Proven()
 		a.Changed = true
 	}
 	if !direct {
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -69,10 +69,20 @@
 	if r.Session == 0 {
 		return errors.New("a report lacks its session")
 	}
+	type attempt struct {
+		task    string
+		attempt uint64
+	}
+	seen := make(map[attempt]bool, len(r.Tasks))
 	for _, t := range r.Tasks {
 		if _, ok := ParseTaskID(t.Task); !ok {
 			return errors.New("a report holds a malformed task")
 		}
+		k := attempt{t.Task, t.Attempt}
+		if seen[k] {
+			return errors.New("a report holds an attempt twice")
+		}
+		seen[k] = true
 	}
 	return nil
 }
