A session that a direct answer tells of has its own lease; tasks of earlier sessions are settled

Machines that had lost the network answered the leader's new questions with a new session and were given work, and that session was ended by the lease of the one before.

Change: a session's lease counts from when it is heard of, however; a token that went down, and a session that rose before the machine proved itself, have it asked; open starts keep its lease open.

--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -78,7 +78,9 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		// No connection, so nothing was sent that could arrive later.
 		l.post(func() { l.roster.Sent(name, req) })
+		return
 	}
+	l.post(func() { l.roster.Open(name, begun) })
 }
 
 // Report takes a worker's report and gives the commands for the answer.
--- a/internal/roster/asked.go
+++ b/internal/roster/asked.go
@@ -31,6 +31,18 @@
 	return addr, &wire.DirectCommands{Token: r.term, Session: session, Commands: []wire.Command{}}, Mark{m.Session, m.seq, now}, true
 }
 
+// Open takes in that a direct request, sent at a time, had no answer. A start in it may still arrive, also at a life of the
+// machine that began until then and counts its first session anew, as long as that session's lease lasts.
+func (r *Roster) Open(name string, sent time.Time) {
+	m := r.Machines[name]
+	if m == nil || len(m.sent) == 0 || m.LeaseEnd.IsZero() {
+		return
+	}
+	if end := sent.Add(r.lease); m.LeaseEnd.Before(end) {
+		m.LeaseEnd = end
+	}
+}
+
 // Rebirth is what an answer proves of its machine's worker.
 type Rebirth int
 
@@ -80,6 +92,9 @@
 	}
 	clear(m.strays)
 	clear(m.images)
+	if m.former.Session < m.Session || m.former.Session == m.Session && m.former.Seq < m.seq {
+		m.former = Mark{Session: m.Session, Seq: m.seq}
+	}
 	m.Session, m.seq, m.Token, m.Dead, m.life = rep.Session, rep.Seq, rep.Token, rep.Session-1, 0
 	m.Doubt, m.told, m.Notice = false, told{}, time.Time{}
 	m.LeaseEnd = now.Add(r.lease) // nobody of ours had answered this life before
--- a/internal/roster/copies_test.go
+++ b/internal/roster/copies_test.go
@@ -79,3 +79,56 @@
 		}
 	}
 }
+
+// Guards against a session that counts as over by the lease of the one before: a machine that was out of reach for longer
+// than its lease answered a question with its new session, was given work, and a moment later that was started elsewhere.
+func TestANewSessionThatADirectAnswerTellsOfHasItsOwnLease(t *testing.T) {
+	f := newFixture(t)
+	f.report(report(1, 1, term), 0, no)
+	back := 30 * time.Second // long after its lease; nothing was concluded, since others may have kept it
+	if _, err := f.Report(report(2, 9, term), true, t0.Add(back), no); err != nil {
+		t.Fatal(err)
+	}
+	p := place(2)
+	f.Add(p, t0.Add(back))
+	if outs := f.expire(back + 9*time.Second); len(outs) != 0 {
+		t.Fatalf("gone within the lease of its session: %v", outs)
+	}
+	if outs := f.expire(back + 11*time.Second); len(outs) != 1 {
+		t.Errorf("not gone after it: %v", outs)
+	}
+}
+
+// Guards against a task that is never wanted again, and its job forgotten: a former leader had recorded it in a session that was
+// over, knew that it was gone, placed another there and ended before it had written the first one's end.
+func TestATaskOfAnEarlierSessionBesideOneOfALater(t *testing.T) {
+	f := newFixture(t)
+	gone, there := place(1), place(2)
+	there.Index = 1
+	f.Inherit(gone, t0)
+	f.Inherit(there, t0)
+	a := f.report(report(2, 7, term, taskIs("job-1/1", 1, wire.TaskRunning, "")), time.Second, no)
+	if len(a.Outcomes) != 1 || a.Outcomes[0].Place != gone || !a.Outcomes[0].Lost {
+		t.Errorf("outcomes %+v", a.Outcomes)
+	}
+}
+
+// Guards against a copy from a machine's former life, whose session is higher than that of the life that runs.
+func TestACopyFromAFormerLifeEndsNoSession(t *testing.T) {
+	f := newFixture(t)
+	f.report(report(3, 40, term), 0, no)
+	m := f.Machines["n-1"]
+	_, _, mark, _ := f.Question(m, t0.Add(5*time.Second))
+	anew := report(1, 2, term)
+	if got := f.Reborn(m, mark, anew); got != Anew {
+		t.Fatalf("judged %v", got)
+	}
+	f.Begin(m, anew, t0.Add(5*time.Second))
+	f.Add(place(1), t0.Add(5*time.Second))
+	if a, err := f.Report(report(3, 39, term), false, t0.Add(6*time.Second), no); !errors.Is(err, ErrStale) || len(a.Outcomes) != 0 {
+		t.Errorf("%v, %v", a.Outcomes, err)
+	}
+	if a := f.report(report(1, 3, term, taskIs("job-1/0", 1, wire.TaskRunning, "")), 6*time.Second, no); len(a.Outcomes) != 0 {
+		t.Errorf("outcomes %v", a.Outcomes)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -71,13 +71,14 @@
 	errorsOf   map[string]bool
 	Pace       Pace // how fast it runs against others
 
-	Reach reach.State // whether it hears us
-	Known bool        // the cloud or a record names it; else only its own reports do, which may be copies
-	Ours  bool        // rented in this term, so that no leader before can have returned it
-	Doubt bool        // a report came that looks older than one before: a copy, or the machine was started anew
-	life  uint64      // the session to which it is to be asked; 0: the newest known
-	loose bool        // its notice comes from a report that may be a copy
-	told  told        // what the answer to its newest report said
+	Reach  reach.State // whether it hears us
+	Known  bool        // the cloud or a record names it; else only its own reports do, which may be copies
+	Ours   bool        // rented in this term, so that no leader before can have returned it
+	Doubt  bool        // a report came that looks older than one before: a copy, or the machine was started anew
+	life   uint64      // the session to which it is to be asked; 0: the newest known
+	former Mark        // the newest message of its former life, if it was started anew
+	loose  bool        // its notice comes from a report that may be a copy
+	told   told        // what the answer to its newest report said
 }
 
 // told is an answer to a report: the next report shows whether it arrived, since a worker has one report in flight.
@@ -332,10 +333,17 @@
 	m := r.Machines[rep.Machine]
 	if m != nil {
 		// A direct answer tells the order as well, also of a machine that has not reported to us yet.
-		older := rep.Session < m.Session || rep.Session == m.Session && rep.Seq <= m.seq && (m.seq > 0 || !m.Heard.IsZero())
+		// A copy from before the machine was started anew looks newer than all of its new life.
+		former := !direct && rep.Session > m.Session && (rep.Session < m.former.Session || rep.Session == m.former.Session && rep.Seq <= m.former.Seq)
+		// A worker keeps the highest token that it has seen: one that lost it is of another life.
+		former = former || !direct && rep.Token < m.Token
+		// Before a machine has proved itself in this term, a session that is over for what is recorded there is to be told by
+		// the machine itself: a copy from a former life may bear a higher one than the life that runs.
+		former = former || !direct && rep.Session > m.Session && len(m.Places) > 0 && rep.Token < r.term && !m.Reach.Proven()
+		older := former || rep.Session < m.Session || rep.Session == m.Session && rep.Seq <= m.seq && (m.seq > 0 || !m.Heard.IsZero())
 		// A session whose lease ran out is over, whatever a late report says.
 		if older || rep.Session <= m.Dead {
-			m.Doubt = m.Doubt || !direct
+			m.Doubt = true
 			return a, ErrStale
 		}
 		// A report in which its machine is another one is set aside, before it changes anything.
@@ -348,6 +356,7 @@
 	}
 	m = r.ensure(rep.Machine, now)
 	a.Machine = m
+	risen := rep.Session > m.Session // endSession settles its places then
 	a.Changed = m.Heard.IsZero() || rep.Session > m.Session
 	if rep.Session > m.Session {
 		// Its lease ran out though its reports were answered: the answers did not arrive.
@@ -355,6 +364,9 @@
 			m.Reach.Missed(now)
 		}
 		m.Session, m.told = rep.Session, told{}
+		// Its lease counts from its begin, which may be this moment. When a direct answer told of it, the end of the
+		// former session's lease once counted for the new one: tasks that had just been started there were started elsewhere.
+		m.LeaseEnd = now.Add(r.lease)
 		r.endSession(m, rep.Session-1, &a)
 	}
 	unseen := rep.Token < r.term
@@ -441,6 +453,12 @@
 		}
 	}
 	for k, p := range m.Places {
+		if !risen && p.Session < rep.Session {
+			// Recorded in a session that is over, beside others of a later one: a leader ended before it had written that
+			// the task is gone. The session did not rise for this one, so the task was never wanted again.
+			a.Outcomes = append(a.Outcomes, Outcome{Place: p, Why: wire.WhyStopped, Lost: true})
+			continue
+		}
 		if listed[k] != nil || !p.Committed || p.Session != rep.Session {
 			continue
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -195,7 +195,8 @@
 	if a := f.report(report(1, 1, term, exited), 0, no); len(a.Commands) != 0 {
 		t.Fatalf("forgotten before its end is stored: %v", a.Commands)
 	}
-	if a := f.report(report(1, 2, term-1, exited), 0, yes); len(a.Commands) != 0 {
+	older := newFixture(t)
+	if a := older.report(report(1, 2, term-1, exited), 0, yes); len(a.Commands) != 0 {
 		t.Fatalf("forgotten while an older leader's start may arrive: %v", a.Commands)
 	}
 	if a := f.report(report(1, 3, term, exited), 0, yes); ops(a.Commands) != "forget " {
--- a/internal/roster/world_test.go
+++ b/internal/roster/world_test.go
@@ -202,7 +202,7 @@
 			kept = append(kept, l)
 		case l.copyOf != nil:
 			w.report(l.copyOf) // its answer reaches nobody
-		case l.life != l.to.life:
+		case l.life != l.to.life || l.to.dead:
 		case l.answer != nil && l.session != l.to.rep.Session: // dropped
 		case l.answer != nil:
 			w.hears(l.to, l.answer, l.sent)
@@ -286,6 +286,7 @@
 	if w.now.Before(k.deaf) || k.dead || w.chance(30, "lost") {
 		w.mail = append(w.mail, letter{at: w.now.Add(w.within(5*simLease, "late")), to: k, life: k.life, req: req})
 		w.r.Machines[name].Reach.Failed(w.now, w.now)
+		w.r.Open(name, w.now)
 		return
 	}
 	if rep := w.do(k, req); rep != nil {
@@ -306,7 +307,8 @@
 	for _, name := range slices.Sorted(maps.Keys(w.r.Machines)) {
 		m, k := w.r.Machines[name], w.worker(name)
 		_, deaf := m.Reach.Deaf()
-		if !(deaf || m.Doubt || m.Reach.Doubted()) || !m.Reach.Due(w.now) {
+		quiet := m.Session > m.Dead && len(m.Places) > 0 && w.now.Sub(m.Heard) > simLease/2
+		if !(deaf || quiet || m.Doubt || m.Reach.Doubted()) || !m.Reach.Due(w.now) {
 			continue
 		}
 		for range 2 {
