--- a/internal/roster/copies_test.go
+++ b/internal/roster/copies_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
 
@@ -132,3 +134,35 @@
 		t.Errorf("outcomes %v", a.Outcomes)
 	}
 }
+
+// Guards against a copy that is taken for news of a machine which answered a question and has not reported to this leader yet.
+func TestADirectAnswerTellsTheOrderBeforeTheFirstReport(t *testing.T) {
+	f := newFixture(t)
+	f.Inherit(place(1), t0)
+	if _, err := f.Report(report(1, 7, term, taskIs("job-1/0", 1, wire.TaskRunning, "")), true, t0.Add(time.Second), no); err != nil {
+		t.Fatal(err)
+	}
+	if a, err := f.Report(report(1, 6, term), false, t0.Add(2*time.Second), no); !errors.Is(err, ErrStale) || len(a.Commands) != 0 {
+		t.Errorf("a copy from before the answer: %v, %v", a.Commands, err)
+	}
+	f.report(report(1, 8, term, taskIs("job-1/0", 1, wire.TaskRunning, "")), 3*time.Second, no)
+}
+
+// Guards against a task that counts as gone while the answer with its start is on its way: the next report may be a copy from
+// a former life of a machine that was started anew, with a higher punch.
+func TestAStartInAnAnswerMayStillArrive(t *testing.T) {
+	f := newFixture(t)
+	f.report(report(1, 1, term), 0, no)
+	p := place(1)
+	f.Add(p, t0)
+	if a := f.report(report(1, 2, term), time.Second, no); ops(a.Commands) != "start " {
+		t.Fatalf("commands %v", a.Commands)
+	}
+	p.Stop = &jobs.Stop{}
+	if a := f.report(report(1, 90, term), 2*time.Second, no); len(a.Outcomes) != 0 || ops(a.Commands) != "start halt " {
+		t.Errorf("outcomes %v, commands %v", a.Outcomes, a.Commands)
+	}
+	if a := f.report(report(1, 91, term), 2*time.Second+tuning.AnswerLife, no); len(a.Outcomes) != 1 {
+		t.Errorf("not gone though nothing can arrive any more: %v", a.Commands)
+	}
+}
