--- a/internal/roster/copies_test.go
+++ b/internal/roster/copies_test.go
@@ -166,3 +166,27 @@
 		t.Errorf("not gone though nothing can arrive any more: %v", a.Commands)
 	}
 }
+
+// Guards against a copy from a former life that a leader never knew of: the life that runs has the lower session, and its tasks
+// counted as gone. A worker does not lose its token, and before a machine proved itself it is asked.
+func TestASessionThatRisesInACopyEndsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		known bool // the machine proved itself in this term
+	}{{"a token that went down", true}, {"a machine that has not proved itself", false}} {
+		f := newFixture(t)
+		if c.known {
+			f.report(report(1, 1, term), 0, no)
+		}
+		p := place(1)
+		f.Inherit(p, t0)
+		a, err := f.Report(report(2, 5, term-1), false, t0.Add(time.Second), no)
+		if m := f.Machines["n-1"]; !errors.Is(err, ErrStale) || len(a.Outcomes) != 0 || !m.Doubt {
+			t.Errorf("%s: %v, %v", c.name, a.Outcomes, err)
+		}
+		// If it is so, the machine says so itself.
+		if a, err := f.Report(report(2, 6, term), true, t0.Add(2*time.Second), no); err != nil || len(a.Outcomes) != 1 {
+			t.Errorf("%s: the machine's own answer: %v, %v", c.name, a.Outcomes, err)
+		}
+	}
+}
