An earlier session's task counts as gone only by a report with our token

Read again: a report of a later session may be a copy from a former life of a machine that was started anew, and the task of the lower session in the life that runs. With our token it is not. Change: that conclusion waits for the token, as others do.

--- a/internal/roster/copies_test.go
+++ b/internal/roster/copies_test.go
@@ -109,6 +109,10 @@
 	there.Index = 1
 	f.Inherit(gone, t0)
 	f.Inherit(there, t0)
+	// Before the worker has our token this may be a copy from a former life, and the task in the life that runs.
+	if a := f.report(report(2, 6, term-1, taskIs("job-1/1", 1, wire.TaskRunning, "")), 0, no); len(a.Outcomes) != 0 {
+		t.Errorf("outcomes %+v of what may be a copy", a.Outcomes)
+	}
 	a := f.report(report(2, 7, term, taskIs("job-1/1", 1, wire.TaskRunning, "")), time.Second, no)
 	if len(a.Outcomes) != 1 || a.Outcomes[0].Place != gone || !a.Outcomes[0].Lost {
 		t.Errorf("outcomes %+v", a.Outcomes)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -453,9 +453,10 @@
 		}
 	}
 	for k, p := range m.Places {
-		if !risen && p.Session < rep.Session {
+		if !risen && fenced && p.Session < rep.Session {
 			// Recorded in a session that is over, beside others of a later one: a leader ended before it had written that
-			// the task is gone. The session did not rise for this one, so the task was never wanted again.
+			// the task is gone. The session did not rise for this one, so the task was never wanted again. Without our
+			// token the report may be a copy from a former life, and the task in the session of the life that runs.
 			a.Outcomes = append(a.Outcomes, Outcome{Place: p, Why: wire.WhyStopped, Lost: true})
 			continue
 		}
