Read again: one way to send commands, one order of messages, one memory that is thinned

Need: what the change had written twice or in the wrong place. Change: commands and questions share one call; whether a report is older, or of another life, is told by two named checks instead of a chain; the order of messages stands in wire; members' memories of workers are thinned by one function; the largest of a class are counted, not sorted, for each job that a new leader loads; an answer that a report overtook has no second question.

--- a/internal/leader/returns.go
+++ b/internal/leader/returns.go
@@ -67,7 +67,6 @@
 			continue
 		}
 		var why string
-		since, deaf := m.Reach.Deaf()
 		switch {
 		case m.Heard.IsZero() && m.Up:
 			if now.Sub(m.Added) > keeper.Stretched(l.workerLease())+release {
@@ -81,8 +80,8 @@
 			if now.Sub(m.LeaseEnd) > release {
 				why = "silent"
 			}
-		case deaf:
-			if now.Sub(since) > release {
+		case m.Reach.Deaf():
+			if now.Sub(m.Reach.DeafSince()) > release {
 				why = "deaf"
 			}
 		case m.HasStrays():
@@ -116,7 +115,7 @@
 func (l *Loop) silentRelease() time.Duration {
 	silent := 0
 	for _, m := range l.roster.Machines {
-		if _, deaf := m.Reach.Deaf(); deaf || !m.Alive() && (m.Up || m.Session > 0) {
+		if m.Reach.Deaf() || !m.Alive() && (m.Up || m.Session > 0) {
 			silent++
 		}
 	}
--- a/internal/leader/served.go
+++ b/internal/leader/served.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"poppypass/internal/jobs"
@@ -37,11 +36,16 @@
 		last = last[1:]
 	}
 	s.sizes[j.Class] = last
-	sorted := slices.Sorted(slices.Values(last))
-	p := &presence{
-		large: len(sorted) >= tuning.ServedLeast && size >= sorted[int(math.Ceil(float64(len(sorted))*tuning.ServedLarge))] && size > sorted[0],
-		begun: j.Placed+j.Done > 0,
+	smaller, larger := 0, 0
+	for _, o := range last {
+		switch {
+		case o < size:
+			smaller++
+		case o > size:
+			larger++
+		}
 	}
+	p := &presence{large: len(last) >= tuning.ServedLeast && smaller > 0 && float64(len(last)-larger) > math.Ceil(float64(len(last))*tuning.ServedLarge)}
 	s.live[j.ID] = p
 	return p
 }
--- a/internal/leader/tasks.go
+++ b/internal/leader/tasks.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -49,24 +50,18 @@
 		l.post(func() { l.roster.Sent(name, req) }) // it was never sent
 		return
 	}
-	var rep wire.Report
-	status, err := httpjson.Call(ctx, l.env.Workers, http.MethodPost, "http://"+addr+wire.PathCommands, req, func(status int) any {
-		if status == http.StatusOK || status == http.StatusConflict {
-			return &rep
-		}
-		return nil
-	})
-	if err == nil && (status == http.StatusOK || status == http.StatusConflict) && rep.Check() == nil && rep.Machine == name {
+	rep, err := l.command(ctx, name, addr, req)
+	if err == nil {
 		l.post(func() {
 			l.roster.Sent(name, req)
 			l.ways.heard(l.env.Clock.Now())
-			if _, err := l.take(&rep, true); err != nil {
+			if _, err := l.take(rep, true); err != nil {
 				l.log.Debug("answer to commands not used", "machine", name, "err", err)
 			}
 		})
 		return
 	}
-	l.log.Debug("direct commands unanswered", "machine", name, "status", status, "err", err)
+	l.log.Debug("direct commands unanswered", "machine", name, "err", err)
 	l.post(func() {
 		if m := l.roster.Machines[name]; m != nil && m.Unanswered.Before(begun) {
 			m.Unanswered = begun
@@ -83,6 +78,27 @@
 	l.post(func() { l.roster.Open(name, begun) })
 }
 
+// command sends a machine commands and gives the report that it answers with, carried out or not.
+func (l *Loop) command(ctx context.Context, name, addr string, req *wire.DirectCommands) (*wire.Report, error) {
+	var rep wire.Report
+	answers := func(status int) bool { return status == http.StatusOK || status == http.StatusConflict }
+	status, err := httpjson.Call(ctx, l.env.Workers, http.MethodPost, "http://"+addr+wire.PathCommands, req, func(status int) any {
+		if answers(status) {
+			return &rep
+		}
+		return nil
+	})
+	switch {
+	case err != nil:
+		return nil, err
+	case !answers(status):
+		return nil, fmt.Errorf("answered with status %d", status)
+	case rep.Machine != name:
+		return nil, fmt.Errorf("answered by machine %q", rep.Machine)
+	}
+	return &rep, rep.Check()
+}
+
 // Report takes a worker's report and gives the commands for the answer.
 func (l *Loop) Report(ctx context.Context, rep *wire.Report) ([]wire.Command, error) {
 	type result struct {
--- a/internal/leader/ways.go
+++ b/internal/leader/ways.go
@@ -4,13 +4,11 @@
 	"cmp"
 	"context"
 	"errors"
-	"net/http"
 	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
 
-	"poppypass/internal/httpjson"
 	"poppypass/internal/roster"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -59,11 +57,7 @@
 
 // outOfReach tells whether no command is likely to get to a machine now.
 func (l *Loop) outOfReach(m *roster.Machine, now time.Time) bool {
-	if l.silent(m, now) {
-		return true
-	}
-	_, deaf := m.Reach.Deaf()
-	return deaf
+	return l.silent(m, now) || m.Reach.Deaf()
 }
 
 // askAfter is how long a machine may not have reported before it is asked: the longest pause between reports, and one try of
@@ -74,8 +68,7 @@
 
 // doubts tells whether there is reason to ask a machine, the more pressing the lower.
 func (l *Loop) doubts(m *roster.Machine, now time.Time) (rank int, ok bool) {
-	_, deaf := m.Reach.Deaf()
-	heard := m.Heard
+	deaf, heard := m.Reach.Deaf(), m.Heard
 	if heard.Before(l.begun) {
 		heard = l.begun
 	}
@@ -109,7 +102,7 @@
 	var doubts []doubt
 	deaf, unproven := 0, 0
 	for _, m := range l.roster.Machines {
-		if _, is := m.Reach.Deaf(); is {
+		if m.Reach.Deaf() {
 			deaf++
 		}
 		if m.Alive() && !m.Reach.Proven() {
@@ -142,31 +135,24 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ended, tuning.CommandTimeout)
 		defer cancel()
-		var rep wire.Report
-		status, err := httpjson.Call(ctx, l.env.Workers, http.MethodPost, "http://"+addr+wire.PathCommands, req, func(status int) any {
-			if status == http.StatusOK || status == http.StatusConflict {
-				return &rep
-			}
-			return nil
-		})
-		answered := err == nil && (status == http.StatusOK || status == http.StatusConflict) && rep.Check() == nil && rep.Machine == name
-		l.post(func() { l.asked(name, mark, &rep, answered) })
+		rep, err := l.command(ctx, name, addr, req)
+		l.post(func() { l.asked(name, mark, rep, err) })
 	}()
 }
 
-// asked takes in how a question to a machine ended.
-func (l *Loop) asked(name string, mark roster.Mark, rep *wire.Report, answered bool) {
+// asked takes in how a question to a machine ended: its report, or why there is none.
+func (l *Loop) asked(name string, mark roster.Mark, rep *wire.Report, err error) {
 	l.ways.onWay--
 	m, now := l.roster.Machines[name], l.env.Clock.Now()
 	if m == nil {
 		return
 	}
 	m.Reach.Asked()
-	if !answered {
-		_, was := m.Reach.Deaf()
+	if err != nil {
+		was := m.Reach.Deaf()
 		m.Reach.Failed(mark.Sent, now)
 		l.ways.unheard(name)
-		if _, is := m.Reach.Deaf(); is && !was {
+		if m.Reach.Deaf() && !was {
 			l.log.Info("machine reports, but does not hear us", "machine", name, "zone", m.Zone, "tasks", len(m.Places))
 		}
 		return
@@ -192,10 +178,10 @@
 		l.changed = true
 		return
 	}
-	m.Doubt = false
 	if _, err := l.take(rep, true); err != nil {
 		l.log.Debug("answer to a question not used", "machine", name, "err", err)
 	}
+	m.Doubt = false // also if a report overtook the answer
 }
 
 // stepAside leaves the leadership to another member if no worker answers this one, though their reports come, and
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -288,7 +288,8 @@
 // that small tasks do not take every slot before a large one fits. Within a
 // priority, what fits its team's guarantee goes before what teams borrow: room
 // that was taken back from a borrower must not go to the next one that waited
-// longer. Jobs that wait for their first task for too long come before all of that, with one task each. Last come ghosts, which keep room from lower priorities only.
+// longer. Jobs that wait for their first task for too long come before all of that,
+// with one task each. Last come ghosts, which keep room from lower priorities only.
 //
 // It changes the items' waiting counts and zones, the machines' free room and
 // the teams' use.
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -71,8 +71,11 @@
 	s.deaf, s.times = now, s.times+1
 }
 
-// Deaf tells whether the machine reports but does not hear us, and since when.
-func (s *State) Deaf() (since time.Time, deaf bool) { return s.deaf, !s.deaf.IsZero() }
+// Deaf tells whether the machine reports but does not hear us.
+func (s *State) Deaf() bool { return !s.deaf.IsZero() }
+
+// DeafSince is since when it does not; zero: it does.
+func (s *State) DeafSince() time.Time { return s.deaf }
 
 // Proven tells whether the machine ever proved in this term to be there and to hear us.
 func (s *State) Proven() bool { return !s.proven.IsZero() }
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -30,7 +30,7 @@
 		s := &State{}
 		s.Proved(t0)
 		c.does(s)
-		if _, deaf := s.Deaf(); deaf != c.deaf {
+		if deaf := s.Deaf(); deaf != c.deaf {
 			t.Errorf("%s: deaf %v", c.name, deaf)
 		}
 	}
@@ -70,7 +70,7 @@
 					asked = now
 				}
 			}
-			if _, deaf := s.Deaf(); deaf && s.Usable(now, true) {
+			if s.Deaf() && s.Usable(now, true) {
 				t.Fatal("a deaf machine is given work")
 			}
 		}
--- a/internal/roster/asked.go
+++ b/internal/roster/asked.go
@@ -60,7 +60,7 @@
 // life, and a copy of a later one of that for its next.
 func (r *Roster) Reborn(m *Machine, mark Mark, rep *wire.Report) Rebirth {
 	switch {
-	case rep.Session > mark.Session || rep.Session == mark.Session && rep.Seq > mark.Seq:
+	case rep.Newer(mark.Session, mark.Seq):
 		return SameLife
 	case mark.Sent.Sub(m.Heard) < tuning.AnswerLife:
 		return AskLater
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -326,23 +326,15 @@
 // command, so that no commands can be given back and it renews no lease; and
 // it proves nothing of tasks that it lacks, since a report's answer may still
 // be on its way to the worker.
-func (r *Roster) Report(rep *wire.Report, direct bool, now time.Time, mayForget MayForget) (a Answer, err error) {
+func (r *Roster) Report(rep *wire.Report, direct bool, now time.Time, mayForget MayForget) (Answer, error) {
+	var a Answer
 	if r.Was(rep.Machine) {
 		return a, ErrReturned
 	}
 	m := r.Machines[rep.Machine]
 	if m != nil {
-		// A direct answer tells the order as well, also of a machine that has not reported to us yet.
-		// A copy from before the machine was started anew looks newer than all of its new life.
-		former := !direct && rep.Session > m.Session && (rep.Session < m.former.Session || rep.Session == m.former.Session && rep.Seq <= m.former.Seq)
-		// A worker keeps the highest token that it has seen: one that lost it is of another life.
-		former = former || !direct && rep.Token < m.Token
-		// Before a machine has proved itself in this term, a session that is over for what is recorded there is to be told by
-		// the machine itself: a copy from a former life may bear a higher one than the life that runs.
-		former = former || !direct && rep.Session > m.Session && len(m.Places) > 0 && rep.Token < r.term && !m.Reach.Proven()
-		older := former || rep.Session < m.Session || rep.Session == m.Session && rep.Seq <= m.seq && (m.seq > 0 || !m.Heard.IsZero())
 		// A session whose lease ran out is over, whatever a late report says.
-		if older || rep.Session <= m.Dead {
+		if r.older(m, rep) || !direct && r.otherLife(m, rep) || rep.Session <= m.Dead {
 			m.Doubt = true
 			return a, ErrStale
 		}
@@ -356,9 +348,10 @@
 	}
 	m = r.ensure(rep.Machine, now)
 	a.Machine = m
+	usable := m.Usable(r.term, now)
 	risen := rep.Session > m.Session // endSession settles its places then
-	a.Changed = m.Heard.IsZero() || rep.Session > m.Session
-	if rep.Session > m.Session {
+	a.Changed = m.Heard.IsZero() || risen
+	if risen {
 		// Its lease ran out though its reports were answered: the answers did not arrive.
 		if !direct && now.Sub(m.Heard) < r.lease/2 {
 			m.Reach.Missed(now)
@@ -370,8 +363,6 @@
 		r.endSession(m, rep.Session-1, &a)
 	}
 	unseen := rep.Token < r.term
-	usable := m.Usable(r.term, now)
-	defer func() { a.Changed = a.Changed || !usable && m.Usable(r.term, now) }()
 	if direct || !unseen && !m.Reach.Proven() {
 		m.Reach.Proved(now)
 		m.Doubt, m.life = m.Doubt && !direct, 0
@@ -492,9 +483,31 @@
 		a.Commands = append(append(append(make([]wire.Command, 0, len(stops)+len(forgets)+len(starts)), stops...), forgets...), starts...)
 		m.told = told{unseen, a.Commands}
 	}
+	a.Changed = a.Changed || !usable && m.Usable(r.term, now)
 	return a, nil
 }
 
+// older tells whether a message is no newer than one that is known of its machine. Direct answers tell the order as well, also of
+// a machine that has not reported to us yet.
+func (r *Roster) older(m *Machine, rep *wire.Report) bool {
+	return rep.Session < m.Session || !rep.Newer(m.Session, m.seq) && (m.seq > 0 || !m.Heard.IsZero())
+}
+
+// otherLife tells whether a report that looks newer may be of another life of its machine, as far as that was started anew: then
+// the machine itself is to tell.
+func (r *Roster) otherLife(m *Machine, rep *wire.Report) bool {
+	risen := rep.Session > m.Session
+	switch {
+	case rep.Token < m.Token: // a worker keeps the highest token that it has seen
+		return true
+	case risen && !rep.Newer(m.former.Session, m.former.Seq): // a copy from before looks newer than all of the new life
+		return true
+	}
+	// What is recorded there would count as gone, by a session that may be that of a former life, of which this leader never
+	// knew, unless the machine has proved itself in this term.
+	return risen && len(m.Places) > 0 && rep.Token < r.term && !m.Reach.Proven()
+}
+
 func startCommand(p *jobs.Place) wire.Command {
 	return wire.Command{Op: wire.OpStart, Task: p.Task().String(), Attempt: p.Attempt}
 }
--- a/internal/roster/world_test.go
+++ b/internal/roster/world_test.go
@@ -306,7 +306,7 @@
 	w.settle(w.r.Expire(w.now, nil))
 	for _, name := range slices.Sorted(maps.Keys(w.r.Machines)) {
 		m, k := w.r.Machines[name], w.worker(name)
-		_, deaf := m.Reach.Deaf()
+		deaf := m.Reach.Deaf()
 		quiet := m.Session > m.Dead && len(m.Places) > 0 && w.now.Sub(m.Heard) > simLease/2
 		if !(deaf || quiet || m.Doubt || m.Reach.Doubted()) || !m.Reach.Due(w.now) {
 			continue
--- a/internal/wire/worker.go
+++ b/internal/wire/worker.go
@@ -87,6 +87,11 @@
 	return nil
 }
 
+// Newer tells whether the report is newer than a message with a session and seq of the same worker's life.
+func (r *Report) Newer(session, seq uint64) bool {
+	return r.Session > session || r.Session == session && r.Seq > seq
+}
+
 // TaskReport is one task of a report.
 type TaskReport struct {
 	Task    string    `json:"seat"`
--- a/internal/workers/kept.go
+++ b/internal/workers/kept.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -62,13 +61,13 @@
 	}
 	if w == nil {
 		w = &keptWorker{session: rep.Session, seq: rep.Seq, token: rep.Token, at: now, seen: now}
-		k.forget(now)
+		thin(k.by, &k.next, func(w *keptWorker) bool { return now.Sub(w.seen) > 2*k.lease && !w.asking })
 		k.by[rep.Machine] = w
 		k.mu.Unlock()
 		k.ask(ctx, rep, w, now)
 		return true
 	}
-	older := rep.Session < w.session || rep.Session == w.session && rep.Seq <= w.seq
+	older := !rep.Newer(w.session, w.seq)
 	reached := rep.Token > w.token
 	refused := older || reached || w.failed
 	if !older {
@@ -127,12 +126,3 @@
 		w.session, w.seq, w.token = said.Session, said.Seq, said.Token
 	}
 }
-
-// forget drops what is too old to matter; the caller holds the lock.
-func (k *kept) forget(now time.Time) {
-	if len(k.by) < k.next {
-		return
-	}
-	maps.DeleteFunc(k.by, func(_ string, w *keptWorker) bool { return now.Sub(w.seen) > 2*k.lease && !w.asking })
-	k.next = max(tuning.RedirectsLeast, 2*len(k.by))
-}
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -229,13 +229,19 @@
 }
 
 func (m *memory) note(machine string, now time.Time) {
-	if len(m.at) >= m.next {
-		maps.DeleteFunc(m.at, func(_ string, at time.Time) bool { return now.Sub(at) > m.lasts })
-		m.next = max(tuning.RedirectsLeast, 2*len(m.at))
-	}
+	thin(m.at, &m.next, func(at time.Time) bool { return now.Sub(at) > m.lasts })
 	m.at[machine] = now
 }
 
+// thin drops what is old of a memory of workers, once there are next of them; then there may be twice as many as were left.
+func thin[V any](by map[string]V, next *int, old func(V) bool) {
+	if len(by) < *next {
+		return
+	}
+	maps.DeleteFunc(by, func(_ string, v V) bool { return old(v) })
+	*next = max(tuning.RedirectsLeast, 2*len(by))
+}
+
 // AnswerPeer answers a report that a follower hands on.
 func (d *Door) AnswerPeer(ctx context.Context, body []byte) mesh.Response {
 	var rep wire.Report
