An end that is no completion counts with our token only; a former life's copy lacks nothing

Change: such an end waits for a report with our token, half a second later mostly; what a report lacks that may be of a known former life is started and stopped in one answer.

--- a/internal/roster/copies_test.go
+++ b/internal/roster/copies_test.go
@@ -194,3 +194,35 @@
 		}
 	}
 }
+
+// Guards against an end from a former life of a machine: a recorded attempt is started again in the life that runs.
+func TestAnEndWithoutOurTokenIsOneOnlyIfTheTaskCompleted(t *testing.T) {
+	for _, c := range []struct {
+		why   wire.Why
+		token uint64
+		ends  int
+	}{{wire.WhyStopped, term - 1, 0}, {wire.WhyError, term - 1, 0}, {wire.WhyDone, term - 1, 1}, {wire.WhyStopped, term, 1}} {
+		f := newFixture(t)
+		f.Inherit(place(1), t0)
+		if a := f.report(report(1, 7, c.token, taskIs("job-1/0", 1, wire.TaskExited, c.why)), time.Second, no); len(a.Outcomes) != c.ends {
+			t.Errorf("%s with token %d: %v", c.why, c.token, a.Outcomes)
+		}
+	}
+}
+
+// Guards against a copy from a former life of the same session: it lacks what runs in the life that is there.
+func TestWhatACopyFromAFormerLifeLacksIsNotGone(t *testing.T) {
+	f := newFixture(t)
+	f.report(report(1, 40, term), 0, no)
+	m := f.Machines["n-1"]
+	f.Begin(m, report(1, 2, term), t0.Add(5*time.Second))
+	p := place(1)
+	p.Stop = &jobs.Stop{}
+	f.Add(p, t0.Add(5*time.Second))
+	if a := f.report(report(1, 39, term), 30*time.Second, no); len(a.Outcomes) != 0 || ops(a.Commands) != "start halt " {
+		t.Errorf("outcomes %v, commands %v", a.Outcomes, a.Commands)
+	}
+	if a := f.report(report(1, 41, term), 60*time.Second, no); len(a.Outcomes) != 1 {
+		t.Errorf("not gone though the report is of no former life: %v", a.Commands)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -423,6 +423,9 @@
 			// Nothing that we know of put it here. It counts until it is gone.
 			m.strays[k] = true
 			stops = append(stops, wire.Command{Op: wire.OpStop, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
+		case t.State == wire.TaskExited && t.Why != wire.WhyDone && !direct && !fenced:
+			// Perhaps a copy from a former life, in which the attempt was stopped; a recorded attempt is started again in the
+			// next one. What completed, completed.
 		case t.State == wire.TaskExited:
 			a.Outcomes = append(a.Outcomes, Outcome{Place: p, Why: t.Why, Saved: t.Saved, Idle: before})
 		default:
@@ -462,8 +465,8 @@
 				p.Offered = now
 			}
 		case direct || !fenced:
-		case m.sent[k] > 0 || now.Sub(p.Offered) < tuning.AnswerLife:
-			// A direct start may still arrive, or the answer that held one: the report may be a copy from a former life of
+		case m.sent[k] > 0 || now.Sub(p.Offered) < tuning.AnswerLife || !rep.Newer(m.former.Session, m.former.Seq):
+			// The report may be a copy from a former life that we know of. Or a direct start may still arrive, or the answer that held one: the report may be a copy from a former life of
 			// a machine that was started anew. Started and stopped here, the
 			// attempt becomes known, and the late start has no effect.
 			starts = append(starts, startCommand(p), stopCommand(p))
