A former leader is not brought back by promises; a fence's write is guarded

A leader cut off from all, whose lease was over and whose successor had come and gone, got all promises as soon as an outage kept everybody from seeing who leads, and acted again in its old term.

The stand-in of the state service can carry transactions out late, refuse one caller, and answer slowly.

--- a/internal/leadership/fence.go
+++ b/internal/leadership/fence.go
@@ -63,15 +63,22 @@
 	}
 }
 
+// setFence fences a member off. The transaction is guarded on the key as it was read: an earlier one without an answer, if it
+// is carried out after this one, would hang the key on a lease that ends before we stop counting on it.
 func (e *Elector) setFence(ctx context.Context, t Tenure, member string) {
+	key := prefixFence + member
+	old, _, err := e.store.Get(ctx, key)
+	if err != nil {
+		return
+	}
 	sent := e.clock.Now()
 	lease, err := e.store.Grant(ctx, tuning.FenceFor)
 	if err != nil {
 		return
 	}
 	if _, err := e.store.Commit(ctx, wire.Txn{
-		If:   []wire.Condition{t.Guard},
-		Then: []wire.Change{{Put: prefixFence + member, Value: json.RawMessage("true"), Lease: lease}},
+		If:   []wire.Condition{t.Guard, {Key: key, Version: old.Version}},
+		Then: []wire.Change{{Put: key, Value: json.RawMessage("true"), Lease: lease}},
 	}); err != nil {
 		e.log.Debug("not fenced off", "member", member, "err", err)
 		e.giveBack(ctx, lease)
--- a/internal/leadership/former_test.go
+++ b/internal/leadership/former_test.go
@@ -101,8 +101,10 @@
 	return m, done
 }
 
-// passUntil lets time pass in small steps until a channel is ready, and gives how long that took.
-func passUntil[T any](t *testing.T, s *standin.State, clock *clockwork.FakeClock, ch <-chan T) (v T, took time.Duration) {
+// passUntil lets time pass in small steps until a channel is ready, and gives how long that took. A follower is one goroutine,
+// so no call of it is on its way while it waits for the clock. Once m leads the clock stands still: a leader's goroutines wait for
+// it all the time, and it once went on for seconds until the test's goroutine was woken.
+func passUntil[T any](t *testing.T, s *standin.State, clock *clockwork.FakeClock, m *member, ch <-chan T) (v T, took time.Duration) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second) // a hang is a failure
 	defer cancel()
@@ -121,12 +123,22 @@
 			if err != nil {
 				t.Fatal("never happened")
 			}
+			if m != nil && m.leads() {
+				v = <-ch
+				return v, clock.Since(begun)
+			}
 			clock.Advance(20 * time.Millisecond)
 			s.Expire()
 		}
 	}
 }
 
+func (m *member) leads() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.term != 0
+}
+
 // Guards against what a former life of a process leaves behind: it ends at each step of an election and of its reign, with or
 // without the step being executed, and is back at once. One of its lives leads within a second or two, rather than when the
 // lease of the former one has run out, and in a higher term.
@@ -137,13 +149,13 @@
 			clock := clockwork.NewFakeClock()
 			s := standin.NewState(clock)
 			first, ended := live(t, s, clock, n, after)
-			passUntil(t, s, clock, ended)
+			passUntil(t, s, clock, nil, ended)
 			term := uint64(0)
 			if len(first.tenures) > 0 {
 				term = (<-first.tenures).Term
 			}
 			second, _ := live(t, s, clock, 0, false)
-			tenure, took := passUntil(t, s, clock, second.tenures)
+			tenure, took := passUntil(t, s, clock, second, second.tenures)
 			if took > bound || tenure.Term <= term || !second.Valid(tenure.Term) || first.Valid(tenure.Term) {
 				t.Errorf("ended at call %d (executed: %v): leads after %v in term %d, the former one was %d", n, after, took, tenure.Term, term)
 			}
@@ -161,7 +173,7 @@
 	a, _ := live(t, s, clock, 0, false)
 	a.StandAside(tuning.StandAside)
 	begun := clock.Now()
-	passUntil(t, s, clock, a.tenures)
+	passUntil(t, s, clock, a, a.tenures)
 	if took := clock.Since(begun); took < tuning.AsideVacant || took > tuning.AsideVacant+time.Second {
 		t.Errorf("led after %v, though it stands aside and nobody else is there", took)
 	}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -153,6 +153,9 @@
 	if name != "" && term > e.leaderTerm && term > e.overTerm {
 		e.leader, e.leaderTerm = name, term
 	}
+	if e.term != 0 && e.laterThan(e.term) {
+		e.giveUp() // our lease is over, though the state service does not tell us
+	}
 }
 
 // gain sets our own right to act, in a tenure that begins. sent is when the
@@ -408,17 +411,26 @@
 		helpers.Wait()
 		e.log.Info("no longer leading", "term", t.Term)
 	}()
-	for {
+	// wait tells whether the tenure goes on after a while.
+	wait := func(d time.Duration) bool {
+		timer := e.clock.NewTimer(d)
+		defer timer.Stop()
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-done:
 			// The leader's work ended by itself: let another lead.
 			e.giveBack(ctx, lease)
-			return
+			return false
 		case <-yielded:
+			return false
+		case <-timer.Chan():
+			return true
+		}
+	}
+	for {
+		if !wait(tuning.RenewEvery) {
 			return
-		case <-e.clock.After(tuning.RenewEvery):
 		}
 		for ctx.Err() == nil {
 			sent := e.clock.Now()
@@ -434,13 +446,8 @@
 			}
 			e.failedRenewal()
 			e.log.Debug("lease not renewed", "err", err)
-			select {
-			case <-done:
-				e.giveBack(ctx, lease)
-				return
-			case <-yielded:
+			if !wait(tuning.RetryLeader) {
 				return
-			case <-e.clock.After(tuning.RetryLeader):
 			}
 		}
 	}
--- /dev/null
+++ b/internal/leadership/meetings_test.go
@@ -0,0 +1,160 @@
+package leadership
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/standin"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Guards against a former leader that takes its right up again, though another has led since: one that was cut off from the
+// state service and all others, its lease over, once got the promises of members that had led or heard of a later
+// leader, as soon as an outage kept all from seeing who leads.
+func TestAFormerTermGetsNoPromises(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		past func(e *Elector, now time.Time)
+		want Answer
+	}{
+		{"nothing later is known", func(*Elector, time.Time) {}, Promised},
+		{"it led itself, and gave up", func(e *Elector, now time.Time) { e.gain(6, 1, now); e.setLeader("b", 6); e.clear() }, Refused},
+		{"it led itself, and heard that nobody does now", func(e *Elector, now time.Time) {
+			e.gain(6, 1, now)
+			e.setLeader("b", 6)
+			e.clear()
+			e.setLeader("", 0)
+		}, Refused},
+		{"it read of another", func(e *Elector, _ time.Time) { e.setLeader("c", 6) }, Refused},
+		{"it read of another, and that nobody leads now", func(e *Elector, _ time.Time) { e.setLeader("c", 6); e.setLeader("", 0) }, Refused},
+		{"it heard of another", func(e *Elector, _ time.Time) { e.Hint("c", 6) }, Refused},
+		{"it read that the very term is over", func(e *Elector, _ time.Time) { e.setLeader("a", 5); e.setLeader("", 0) }, Promised},
+	} {
+		clock := clockwork.NewFakeClock()
+		s := standin.NewState(clock)
+		t.Cleanup(s.Close)
+		e := New(statestore.New(s.Addr(), 1e6, 1e6), alone, "b", clock, slog.New(slog.DiscardHandler))
+		clock.Advance(promiseKept + tuning.VoucherFor)
+		e.readAsLeading(5, clock.Now())
+		c.past(e, clock.Now())
+		s.Refuse(true)
+		if got := e.Promise(t.Context(), 5); got != c.want {
+			t.Errorf("%s: it answers %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against the same where those that led in between were started anew and know nothing of it: their promises may go on with a
+// right, not bring one back.
+func TestForgetfulPromisesBringNoRightBack(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		lapsed bool
+		p      Promises
+		valid  bool
+	}{
+		{"goes on with a right", false, Promises{Forgetful: 2}, true},
+		{"does not bring one back", true, Promises{Forgetful: 2}, false},
+		{"nor does one of two", true, Promises{Forgetful: 1}, false},
+		{"those that remember bring it back", true, Promises{}, true},
+	} {
+		clock := clockwork.NewFakeClock()
+		e := New(nil, alone, "a", clock, slog.New(slog.DiscardHandler))
+		e.gain(5, 1, clock.Now())
+		clock.Advance(tuning.LeaseTTL - tuning.PromiseFor/2)
+		if c.lapsed {
+			clock.Advance(tuning.PromiseFor)
+		}
+		sent := clock.Now()
+		e.prolong(5, e.round, sent, c.p)
+		clock.Advance(tuning.PromiseFor * 3 / 4)
+		if e.Valid(5) != c.valid {
+			t.Errorf("%s: valid %v", c.name, e.Valid(5))
+		}
+	}
+}
+
+// Guards against the same where the right lapses while the members are being asked.
+func TestARightThatLapsesInTheRoundIsNotBroughtBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := New(nil, alone, "a", clock, slog.New(slog.DiscardHandler))
+	e.gain(5, 1, clock.Now())
+	clock.Advance(tuning.LeaseTTL - tuning.PromiseFor/4)
+	sent := clock.Now()
+	clock.Advance(tuning.PromiseFor / 2)
+	if e.prolong(5, e.round, sent, Promises{Forgetful: 1}); e.Valid(5) {
+		t.Error("the right came back")
+	}
+}
+
+// A leader that hears of a later one knows that its lease is over, though nothing tells it: it acts no more.
+func TestALeaderThatHearsOfALaterOneGivesUp(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	e := New(nil, alone, "a", clock, slog.New(slog.DiscardHandler))
+	e.gain(5, 1, clock.Now())
+	e.setLeader("a", 5)
+	e.Hint("b", 4)
+	e.Hint("a", 5)
+	if !e.Valid(5) {
+		t.Error("gives up for itself or an earlier one")
+	}
+	e.Hint("b", 6)
+	if name, term := e.Holder(); e.Valid(5) || name != "b" || term != 6 {
+		t.Errorf("valid %v, names %q of term %d", e.Valid(5), name, term)
+	}
+	e.prolong(5, e.round, clock.Now(), Promises{})
+	if e.Valid(5) {
+		t.Error("promises bring the right back")
+	}
+}
+
+// keepsLeases is a store in which no lease can be given back.
+type keepsLeases struct{ Store }
+
+func (keepsLeases) Revoke(context.Context, uint64) error { return statestore.ErrNotExecuted }
+
+// Guards against a fence that ends while the leader counts on it: the first attempt to set it, without an answer and carried
+// out after the second, hung the key on its own lease, which ended earlier.
+func TestALateFenceDoesNotReplaceANewerOne(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s := standin.NewState(clock)
+	t.Cleanup(s.Close)
+	e := New(keepsLeases{statestore.New(s.Addr(), 1e6, 1e6)}, &peers{silent: []string{"b"}}, "a", clock, slog.New(slog.DiscardHandler))
+	leave, _ := e.mayLead(t.Context(), 0)
+	tenure, ok := e.campaign(t.Context(), 0, 0, leave)
+	if !ok {
+		t.Fatal("does not lead")
+	}
+	s.Late(func(txn wire.Txn) bool { return txn.Then[0].Put == prefixFence+"b" })
+	if e.keepFence(t.Context(), tenure); e.fence.member != "" || s.Held() != 1 {
+		t.Fatal("counts on a fence that may not be there")
+	}
+	s.Late(nil)
+	pass := func(d time.Duration) {
+		for ; d > 0; d -= tuning.RenewEvery {
+			clock.Advance(tuning.RenewEvery)
+			if err := e.store.Renew(t.Context(), e.lease); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	pass(tuning.FenceFor / 2)
+	if e.keepFence(t.Context(), tenure); e.fence.member != "b" {
+		t.Fatal("the silent member is not fenced off")
+	}
+	if late := s.Deliver(); len(late) != 0 {
+		t.Error("the first attempt was carried out after the second")
+	}
+	for clock.Since(e.fence.sent) < fenceRelied-tuning.RenewEvery {
+		pass(tuning.RenewEvery)
+		if _, ok := s.Value(prefixFence + "b"); !ok {
+			t.Fatalf("the fence is gone %v after it was set, and is counted on for %v", clock.Since(e.fence.sent), fenceRelied)
+		}
+	}
+}
--- a/internal/leadership/promises.go
+++ b/internal/leadership/promises.go
@@ -59,7 +59,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.term != 0 || e.campaigning || e.vouched >= term {
+	if e.term != 0 || e.campaigning || e.vouched >= term || e.laterThan(term) {
 		return Refused
 	}
 	if until := e.clock.Now().Add(promiseKept); until.After(e.quietUntil) {
@@ -71,6 +71,10 @@
 	return Promised
 }
 
+// laterThan tells whether this member knows of a leader after a term, itself for one: that term's leader must not act
+// again, whatever is promised now. The caller holds the lock.
+func (e *Elector) laterThan(term uint64) bool { return max(e.leaderTerm, e.overTerm) > term }
+
 func (e *Elector) follows() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -145,6 +149,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	until := sent.Add(promiseRelied)
+	// Once the right has lapsed, another may have led and be gone again: a leader that was cut off from all took its right
+	// up with the promises of members that knew nothing of the leaders between, since they had been restarted. Those that
+	// have run since know whether they led, and refuse.
+	if p.Forgetful > 0 && !e.clock.Now().Before(e.validUntil) {
+		return
+	}
 	if len(p.Silent) > 0 {
 		if len(p.Silent) > 1 || p.Forgetful > 0 || p.Silent[0] != e.fence.member {
 			return
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -8,10 +8,12 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// For waits for a time, or until ctx ends.
+// For waits for a time, or until ctx ends. Nothing of it is left on the clock then: tests count who waits.
 func For(ctx context.Context, clock clockwork.Clock, d time.Duration) {
+	timer := clock.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-clock.After(d):
+	case <-timer.Chan():
 	}
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -29,7 +29,72 @@
 	wake     chan struct{} // closed at each change
 	refuse   bool
 	mute     func(wire.Txn) bool
+	late     func(wire.Txn) bool
+	held     []wire.Txn // without an answer, and not carried out yet
 	txns     []wire.Txn // that were applied
+	doors    []*Door
+}
+
+// Door is an address of the service of its own, for one caller: it may refuse that one alone, or answer it late.
+type Door struct {
+	s      *State
+	srv    *httptest.Server
+	refuse bool          // guarded by s.mu
+	slow   chan struct{} // guarded by s.mu; not nil: answers wait until it is closed
+}
+
+// Door opens one. Close of the service closes it.
+func (s *State) Door() *Door {
+	d := &Door{s: s}
+	d.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		refuse, slow := d.refuse, d.slow
+		s.mu.Unlock()
+		if refuse {
+			answer(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
+			return
+		}
+		if slow == nil {
+			s.srv.Config.Handler.ServeHTTP(w, r)
+			return
+		}
+		got := httptest.NewRecorder()
+		s.srv.Config.Handler.ServeHTTP(got, r)
+		select {
+		case <-slow:
+		case <-r.Context().Done():
+			return
+		}
+		w.WriteHeader(got.Code)
+		_, _ = w.Write(got.Body.Bytes()) // its caller may have gone
+	}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doors = append(s.doors, d)
+	return d
+}
+
+// Addr is the door's address.
+func (d *Door) Addr() string { return strings.TrimPrefix(d.srv.URL, "http://") }
+
+// Refuse makes it answer 503 to this caller alone, whose leases run out meanwhile, or ends that.
+func (d *Door) Refuse(refuse bool) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.refuse = refuse
+}
+
+// Slow makes it keep its answers to this caller, though it carries out what is asked, or lets them go.
+func (d *Door) Slow(slow bool) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	if d.slow != nil {
+		close(d.slow)
+		d.slow = nil
+	}
+	if slow {
+		d.slow = make(chan struct{})
+	}
 }
 
 type lease struct {
@@ -66,6 +131,13 @@
 
 // Close stops it.
 func (s *State) Close() {
+	s.mu.Lock()
+	doors := s.doors
+	s.mu.Unlock()
+	for _, d := range doors {
+		d.srv.CloseClientConnections()
+		d.srv.Close()
+	}
 	s.srv.CloseClientConnections()
 	s.srv.Close()
 }
@@ -88,6 +160,35 @@
 	s.mute = fn
 }
 
+// Late makes it keep transactions that fn picks: they get no answer, and are carried out when Deliver says so.
+func (s *State) Late(fn func(wire.Txn) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = fn
+}
+
+// Deliver carries out the transactions that were kept, in their order, and gives those whose conditions still held.
+func (s *State) Deliver() []wire.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var applied []wire.Txn
+	for _, t := range s.held {
+		if status, _ := s.execute(t); status == http.StatusOK {
+			applied = append(applied, t)
+		}
+	}
+	s.held = nil
+	return applied
+}
+
+// Held is how many transactions are kept.
+func (s *State) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
 // Value reads a key.
 func (s *State) Value(key string) (wire.Item, bool) {
 	s.mu.Lock()
@@ -192,6 +293,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	if s.late != nil && s.late(t) {
+		s.held = append(s.held, t)
+		panic(http.ErrAbortHandler) // the connection ends without an answer
+	}
+	status, body := s.execute(t)
+	if status == http.StatusOK && s.mute != nil && s.mute(t) {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, status, body)
+}
+
+// execute carries out a transaction if its conditions hold. The lock is held.
+func (s *State) execute(t wire.Txn) (status int, body any) {
 	var failed []string
 	for _, c := range t.If {
 		if s.keys[c.Key].Version != c.Version {
@@ -200,13 +314,11 @@
 	}
 	for _, c := range t.Then {
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
-			answer(w, http.StatusBadRequest, wire.Error{Error: "no such lease"})
-			return
+			return http.StatusBadRequest, wire.Error{Error: "no such lease"}
 		}
 	}
 	if len(failed) > 0 {
-		answer(w, http.StatusConflict, wire.TxnResult{Failed: failed, Revision: s.revision})
-		return
+		return http.StatusConflict, wire.TxnResult{Failed: failed, Revision: s.revision}
 	}
 	if len(t.Then) > 0 {
 		s.revision++
@@ -216,10 +328,7 @@
 		s.changed()
 	}
 	s.txns = append(s.txns, t)
-	if s.mute != nil && s.mute(t) {
-		panic(http.ErrAbortHandler) // the connection ends without an answer
-	}
-	answer(w, http.StatusOK, wire.TxnResult{Revision: s.revision})
+	return http.StatusOK, wire.TxnResult{Revision: s.revision}
 }
 
 func (s *State) grant(w http.ResponseWriter, r *http.Request) {
