Kept machines: records and members' words speak of one lease, that before the reading

A leader that concludes from a lease's end reads which machines followers answer and asks the members with a right for the zone. Each spoke of the lease before its own moment: of two that answered a machine one after the other both could deny it, and its tasks counted as gone while they ran. Names stay in the records, and answers in the members' memory, for KeptAsking (3 s) more than a lease, and a reading that took longer concludes nothing.

Random histories of a keeper and two members with pauses between the leader's steps fail in both variants without it.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -29,11 +29,11 @@
 // hold no commands; they only keep the workers' leases. What makes that safe:
 //
 //   - A machine's name is in a record of the state service before its first
-//     answer, and stays there for a worker's lease after the last one, even if
-//     this process dies.
+//     answer, and stays there for a worker's lease and KeptAsking after the last
+//     one, even if this process dies.
 //   - The leader concludes nothing from a lease before it has read these
-//     records after the lease's end. A machine that is in none of them was
-//     answered by nobody for a whole lease.
+//     records after the lease's end, within KeptAsking of its beginning to. A machine
+//     that is in none of them was answered by no keeper for a whole lease before that beginning.
 //
 // Each process writes under a key of its own, so that a restart cannot take
 // away what its former life has written. One goroutine owns the state.
@@ -247,7 +247,7 @@
 		k.abandon()
 		return
 	}
-	over := runOut(k.workerLease)
+	over := spoken(k.workerLease)
 	for name, at := range k.names {
 		if k.clock.Since(at) > over {
 			k.remove(name)
@@ -264,6 +264,11 @@
 // runOut is how long after an answer a worker's lease has run out on every clock.
 func runOut(lease time.Duration) time.Duration { return Stretched(lease) + tuning.LeaseMargin }
 
+// spoken is for how long after an answer the record, or the member's word, must tell of it. Whoever asks began at most KeptAsking
+// before: each tells of the lease before that beginning. With a lease before each was asked, two that answered a machine one
+// after the other both denied it, and its tasks counted as gone while they ran.
+func spoken(lease time.Duration) time.Duration { return runOut(lease) + tuning.KeptAsking }
+
 // Stretched is a time that is over on every clock when it is over on ours.
 func Stretched(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + tuning.ClockDrift))
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -11,6 +11,7 @@
 	"poppypass/internal/config"
 	"poppypass/internal/standin"
 	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
 )
 
@@ -86,9 +87,11 @@
 	w := newKeeperWorld(t)
 	w.ask("n-1")
 	w.clock.Advance(w.workerLease)
+	w.renew(t.Context())
+	w.clock.Advance(tuning.KeptAsking)
 	w.ask("n-2")
 	if w.renew(t.Context()); !w.recorded("n-1") {
-		t.Error("taken out while its lease may run")
+		t.Error("taken out while a leader that began to read within its lease may read")
 	}
 	w.clock.Advance(time.Second)
 	if w.renew(t.Context()); w.recorded("n-1") || !w.recorded("n-2") {
@@ -149,6 +152,8 @@
 		}
 	}
 	w.clock.Advance(w.workerLease)
+	w.renew(t.Context())
+	w.clock.Advance(tuning.KeptAsking)
 	for i := 0; i < n; i += 2 {
 		w.ask(name(i))
 	}
--- /dev/null
+++ b/internal/keeper/several_test.go
@@ -0,0 +1,97 @@
+package keeper
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"poppypass/internal/config"
+	"poppypass/internal/statestore"
+	"poppypass/internal/tuning"
+)
+
+// Guards against a machine that several members answer one after the other while the leader reads and asks: each said,
+// when it was asked, that it had not answered it for a lease, and so it had not; but the machine's lease had gone over from one
+// to the next. The reading takes its time, with pauses between its steps; it counts only if all of it took KeptAsking at the most.
+func TestNoConclusionFromWordsOfDifferentTimes(t *testing.T) {
+	concluded, late, handed := 0, 0, 0
+	for seed := range uint64(150) {
+		r := rand.New(rand.NewPCG(seed, 34))
+		w := newKeeperWorld(t)
+		var zones []*Zone
+		for _, name := range []string{"m2", "m3"} {
+			z := NewZone(&config.Settings{
+				Member: name, Zone: "a", Cluster: config.Cluster{Workers: config.Workers{LeaseS: w.workerLease.Seconds()}},
+			}, statestore.New(w.state.Addr(), 1e6, 1e6), w.clock, slog.New(slog.DiscardHandler))
+			z.Renew(t.Context())
+			zones = append(zones, z)
+		}
+		pass := func(most time.Duration) {
+			w.clock.Advance(time.Duration(r.Int64N(int64(most))))
+			w.state.Expire()
+			if r.IntN(3) == 0 {
+				w.renew(t.Context())
+			}
+		}
+		w.clock.Advance(time.Minute) // all are sure of what they answered
+		for _, z := range zones {
+			z.Renew(t.Context())
+		}
+		var last time.Time // when the machine was last answered, in its present session
+		session, by := 1, -1
+		answer := func() {
+			if !last.IsZero() && w.clock.Since(last) >= w.workerLease {
+				session, by = session+1, -1 // the next one began
+			}
+			who := r.IntN(3)
+			if who == 2 && w.ask("n-1") || who < 2 && zones[who].Answer("n-1", "a") {
+				if last = w.clock.Now(); by != who {
+					handed++
+				}
+				by = who
+			}
+		}
+		// trouble is what may happen between two steps of the leader.
+		trouble := func() {
+			if pass(600 * time.Millisecond); r.IntN(8) == 0 {
+				answer()
+			}
+			pass(600 * time.Millisecond)
+		}
+		answer()
+		for range 30 {
+			pass(w.workerLease)
+			if r.IntN(2) == 0 {
+				answer()
+			}
+			begun, of := w.clock.Now(), session
+			trouble()
+			kept, rights, err := Read(t.Context(), w.store)
+			if err != nil {
+				t.Fatal(err)
+			}
+			gone := !kept["n-1"]
+			for range rights {
+				trouble()
+			}
+			for _, i := range r.Perm(len(zones)) {
+				trouble()
+				names, sure := zones[i].Kept([]string{"n-1"})
+				gone = gone && sure && len(names) == 0
+			}
+			switch {
+			case !gone:
+			case w.clock.Since(begun) > tuning.KeptAsking:
+				late++
+			default:
+				if concluded++; session == of && !last.IsZero() && w.clock.Since(last) < w.workerLease {
+					t.Fatalf("seed %d: concluded %v after an answer", seed, w.clock.Since(last))
+				}
+			}
+		}
+	}
+	if concluded < 100 || late < 50 || handed < 100 {
+		t.Errorf("%d conclusions, %d that took too long, %d hand-overs", concluded, late, handed)
+	}
+}
--- a/internal/keeper/zone.go
+++ b/internal/keeper/zone.go
@@ -28,8 +28,8 @@
 //     succeeded, and the record outlives the workers' leases that begin by then.
 //   - A leader concludes nothing from the end of a lease on a machine of that zone
 //     before it has read these records after that end and, of each that stands, has heard
-//     from its member that it did not answer that machine for a whole lease. A member that
-//     gives no such word may have, until its record is gone.
+//     from its member that it did not answer that machine for a whole lease before the leader
+//     began to read (KeptAsking). A member that gives no such word may have, until its record is gone.
 //   - A process that was started anew gives no word for its former life: it has none to give
 //     until a lease after its own start, by when all answers of that life are over.
 //
@@ -68,7 +68,7 @@
 	return z
 }
 
-func (z *Zone) over() time.Duration { return runOut(z.lease) }
+func (z *Zone) over() time.Duration { return spoken(z.lease) }
 
 // life is how long the record outlives its last renewal.
 func (z *Zone) life() time.Duration { return z.right + z.over() + tuning.KeepExtra }
@@ -86,7 +86,7 @@
 }
 
 // Kept gives those of some machines that this member may have answered by its right
-// within a worker's lease before now. sure is false while it cannot tell: an earlier
+// within a worker's lease and KeptAsking before now. sure is false while it cannot tell: an earlier
 // process of it may have.
 func (z *Zone) Kept(names []string) (kept []string, sure bool) {
 	z.mu.Lock()
--- a/internal/keeper/zone_test.go
+++ b/internal/keeper/zone_test.go
@@ -101,6 +101,10 @@
 		t.Error("concluded on the word of one that cannot know")
 	}
 	w.pass(zoneLease + time.Second)
+	if w.concludes("n-1", true) {
+		t.Error("concluded on a word that may be asked for later than it counts from")
+	}
+	w.pass(tuning.KeptAsking)
 	if !w.concludes("n-1", true) {
 		t.Error("not concluded though the former life's answers are over")
 	}
--- a/internal/leader/expire.go
+++ b/internal/leader/expire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 		l.post(func() {
 			done := l.env.Clock.Now()
 			l.asking, l.nextAsk = false, done.Add(tuning.KeptEvery)
+			if err == nil && done.Sub(now) > tuning.KeptAsking {
+				err = fmt.Errorf("it took %v", done.Sub(now))
+			}
 			if err != nil {
 				l.log.Debug("kept machines unreadable", "err", err)
 				return
@@ -44,7 +48,7 @@
 
 // keptMachines finds which machines, by zone, others may have answered within a lease
 // before now: those that a record names, and those of which a member with the right for
-// their zone does not say that it did not.
+// their zone does not say that it did not. It must not take longer than KeptAsking: all then speak of the lease before it began.
 func (l *Loop) keptMachines(ctx context.Context, byZone map[string][]string) (map[string]bool, error) {
 	kept, rights, err := keeper.Read(ctx, l.store)
 	if err != nil {
--- a/internal/leader/expire_test.go
+++ b/internal/leader/expire_test.go
@@ -91,6 +91,29 @@
 	}
 }
 
+// Guards against conclusions from words of different times: what took longer than those who were asked remember counts for nothing.
+func TestAReadingThatTakesLongConcludesNothing(t *testing.T) {
+	for _, c := range []struct {
+		took time.Duration
+		gone bool
+	}{{tuning.KeptAsking, true}, {tuning.KeptAsking + time.Millisecond, false}} {
+		l, pass := twoZones(t, 1, `{"zone":"a","member":"ma"}`)
+		l.env.Kept = func(context.Context, string, []string) ([]string, bool) {
+			pass(c.took)
+			return nil, true
+		}
+		pass(l.workerLease() + time.Second)
+		l.settled()
+		if gone := len(l.roster.Machines["n-0"].Places) == 0; gone != c.gone {
+			t.Errorf("after a reading of %v: gone %v", c.took, gone)
+		}
+		l.env.Kept = func(context.Context, string, []string) ([]string, bool) { return nil, true }
+		if l.settled(); len(l.roster.Machines["n-0"].Places) != 0 {
+			t.Error("not found gone by the next reading")
+		}
+	}
+}
+
 // Guards against machines rented in a zone that is cut off, and counted as coming while
 // the work waits.
 func TestNothingIsRentedInAZoneThatIsCutOff(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -350,6 +350,11 @@
 	// ProbeLeaseShare is the share of a worker's lease within which it must be
 	// back if it is sent to a leader that does not answer us.
 	ProbeLeaseShare = 0.8
+	// KeptAsking is how long the leader may take to read these records and to ask the members, once: longer, and nothing is
+	// concluded. What they tell goes back for so much more than a lease, so that all of them speak of the time at which the
+	// leader began. State services that answer in half a second, and pages of records, have room in it; a dead machine
+	// that a follower answered is found so much later.
+	KeptAsking = 3 * time.Second
 	// KeptEvery is the least time between two readings of these records by the leader.
 	KeptEvery = 500 * time.Millisecond
 )
