Subsystems' transactions form a chain: one carried out late changes nothing

A transaction of the graphs or the ledger that had no answer is repeated until it has one; the first try may be carried out seconds later, after newer ones of the same leader. Definitions and runs are dropped whatever they hold, and a run's record is made if there is none: a graph that was registered anew meanwhile lost its parts, and a deleted run was there again. Each such transaction now changes one record, aside/link, and is guarded on it. One change more in each; they hold a dozen or more.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -113,7 +113,7 @@
 		return nil
 	}
 	state := c.settings.Cluster.State
-	cfg := ledger.Config{Clock: c.clock, TxnOps: state.TxnOps, ValueKB: state.ValueKB, Types: c.catalog.Types, Budgets: c.own.Budgets}
+	cfg := ledger.Config{Clock: c.clock, TxnOps: state.TxnOps - 1, ValueKB: state.ValueKB, Types: c.catalog.Types, Budgets: c.own.Budgets}
 	if c.metrics != nil {
 		cfg.Charged = c.metrics.Charged
 	}
@@ -131,7 +131,7 @@
 func (c *Controller) joinGraphs(descriptions string) {
 	cluster := c.settings.Cluster
 	cfg := graphs.Config{
-		Clock: c.clock, TxnOps: cluster.State.TxnOps, ValueKB: cluster.State.ValueKB, Bytes: int(cluster.Limits.RAMMB * tuning.GraphShare * (1 << 20)),
+		Clock: c.clock, TxnOps: cluster.State.TxnOps - 1, ValueKB: cluster.State.ValueKB, Bytes: int(cluster.Limits.RAMMB * tuning.GraphShare * (1 << 20)),
 		Impossible: func(j *wire.Job) string { return c.users.Impossible(j) }, Jitter: rand.Float64, Pools: c.own.Pool,
 	}
 	if descriptions != "" {
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -49,6 +49,7 @@
 	broken     map[Slice]bool // those whose records could not be stored
 	aside      bool           // a slice's transaction is on its way
 	nextSlices time.Time
+	link       link
 
 	changed  bool          // a pass could find something new
 	rested   time.Time     // no pass before, whatever changed
--- a/internal/leader/slices.go
+++ b/internal/leader/slices.go
@@ -122,14 +122,14 @@
 	if l.aside {
 		return
 	}
-	s, w := l.nextWrite(now, l.store.Room())
+	s, w := l.nextWrite(now, l.store.Room()-1) // one change is the link's
 	if w == nil {
 		return
 	}
 	// Its keys are none of the book's, so the two need not wait for each other.
 	l.aside = true
 	go func() {
-		revision, err := l.commit(w.Txn)
+		revision, err := l.chained(w.Txn)
 		switch {
 		case errors.Is(err, errDeposed) || l.ended.Err() != nil:
 			l.end(err)
@@ -152,6 +152,45 @@
 	}()
 }
 
+// keyLink is changed by every transaction of the subsystems, and each is guarded on it: they form a chain. One that had no answer and
+// was repeated may be carried out once more, seconds later and after newer ones of ours. Guards on the versions of what it
+// changes do not refuse that where it drops records whatever they hold, or adds one that was dropped again since: a graph
+// that was registered anew lost its parts. The link of the chain that it was made for is gone by then.
+const keyLink = "aside/link"
+
+type link struct {
+	known   bool
+	version uint64
+	n       uint64
+}
+
+// linkRecord is different in each transaction, so that it tells whether one was carried out.
+type linkRecord struct {
+	Term uint64 `json:"term"`
+	N    uint64 `json:"n"`
+}
+
+// chained commits a subsystem's transaction as the next link. One is on its way at a time.
+func (l *Loop) chained(t wire.Txn) (revision uint64, err error) {
+	for pause := tuning.StateRetry; !l.link.known; pause = min(2*pause, tuning.StateRetryMax) {
+		item, _, err := l.store.Get(l.ended, keyLink)
+		if err == nil {
+			l.link.known, l.link.version = true, item.Version
+			break
+		}
+		if l.env.sleep(l.ended, pause); l.ended.Err() != nil {
+			return 0, err
+		}
+	}
+	l.link.n++
+	revision, err = l.commit(wire.Txn{
+		If:   append([]wire.Condition{{Key: keyLink, Version: l.link.version}}, t.If...),
+		Then: append([]wire.Change{{Put: keyLink, Value: wire.Value(linkRecord{l.tenure.Term, l.link.n})}}, t.Then...),
+	})
+	l.link.known, l.link.version = err == nil, revision
+	return revision, err
+}
+
 // nextWrite gives the next transaction of the subsystems, which take turns: one that always
 // has something to write must not hold up the others.
 func (l *Loop) nextWrite(now time.Time, room int) (Slice, *Write) {
