Commands end with 75 when asking again may help; cancel says that it is not confirmed yet

A cancellation that cannot be confirmed was told like any other failure. 429, 503 and 504 now end a command with 75 (sysexits' EX_TEMPFAIL), others with 1; the answer's line says that tasks may still run. Tested with a state service that refuses.

--- a/cmd/poppypass/commands_test.go
+++ b/cmd/poppypass/commands_test.go
@@ -164,6 +164,17 @@
 	if _, err := run("job", "--addr", bind, "get", "job-2"); err == nil || !strings.Contains(err.Error(), "404") {
 		t.Errorf("a job that nobody submitted: %v", err)
 	}
+	state.Refuse(true)
+	for _, c := range []struct {
+		id   string
+		want int // exit status: asking again helps, or not
+	}{{"job-9", exitTryAgain}, {"x", 1}} {
+		_, err := run("job", "--addr", bind, "cancel", c.id)
+		if err == nil || exitStatus(err) != c.want || strings.Contains(err.Error(), "\n") {
+			t.Errorf("a cancellation of %s that cannot be confirmed: %v", c.id, err)
+		}
+	}
+	state.Refuse(false)
 	if _, err := run("job", "--addr", bind, "submit", standin.File(t, "bad.json", `{"ref":"job-3"}`)); err == nil || !strings.Contains(err.Error(), `"lane" is missing`) {
 		t.Errorf("a bad description: %v", err)
 	}
--- a/cmd/poppypass/job.go
+++ b/cmd/poppypass/job.go
@@ -105,11 +105,19 @@
 	return out, nil
 }
 
-// refusal is the error that an answer tells: the protocol's, or that of the graphs' API.
+// errNotNow tells that a controller cannot answer now: the same command may succeed a moment later.
+var errNotNow = errors.New("not now")
+
+// refusal is the error that an answer tells: the protocol's, or that of the graphs' API. It is errNotNow where asking again may help.
 func refusal(status int, body []byte) error {
 	var e struct{ Error, Detail string }
+	text := http.StatusText(status)
 	if json.Unmarshal(body, &e) == nil && e.Error+e.Detail != "" {
-		return fmt.Errorf("status %d: %s", status, e.Error+e.Detail)
+		text = fmt.Sprintf("status %d: %s", status, e.Error+e.Detail)
+	}
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return fmt.Errorf("%w: %s", errNotNow, text)
 	}
-	return errors.New(http.StatusText(status))
+	return errors.New(text)
 }
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -186,7 +186,7 @@
 	case status == http.StatusNotFound:
 		httpjson.Fail(w, status, "no such job")
 	default:
-		httpjson.Unavailable(w, "the job cannot be cancelled now; ask again")
+		httpjson.Unavailable(w, "the cancellation is not confirmed yet: tasks of the job may still run, or nobody can store it now; ask again")
 	}
 }
 
