--- a/internal/leadership/meetings_test.go
+++ b/internal/leadership/meetings_test.go
@@ -158,3 +158,31 @@
 		}
 	}
 }
+
+// inBetween is a store whose reading fails after something has happened.
+type inBetween struct {
+	Store
+	fn func()
+}
+
+func (s inBetween) Get(context.Context, string) (wire.Item, bool, error) {
+	s.fn()
+	return wire.Item{}, false, statestore.ErrNotExecuted
+}
+
+// Guards against a promise that is given while a campaign of ours has begun, or we have come to lead, since we looked whether we follow.
+func TestNoPromiseBesideACampaignThatBeganMeanwhile(t *testing.T) {
+	for name, begin := range map[string]func(e *Elector){
+		"a campaign": func(e *Elector) { e.campaigning = true },
+		"a tenure":   func(e *Elector) { e.term = 4 },
+	} {
+		clock := clockwork.NewFakeClock()
+		var e *Elector
+		e = New(inBetween{fn: func() { begin(e) }}, alone, "a", clock, slog.New(slog.DiscardHandler))
+		clock.Advance(promiseKept + tuning.VoucherFor)
+		e.readAsLeading(5, clock.Now())
+		if got := e.Promise(t.Context(), 5); got != Refused {
+			t.Errorf("%s: it answers %v", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/roster/proofs_test.go
@@ -0,0 +1,61 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
+)
+
+// Guards against a start by the leader before us that arrives after its task counts as gone, and its job as cancelled: only once the
+// worker has seen our token does what its report lacks prove anything.
+func TestWhatAReportLacksProvesNothingBeforeOurToken(t *testing.T) {
+	f := newFixture(t)
+	p := place(1)
+	p.Stop = &jobs.Stop{}
+	f.Inherit(p, t0)
+	if a := f.report(report(1, 1, term-1), time.Second, yes); len(a.Outcomes) != 0 {
+		t.Fatalf("concluded while an older leader's start may arrive: %v", a.Outcomes)
+	}
+	if a := f.report(report(1, 2, term), 2*time.Second, yes); len(a.Outcomes) != 1 {
+		t.Errorf("outcomes %v with our token", a.Outcomes)
+	}
+}
+
+// Guards against a machine that was started anew and counts as empty while something may still start there: an answer to a report that
+// was taken a moment ago, a direct start of ours without an answer, an older leader's.
+func TestAMachineThatWasStartedAnewIsEmptyOnlyOnceNothingCanCome(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after time.Duration // from the last report that was taken to the question
+		open  bool          // a direct start is without an answer
+		token uint64
+		want  Rebirth
+	}{
+		{"nothing can come", tuning.AnswerLife, false, term, Anew},
+		{"an answer may be on its way", tuning.AnswerLife - time.Millisecond, false, term, AskLater},
+		{"a direct start may", tuning.AnswerLife, true, term, GiveUp},
+		{"an older leader's may", tuning.AnswerLife, false, term - 1, AskAgain},
+	} {
+		f := newFixture(t)
+		f.report(report(1, 5, term), 0, no)
+		p := place(1)
+		f.Add(p, t0)
+		m := f.Machines["n-1"]
+		if _, req := f.Direct("n-1", []*jobs.Place{p}); !c.open {
+			f.Sent("n-1", req)
+		}
+		_, _, mark, ok := f.Question(m, t0.Add(c.after))
+		if !ok {
+			t.Fatal("nobody can be asked")
+		}
+		if got := f.Reborn(m, mark, &wire.Report{Machine: "n-1", Session: 1, Seq: 2, Token: c.token}); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+		if got := f.Reborn(m, mark, &wire.Report{Machine: "n-1", Session: 1, Seq: 6, Token: c.token}); got != SameLife {
+			t.Errorf("%s: a newer answer is of another life: %v", c.name, got)
+		}
+	}
+}
