A leader reads the state of a job whose end may be stored already

A random history told a user withdrawn and then pending: the transaction with the job's end had been carried out, a member that did not reach the leader read it, and the leader, whose answer was on its way, answered from memory. While such a transaction may be carried out, the leader has the stored state read; not while all its tries were refused.

--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -3,8 +3,14 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"poppypass/internal/jobs"
+	"poppypass/internal/standin"
+	"poppypass/internal/tuning"
+	"poppypass/internal/wire"
 )
 
 // sites are the deployments' leases and bounds on cancellations.
@@ -107,3 +113,44 @@
 		}
 	}
 }
+
+// Guards against a leader that tells a user less than another member told: the transaction that ends a job is carried out, its answer is
+// slow or lost, another member that does not reach the leader reads the end from the state service, and the leader answers from
+// memory. A random history found it, in a moment between the two. In an outage, where nothing is carried out, it does answer.
+func TestALeaderDoesNotAnswerWhileAnEndMayBeStored(t *testing.T) {
+	w := newWorld(t)
+	w.submit("job-1", 1)
+	w.submit("job-2", 1)
+	k := w.worker("n-000001", "a")
+	w.until("both run", func() bool { k.beat(); return k.running() == 2 })
+	finish := func(job string) {
+		for i := range k.rep.Tasks {
+			if standin.JobOf(k.rep.Tasks[i].Task) == job {
+				k.rep.Tasks[i].State, k.rep.Tasks[i].Why = wire.TaskExited, wire.WhyDone
+			}
+		}
+		k.beat()
+	}
+	w.state.Mute(func(txn wire.Txn) bool {
+		return slices.ContainsFunc(txn.Then, func(c wire.Change) bool { return c.Put == jobs.KeyEnd("job-1") })
+	})
+	finish("job-1")
+	w.until("the end is stored", func() bool { _, ok := w.state.Value(jobs.KeyEnd("job-1")); return ok })
+	if s := w.jobState("job-1"); s != "done" {
+		t.Errorf("called %s though it is stored as done", s)
+	}
+	w.state.Mute(nil)
+	w.until("the leader knows it, and has the worker forget the task", func() bool {
+		w.clock.Advance(tuning.StateRetry)
+		k.beat()
+		return len(k.rep.Tasks) == 1
+	})
+	w.state.Refuse(true)
+	refused := w.state.Refused()
+	finish("job-2")
+	w.until("the end is refused", func() bool { return w.state.Refused() > refused })
+	w.until("the leader answers", func() bool { return w.jobState("job-2") != "Service Unavailable" })
+	if s := w.jobState("job-2"); s != "running" && s != "pending" {
+		t.Errorf("in an outage the leader says %s", s)
+	}
+}
--- a/internal/controller/meetings_world_test.go
+++ b/internal/controller/meetings_world_test.go
@@ -40,6 +40,7 @@
 	nodes  []*node
 	client *http.Client
 	begun  time.Time
+	term   uint64         // the last that was seen to lead
 	asking sync.WaitGroup // requests on their way
 	ends   []ending       // troubles, and when they are over
 
@@ -295,6 +296,10 @@
 func (w *meeting) leader() *node {
 	for _, n := range w.nodes {
 		if n.stop != nil && n.c.leader() != nil {
+			if term := n.c.leading.Load(); term != nil && term.Tenure().Term > w.term {
+				w.term = term.Tenure().Term
+				w.say("%s leads in term %d", n.name, w.term)
+			}
 			return n
 		}
 	}
@@ -709,6 +714,9 @@
 			w.breaks("went_back: %s is called %s by %s, and was over", j.id, out.Status, n.name)
 		}
 		if out.Status == "done" || out.Status == "withdrawn" {
+			if !final {
+				w.note("%s is told %s by %s, asking", j.id, out.Status, n.name)
+			}
 			w.told(j, out.Status)
 		}
 	case j.silent.IsZero():
@@ -799,8 +807,8 @@
 			n = w.nodes[w.r.IntN(len(w.nodes))]
 		}
 	case 5, 6:
-		w.say("%s is cut from the others", n.name)
 		refused := w.r.IntN(2) == 0
+		w.say("%s is cut from the others, and refused: %v", n.name, refused)
 		w.lasts(w.seconds(2, 1.5*s.lease), func() { n.apart(true); n.door.Refuse(refused) }, func() { n.apart(false); n.door.Refuse(false) })
 	case 7:
 		w.say("transactions come late")
@@ -837,6 +845,7 @@
 func (w *meeting) step() {
 	w.crews()
 	w.over(false)
+	w.leader() // for the trace
 	for _, n := range w.nodes {
 		if n.stop == nil && !w.now().Before(n.back) {
 			w.say("%s is back", n.name)
--- a/internal/jobs/book.go
+++ b/internal/jobs/book.go
@@ -101,7 +101,8 @@
 	chunks       []chunk
 	cancelWanted bool
 	cancelled    bool // stored
-	ending       bool // its end is being written
+	ending       bool // its end is being written, or waits for that
+	sent         bool // a transaction with its end was made
 	ended        bool // stored as done, or dropped
 	first        int  // no task before this index waits
 	waiters      []func(wire.JobState)
@@ -150,6 +151,9 @@
 // Cancelled tells whether the job's cancellation is stored or wanted.
 func (j *Job) Cancelled() bool { return j.cancelWanted || j.cancelled }
 
+// EndSent tells whether a transaction that ends the job was made: if it is on its way, the end may be stored already.
+func (j *Job) EndSent() bool { return j.sent }
+
 // Zones is how many tasks of the job may be in each zone.
 func (j *Job) Zones() map[string]int { return j.zones }
 
--- a/internal/jobs/writes.go
+++ b/internal/jobs/writes.go
@@ -92,6 +92,7 @@
 		j := b.ends[0]
 		b.ends = b.ends[1:]
 		ref := endRef{job: j}
+		j.sent = true
 		if !j.cancelled {
 			ref.state = wire.StateDone
 			if j.Done < len(j.Tasks) {
--- a/internal/leader/chain_test.go
+++ b/internal/leader/chain_test.go
@@ -90,12 +90,12 @@
 	}
 	l.tenure.Guard = wire.Condition{Key: "lead/holder", Version: holder()}
 	txn := wire.Txn{Then: []wire.Change{{Put: "run/x", Value: json.RawMessage("1")}}}
-	if _, err := l.commit(txn); err != nil {
+	if _, err := l.commit(txn, nil); err != nil {
 		t.Fatal(err)
 	}
 	holder() // another leads
 	txn.Then[0].Put = "run/y"
-	if _, err := l.commit(txn); !errors.Is(err, errDeposed) {
+	if _, err := l.commit(txn, nil); !errors.Is(err, errDeposed) {
 		t.Errorf("told %v", err)
 	}
 	if _, ok := state.Value("run/y"); ok {
--- a/internal/leader/images.go
+++ b/internal/leader/images.go
@@ -85,7 +85,7 @@
 	}
 	l.images.writing = true
 	go func() {
-		_, err := l.commit(wire.Txn{Then: []wire.Change{{Put: keyImages, Value: value}}})
+		_, err := l.commit(wire.Txn{Then: []wire.Change{{Put: keyImages, Value: value}}}, nil)
 		if errors.Is(err, errDeposed) {
 			l.end(err)
 			return
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -38,6 +39,7 @@
 	arrived int           // jobs that came in this tenure
 	loaded  bool          // all stored records are in: before, nothing is placed or concluded
 	writing bool          // a transaction is on its way
+	doubt   atomic.Bool   // that transaction may be carried out already
 	overdue *rate.Limiter // changes that nobody waits for, once they have waited long
 	asking  bool          // the machines that followers answer are being read
 	nextAsk time.Time
@@ -217,14 +219,16 @@
 }
 
 // Status answers a user from memory; ok is false when the job is not known
-// here or the right to act ended meanwhile.
+// here, its end is on its way to the state service, or the right to act ended meanwhile.
 func (l *Loop) Status(ctx context.Context, id string) (wire.JobStatus, bool) {
 	type result struct {
 		s  wire.JobStatus
 		ok bool
 	}
 	r, err := ask(ctx, l, func(answer func(result)) {
-		if j := l.book.Jobs[id]; j != nil && l.loaded {
+		// While the job's end may be stored without our knowing, what is stored has to be read: another member may have read it and
+		// told its user, and what we remember would be older.
+		if j := l.book.Jobs[id]; j != nil && l.loaded && !(j.EndSent() && l.doubt.Load()) {
 			answer(result{j.Status(), true})
 			return
 		}
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"poppypass/internal/charge"
@@ -177,7 +178,7 @@
 	}
 	l.writing = true
 	go func() {
-		revision, err := l.commit(batch.Txn)
+		revision, err := l.commit(batch.Txn, &l.doubt)
 		if err != nil {
 			l.end(err)
 			return
@@ -187,14 +188,18 @@
 }
 
 // commit brings a transaction to a definite outcome. It is repeated unchanged
-// until it has one; its guards make sure that only one of the tries is applied.
-func (l *Loop) commit(t wire.Txn) (uint64, error) {
+// until it has one; its guards make sure that only one of the tries is applied. doubt, if it is not nil, tells meanwhile whether
+// it may be carried out already, and after that until it is taken in; not while all tries were refused, as in an outage.
+func (l *Loop) commit(t wire.Txn, doubt *atomic.Bool) (uint64, error) {
 	t.If = append([]wire.Condition{l.tenure.Guard}, t.If...)
 	unsure := false
 	for pause := tuning.StateRetry; ; pause = min(2*pause, tuning.StateRetryMax) {
 		if err := l.ended.Err(); err != nil {
 			return 0, err
 		}
+		if doubt != nil {
+			doubt.Store(true)
+		}
 		revision, err := l.store.Commit(l.ended, t)
 		if err == nil {
 			return revision, nil
@@ -219,6 +224,9 @@
 		case errors.Is(err, errUnknown):
 			unsure = true
 		case errors.Is(err, errNotExecuted):
+			if doubt != nil && !unsure {
+				doubt.Store(false)
+			}
 		default:
 			return 0, fmt.Errorf("records cannot be stored: %w", err)
 		}
--- a/internal/leader/slices.go
+++ b/internal/leader/slices.go
@@ -186,7 +186,7 @@
 	revision, err = l.commit(wire.Txn{
 		If:   append([]wire.Condition{{Key: keyLink, Version: l.link.version}}, t.If...),
 		Then: append([]wire.Change{{Put: keyLink, Value: wire.Value(linkRecord{l.tenure.Term, l.link.n})}}, t.Then...),
-	})
+	}, nil)
 	l.link.known, l.link.version = err == nil, revision
 	return revision, err
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -28,6 +28,7 @@
 	events   []wire.Event
 	wake     chan struct{} // closed at each change
 	refuse   bool
+	refused  int // transactions
 	mute     func(wire.Txn) bool
 	late     func(wire.Txn) bool
 	held     []wire.Txn // without an answer, and not carried out yet
@@ -116,6 +117,9 @@
 	s.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		refuse := s.refuse
+		if refuse && r.URL.Path == wire.PathTxn {
+			s.refused++
+		}
 		s.mu.Unlock()
 		if refuse {
 			answer(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
@@ -182,6 +186,13 @@
 	return applied
 }
 
+// Refused is how many transactions were refused in outages.
+func (s *State) Refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
 // Held is how many transactions are kept.
 func (s *State) Held() int {
 	s.mu.Lock()
