--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -154,3 +155,26 @@
 		t.Errorf("in an outage the leader says %s", s)
 	}
 }
+
+// Guards against a job that is there again after its end: its first submission had no answer and is carried out once it is over.
+func TestALateSubmissionOfAJobThatIsOver(t *testing.T) {
+	w := newWorld(t)
+	w.until("there is a leader", func() bool { return w.c.leader() != nil })
+	w.state.Late(func(txn wire.Txn) bool { return txn.Then[0].Put == jobs.KeyJob("job-1") })
+	if status, _ := w.call("POST", "/v2/runs", job("job-1", 1)); status != http.StatusServiceUnavailable || w.state.Held() != 1 {
+		t.Fatalf("told %d, %d held", status, w.state.Held())
+	}
+	w.state.Late(nil)
+	w.submit("job-1", 1)
+	k := w.worker("n-000001", "a")
+	w.until("done", func() bool { k.beat(); k.finish(); return w.jobState("job-1") == "done" })
+	if late := w.state.Deliver(); len(late) != 0 {
+		t.Error("the job was stored once more")
+	}
+	for range 20 {
+		k.beat()
+	}
+	if s := w.jobState("job-1"); s != "done" || k.running() != 0 || k.start["job-1/0"] != 1 {
+		t.Errorf("called %s, started %d times", s, k.start["job-1/0"])
+	}
+}
--- a/internal/jobs/book_test.go
+++ b/internal/jobs/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -500,3 +501,34 @@
 		t.Errorf("with room to spare: %+v", w)
 	}
 }
+
+// Guards against records of a job that is over which are there again: whatever transaction of it had no answer, carried out once more
+// after the others it changes nothing.
+func TestNoTransactionOfABookIsCarriedOutTwice(t *testing.T) {
+	s := newStore(t)
+	s.accept("job-1", 2)
+	b, _ := s.load(12)
+	var sent []wire.Txn
+	flush := func() {
+		for w := b.Take(later, Budget{Spare: 1000}); w != nil; w = b.Take(later, Budget{Spare: 1000}) {
+			sent = append(sent, w.Txn)
+			b.Written(w, s.apply(w.Txn))
+		}
+	}
+	j := b.Jobs["job-1"]
+	for i := range 2 {
+		p := b.Place(j, i, "n-1", "a", 1, t0)
+		flush()
+		b.Finished(p, t0)
+		flush()
+	}
+	if len(sent) < 4 || b.Jobs["job-1"] != nil {
+		t.Fatalf("%d transactions, the job is over: %v", len(sent), b.Jobs["job-1"] == nil)
+	}
+	for n, txn := range sent {
+		holds := !slices.ContainsFunc(txn.If, func(c wire.Condition) bool { return s.items[c.Key].Version != c.Version })
+		if holds {
+			t.Errorf("transaction %d would be carried out again: %+v", n, txn)
+		}
+	}
+}
--- a/internal/leader/chain_test.go
+++ b/internal/leader/chain_test.go
@@ -102,3 +102,18 @@
 		t.Error("a former leader's record is stored")
 	}
 }
+
+// Guards against an answer from memory by a leader whose right ended while it was being given.
+func TestNoAnswerFromMemoryWithoutTheRight(t *testing.T) {
+	l, _ := leaderWith(t)
+	l.waits(t, wire.Job{ID: "job-1", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 1, CPUs: 1, MemoryGB: 1})
+	for _, valid := range []bool{true, false} {
+		l.env.Valid = func(uint64) bool { return valid }
+		got := make(chan bool, 1)
+		go func() { _, ok := l.Status(t.Context(), "job-1"); got <- ok }()
+		(<-l.inbox)()
+		if ok := <-got; ok != valid {
+			t.Errorf("answers %v with a right that is %v", ok, valid)
+		}
+	}
+}
--- a/internal/leadership/meetings_test.go
+++ b/internal/leadership/meetings_test.go
@@ -186,3 +186,24 @@
 		}
 	}
 }
+
+// Guards against a right that outlives the lease by the time that a renewal took: it counts from before the request.
+func TestTheRightCountsFromBeforeTheRequest(t *testing.T) {
+	for name, renew := range map[string]func(e *Elector, sent time.Time){
+		"gained":  func(e *Elector, sent time.Time) { e.gain(5, 1, sent) },
+		"renewed": func(e *Elector, sent time.Time) { e.gain(5, 1, sent); e.renewal(5, sent) },
+	} {
+		clock := clockwork.NewFakeClock()
+		e := New(nil, alone, "a", clock, slog.New(slog.DiscardHandler))
+		sent := clock.Now()
+		clock.Advance(tuning.RenewTimeout)
+		renew(e, sent)
+		clock.Advance(tuning.LeaseTTL - tuning.RenewTimeout - 100*time.Millisecond)
+		if !e.Valid(5) {
+			t.Errorf("%s: over %v after the request", name, clock.Since(sent))
+		}
+		if clock.Advance(100 * time.Millisecond); e.Valid(5) {
+			t.Errorf("%s: acts %v after the request", name, clock.Since(sent))
+		}
+	}
+}
