--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -94,9 +94,15 @@
 		return
 	}
 	if d.redirects.lost(&rep, term, d.clock.Now()) || d.peers.Cut(name) {
-		if a, ok := d.help(r.Context(), body, &rep, name); ok {
+		a, ok, leads := d.help(r.Context(), body, &rep, name)
+		switch {
+		case ok:
 			httpjson.Write(w, http.StatusOK, a)
 			return
+		case !leads:
+			// The worker tries the next controller. Sent to one that does not lead it never came to that of its zone.
+			httpjson.Unavailable(w, "nobody leads")
+			return
 		}
 	}
 	httpjson.Write(w, http.StatusMisdirectedRequest, wire.Redirect{ReportTo: name})
@@ -123,10 +129,10 @@
 
 // help answers a worker that cannot reach the leader: by asking the leader
 // through the mesh, or, when that cannot be reached from here either, by
-// keeping the worker's lease without any commands.
-func (d *Door) help(ctx context.Context, body []byte, rep *wire.Report, lead string) (a wire.ReportAnswer, ok bool) {
+// keeping the worker's lease without any commands. leads is false if the one that is named said that it does not lead.
+func (d *Door) help(ctx context.Context, body []byte, rep *wire.Report, lead string) (a wire.ReportAnswer, ok, leads bool) {
 	if !d.peers.Known(lead) {
-		return a, false
+		return a, false, true
 	}
 	cut := d.peers.Cut(lead)
 	if !cut {
@@ -136,11 +142,12 @@
 			case resp.Status == http.StatusMisdirectedRequest:
 				// It does not lead, though nothing better is known: it was started anew, and the leader key, which names its former
 				// life, cannot be read. Members sent the workers to it, and it sent them on, until their leases were over.
-				return d.keep(ctx, rep)
+				a, ok = d.keep(ctx, rep)
+				return a, ok, false
 			case resp.Status != http.StatusOK || json.Unmarshal(resp.Payload, &a) != nil:
-				return a, false
+				return a, false, true
 			}
-			return a, true
+			return a, true, true
 		}
 		cut = peers.Unanswered(err)
 	}
@@ -150,9 +157,10 @@
 	// If the state service does not answer us either, it is we who are cut off, and our
 	// zone's workers with us.
 	if (!cut || d.peers.MayProbe() && !d.zone.Alone()) && d.redirects.probe(rep.Machine, d.clock.Now()) {
-		return a, false
+		return a, false, true
 	}
-	return d.keep(ctx, rep)
+	a, ok = d.keep(ctx, rep)
+	return a, ok, true
 }
 
 // keep answers a worker without commands, so that its lease goes on: while
--- a/internal/workers/workers_test.go
+++ b/internal/workers/workers_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"poppypass/internal/config"
 	"poppypass/internal/leader"
+	"poppypass/internal/leadership"
 	"poppypass/internal/mesh"
 	"poppypass/internal/peers"
 	"poppypass/internal/tuning"
@@ -76,7 +79,7 @@
 	if p.Cut("m2") {
 		t.Error("another leader was not asked yet")
 	}
-	kept := func() bool { rep.Seq++; _, ok := d.help(t.Context(), nil, rep, "m0"); return ok }
+	kept := func() bool { rep.Seq++; _, ok, _ := d.help(t.Context(), nil, rep, "m0"); return ok }
 	for range 2 {
 		if !kept() {
 			t.Error("sent to a leader that does not answer")
@@ -119,8 +122,9 @@
 		s := &config.Settings{Members: []config.Member{{Name: "m0", Endpoint: l.Addr().String()}}}
 		d := New("m1", config.Workers{}, clock, nil, peers.New(s, clock, slog.New(slog.DiscardHandler)), always{}, always{}, func() *leader.Loop { return nil }, nil)
 		rep := &wire.Report{Machine: "n-1", Session: 1, Seq: 1, Token: 3, Tasks: []wire.TaskReport{{Task: "job-1/0", Attempt: 1, State: wire.TaskRunning}}}
-		if a, ok := d.help(t.Context(), nil, rep, "m0"); ok != c.kept || ok && (a.Token != 3 || len(a.Commands) != 0) {
-			t.Errorf("told %d: kept %v, with %+v", c.status, ok, a)
+		a, ok, leads := d.help(t.Context(), nil, rep, "m0")
+		if ok != c.kept || leads == c.kept || ok && (a.Token != 3 || len(a.Commands) != 0) {
+			t.Errorf("told %d: kept %v, with %+v; leads %v", c.status, ok, a, leads)
 		}
 	}
 	d := New("m1", config.Workers{}, clockwork.NewFakeClock(), nil, nil, always{}, always{}, func() *leader.Loop { return nil }, nil)
@@ -128,3 +132,29 @@
 		t.Errorf("a member that does not lead answers %d", r.Status)
 	}
 }
+
+// never keeps any machine.
+type never struct{ always }
+
+func (never) Keep(context.Context, string) bool { return false }
+
+// Guards against workers that are sent to one that does not lead, by members that cannot keep them: they never came to the member of
+// their own zone, which may.
+func TestAWorkerIsNotSentToOneThatDoesNotLead(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := New("m1", config.Workers{}, clock, nil, nil, never{}, never{}, func() *leader.Loop { return nil }, nil)
+	go mesh.Serve(t.Context(), l, func(ctx context.Context, r mesh.Request) mesh.Response { return d.AnswerPeer(ctx, r.Payload) }, slog.New(slog.DiscardHandler))
+	d.peers = peers.New(&config.Settings{Members: []config.Member{{Name: "m0", Endpoint: l.Addr().String()}}}, clock, slog.New(slog.DiscardHandler))
+	d.elector = leadership.New(nil, d.peers, "m1", clock, slog.New(slog.DiscardHandler))
+	d.elector.Hint("m0", 3)
+	report := `{"stall":"n-1","address":"a:1","build":"g8","yard":"a","shift":1,"punch":1,"baton":3,"seats":[{"seat":"job-1/0","boarding":1,"status":"running"}]}`
+	w := httptest.NewRecorder()
+	d.ServeReport(w, httptest.NewRequest(http.MethodPost, wire.PathReport, strings.NewReader(report)))
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("answered %d: %s", w.Code, w.Body)
+	}
+}
