--- a/internal/leader/slices.go
+++ b/internal/leader/slices.go
@@ -158,10 +158,11 @@
 // that was registered anew lost its parts. The link of the chain that it was made for is gone by then.
 const keyLink = "aside/link"
 
+// link is what the loop knows of that record; whoever commits owns it.
 type link struct {
-	known   bool
-	version uint64
-	n       uint64
+	known   bool   // version is what is stored
+	version uint64 // 0: there is none yet
+	n       uint64 // of transactions in this tenure
 }
 
 // linkRecord is different in each transaction, so that it tells whether one was carried out.
