--- a/internal/lab/meetings/meetings_test.go
+++ b/internal/lab/meetings/meetings_test.go
@@ -11,6 +11,7 @@
 var sites = map[string]site{
 	"lease 10, three": {nodes: 3, lease: 10, cancelS: 35, report: 2, imageS: 8, machines: 14},
 	"lease 18, five":  {nodes: 5, lease: 18, cancelS: 43, report: 4, imageS: 8, machines: 14},
+	"lease 42, five":  {nodes: 5, lease: 42, cancelS: 67, report: 10, imageS: 8, machines: 14},
 	"lease 26, three": {nodes: 3, lease: 26.5, cancelS: 51.5, report: 5, imageS: 8, machines: 14},
 }
 
@@ -23,7 +24,7 @@
 			w := newMeeting(t, s, 1)
 			w.until("a leader", time.Minute, func() bool { return w.leader() != nil })
 			for i := range 4 {
-				w.sells(fmt.Sprintf("job-%d", i), []string{"array", "service"}[i%2], []int{6, 3}[i%2], float64(40*(i/2)))
+				w.sells(fmt.Sprintf("job-%d", i), []string{"array", "service"}[i%2], []int{6, 3, 300, 1}[i], float64(40*(i/2)))
 			}
 			for round, now := range []float64{1.2, 1.5} {
 				w.until("tasks run", 5*time.Minute, w.locked(func() bool { return w.running("job-1")+w.running("job-3") > 3 || round > 0 }))
