Read again: the world in which troubles meet without what nothing reads, one count of states

Dropped: a door's slow answers, which no test used, and two times of a job that were written and never read. One map says when a task's present state is over instead of three; who holds the leader key is asked of the stand-in by both labs; times are drawn in one way.

--- a/internal/lab/meetings/meetings_test.go
+++ b/internal/lab/meetings/meetings_test.go
@@ -43,7 +43,7 @@
 				w.pass(time.Duration(6+w.r.IntN(6)) * time.Second) // as long as a refusal of the leader alone may last
 				w.say("the state service is down")
 				w.state.Refuse(true)
-				w.pass(time.Duration(now * s.cancelS * float64(time.Second)))
+				w.pass(seconds(now * s.cancelS))
 				w.say("it is back")
 				w.state.Refuse(false)
 				old.door.Refuse(false)
@@ -52,7 +52,7 @@
 				took := w.until("cancellations are confirmed", 2*time.Minute, w.all(func(j *sold) bool { return !j.asked || !j.confirmed.IsZero() || j.done }))
 				t.Logf("round %d: confirmed %v after the trouble", round, took)
 			}
-			w.pass(time.Duration(s.cancelS+s.lease) * time.Second)
+			w.pass(seconds(s.cancelS + s.lease))
 		})
 	}
 }
--- a/internal/lab/meetings/world.go
+++ b/internal/lab/meetings/world.go
@@ -155,11 +155,10 @@
 	kind            string
 	accepted, asked bool               // asked: its user wants it cancelled
 	asking          context.CancelFunc // its request to cancel is on its way; nil: none is
-	askedAt, sent   time.Time
+	sent            time.Time
 	confirmed       time.Time // when its user was told that it is cancelled
 	done            bool      // its user was told
 	next            time.Time // when it is asked about next
-	silent          time.Time // since when no question was answered
 	completed       map[string]bool
 }
 
@@ -173,11 +172,9 @@
 	next              time.Time
 	at                int // which controller it reports to
 	sent              time.Time
-	waits             context.CancelFunc // its report is on its way; nil: none is
-	ready             map[string]time.Time
-	ends              map[string]time.Time // of running tasks
-	saves             map[string]time.Time // when what saves is done with it
-	hangs, deaf, lost time.Time            // until when; lost: no way to any controller
+	waits             context.CancelFunc            // its report is on its way; nil: none is
+	due               map[standin.Attempt]time.Time // when the present state of a task is over
+	hangs, deaf, lost time.Time                     // until when; lost: no way to any controller
 	held              []wire.DirectCommands
 	only              *node  // the one controller that it reaches, and that reaches it; nil: all
 	term              uint64 // that one's
@@ -297,22 +294,15 @@
 
 // holder gives the controller that the leader key names, and its term.
 func (w *meeting) holder() (n *node, term uint64) {
-	item, ok := w.state.Value("lead/holder")
-	var h struct {
-		Member string
-		Term   uint64
-	}
-	if !ok || json.Unmarshal(item.Value, &h) != nil {
-		return nil, 0
-	}
-	if i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == h.Member }); i >= 0 {
+	member, term := w.state.Holder()
+	if i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == member }); i >= 0 {
 		n = w.nodes[i]
 	}
-	if h.Term > w.term {
-		w.term = h.Term
-		w.say("%s leads in term %d", h.Member, h.Term)
+	if term > w.term {
+		w.term = term
+		w.say("%s leads in term %d", member, term)
 	}
-	return n, h.Term
+	return n, term
 }
 
 // leader gives the controller that leads, by the leader key; nil if none does, or it is down.
@@ -371,7 +361,7 @@
 	for _, m := range there {
 		if !slices.ContainsFunc(w.workers, func(k *crew) bool { return k.rep.Machine == m.Name }) {
 			now := w.now()
-			k := &crew{w: w, seen: now, next: now.Add(5 * time.Second), ready: map[string]time.Time{}, ends: map[string]time.Time{}, saves: map[string]time.Time{}, at: w.r.IntN(len(w.nodes))}
+			k := &crew{w: w, seen: now, next: now.Add(5 * time.Second), due: map[standin.Attempt]time.Time{}, at: w.r.IntN(len(w.nodes))}
 			mux := http.NewServeMux()
 			mux.HandleFunc("POST "+wire.PathCommands, k.direct)
 			mux.HandleFunc("GET "+wire.PathShow, k.show)
@@ -401,13 +391,11 @@
 	if k.gone || now.Before(k.hangs) {
 		return
 	}
-	if now.Sub(k.seen) > time.Duration(k.w.site.lease*float64(time.Second)) {
+	if k.over() {
 		k.w.note("%s: session %d is over with %d tasks", k.rep.Machine, k.rep.Session, len(k.rep.Tasks))
 		k.rep.Session, k.seen, k.rep.Tasks, k.held = k.rep.Session+1, now, []wire.TaskReport{}, nil
 		k.next = now
-		clear(k.ready)
-		clear(k.ends)
-		clear(k.saves)
+		clear(k.due)
 	}
 	if len(k.held) > 0 {
 		held := k.held
@@ -418,18 +406,18 @@
 	}
 	for i := range k.rep.Tasks {
 		t := &k.rep.Tasks[i]
-		key := fmt.Sprintf("%s.%d", t.Task, t.Attempt)
+		key := standin.Attempt{Task: t.Task, Attempt: t.Attempt}
 		switch {
-		case t.State == wire.TaskFetching && !now.Before(k.ready[key]):
+		case t.State == wire.TaskFetching && !now.Before(k.due[key]):
 			k.w.begins(k, t)
 			t.State = wire.TaskRunning
-			k.ends[key] = now.Add(k.w.runs(t.Task))
+			k.due[key] = now.Add(k.w.runs(t.Task))
 			k.next = now
-		case t.State == wire.TaskRunning && !now.Before(k.ends[key]):
+		case t.State == wire.TaskRunning && !now.Before(k.due[key]):
 			t.State, t.Why = wire.TaskExited, wire.WhyDone
-			k.w.completed(t.Task)
+			k.w.job(t.Task).completed[t.Task] = true
 			k.next = now
-		case t.State == wire.TaskSaving && !now.Before(k.saves[key]):
+		case t.State == wire.TaskSaving && !now.Before(k.due[key]):
 			t.State, t.Why, t.Saved = wire.TaskExited, wire.WhyStopped, true
 			k.next = now
 		}
@@ -455,8 +443,6 @@
 	return time.Duration(20+w.r.IntN(100)) * time.Second
 }
 
-func (w *meeting) completed(task string) { w.job(task).completed[task] = true }
-
 // begins checks the rules at the start of a task. The lock is held.
 func (w *meeting) begins(k *crew, t *wire.TaskReport) {
 	w.starts++
@@ -473,7 +459,7 @@
 // over tells whether a worker's lease is over, so that it kills its tasks before it does anything else: the protocol has it look at
 // its lease first when it goes on after it hung.
 func (k *crew) over() bool {
-	return k.w.now().Sub(k.seen) > time.Duration(k.w.site.lease*float64(time.Second))
+	return k.w.now().Sub(k.seen) > seconds(k.w.site.lease)
 }
 
 // carryOut executes direct commands, late or not, and tells whether token and session allowed it. The lock is held.
@@ -530,7 +516,7 @@
 	now := k.w.now()
 	for _, c := range commands {
 		i := slices.IndexFunc(k.rep.Tasks, func(t wire.TaskReport) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
-		key := fmt.Sprintf("%s.%d", c.Task, c.Attempt)
+		key := standin.Attempt{Task: c.Task, Attempt: c.Attempt}
 		switch {
 		case c.Op == wire.OpStart && i < 0:
 			t := wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskFetching}
@@ -538,14 +524,14 @@
 				t.State, t.Why = wire.TaskExited, wire.WhyBusy
 			}
 			k.w.note("%s attempt %d starts on %s by %s", c.Task, c.Attempt, k.rep.Machine, how)
-			k.ready[key] = now.Add(time.Duration(k.w.r.Float64() * k.w.site.imageS * float64(time.Second)))
+			k.due[key] = now.Add(k.w.seconds(0, k.w.site.imageS))
 			k.rep.Tasks = append(k.rep.Tasks, t)
 			k.next = now
 		case c.Op == wire.OpStop && i >= 0 && k.rep.Tasks[i].State != wire.TaskExited:
 			t := &k.rep.Tasks[i]
 			k.w.note("%s attempt %d is stopped on %s by %s", c.Task, c.Attempt, k.rep.Machine, how)
 			if c.GraceS != nil && *c.GraceS >= 4 && t.State == wire.TaskRunning {
-				t.State, k.saves[key] = wire.TaskSaving, now.Add(4*time.Second)
+				t.State, k.due[key] = wire.TaskSaving, now.Add(4*time.Second)
 			} else {
 				t.State, t.Why = wire.TaskExited, wire.WhyStopped
 			}
@@ -574,7 +560,7 @@
 	raw, _ := json.Marshal(k.rep)
 	to := w.nodes[k.at%len(w.nodes)]
 	if w.r.IntN(100) < w.copies {
-		w.letters = append(w.letters, letter{now.Add(time.Duration((2 + w.r.Float64()*1.5*w.site.lease) * float64(time.Second))), raw})
+		w.letters = append(w.letters, letter{now.Add(w.seconds(2, 2+1.5*w.site.lease)), raw})
 	}
 	if k.only != nil && k.only != to {
 		k.answered(0, nil, to, session)
@@ -608,7 +594,7 @@
 	if k.away() || now.Before(k.deaf) {
 		status = 0 // the answer is lost
 	}
-	pause := time.Duration((0.75 + w.r.Float64()/2) * w.site.report * float64(time.Second))
+	pause := w.seconds(0.75*w.site.report, 1.25*w.site.report)
 	switch {
 	case status == http.StatusOK:
 		if a.Token >= k.rep.Token && session == k.rep.Session {
@@ -728,7 +714,6 @@
 	case resp.StatusCode == http.StatusNotFound:
 		w.breaks("forgotten: %s is unknown to %s", j.id, n.name)
 	case resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(&out) == nil:
-		j.silent = time.Time{}
 		if wasDone && out.Status != "done" || wasCancelled && out.Status != "withdrawn" {
 			w.breaks("went_back: %s is called %s by %s, and was over", j.id, out.Status, n.name)
 		}
@@ -738,8 +723,6 @@
 			}
 			w.told(j, out.Status)
 		}
-	case j.silent.IsZero():
-		j.silent = now
 	}
 }
 
@@ -786,10 +769,13 @@
 	}
 }
 
+// seconds gives a time between two bounds.
 func (w *meeting) seconds(least, most float64) time.Duration {
-	return time.Duration((least + w.r.Float64()*(most-least)) * float64(time.Second))
+	return seconds(least + w.r.Float64()*(most-least))
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // some gives some of the workers.
 func (w *meeting) some() []*crew {
 	share := w.r.Float64()
@@ -912,7 +898,7 @@
 // check looks for tasks of cancelled jobs.
 func (w *meeting) check() {
 	w.mu.Lock()
-	limit := time.Duration(w.site.cancelS * float64(time.Second))
+	limit := seconds(w.site.cancelS)
 	for _, k := range w.workers {
 		if k.gone || k.over() {
 			continue
@@ -987,7 +973,7 @@
 	defer w.mu.Unlock()
 	for _, j := range w.jobs {
 		if j.id == id && !j.done {
-			j.asked, j.askedAt, j.next = true, w.now(), w.now()
+			j.asked, j.next = true, w.now()
 			w.note("%s is to be cancelled", id)
 		}
 	}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -139,16 +139,9 @@
 
 // leader finds which member leads.
 func (r *Rig) leader() int {
-	item, ok := r.State.Value("lead/holder")
-	if !ok {
-		return -1
-	}
-	var h struct{ Member string }
+	member, _ := r.State.Holder()
 	var i int
-	if json.Unmarshal(item.Value, &h) != nil {
-		return -1
-	}
-	if _, err := fmt.Sscanf(h.Member, "m%d", &i); err != nil {
+	if _, err := fmt.Sscanf(member, "m%d", &i); err != nil {
 		return -1
 	}
 	return i
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -36,12 +36,11 @@
 	doors    []*Door
 }
 
-// Door is an address of the service of its own, for one caller: it may refuse that one alone, or answer it late.
+// Door is an address of the service of its own, for one caller: it may refuse that one alone.
 type Door struct {
 	s      *State
 	srv    *httptest.Server
-	refuse bool          // guarded by s.mu
-	slow   chan struct{} // guarded by s.mu; not nil: answers wait until it is closed
+	refuse bool // guarded by s.mu
 }
 
 // Door opens one. Close of the service closes it.
@@ -49,25 +48,13 @@
 	d := &Door{s: s}
 	d.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		refuse, slow := d.refuse, d.slow
+		refuse := d.refuse
 		s.mu.Unlock()
 		if refuse {
 			answer(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
 			return
 		}
-		if slow == nil {
-			s.srv.Config.Handler.ServeHTTP(w, r)
-			return
-		}
-		got := httptest.NewRecorder()
-		s.srv.Config.Handler.ServeHTTP(got, r)
-		select {
-		case <-slow:
-		case <-r.Context().Done():
-			return
-		}
-		w.WriteHeader(got.Code)
-		_, _ = w.Write(got.Body.Bytes()) // its caller may have gone
+		s.srv.Config.Handler.ServeHTTP(w, r)
 	}))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,19 +72,6 @@
 	d.refuse = refuse
 }
 
-// Slow makes it keep its answers to this caller, though it carries out what is asked, or lets them go.
-func (d *Door) Slow(slow bool) {
-	d.s.mu.Lock()
-	defer d.s.mu.Unlock()
-	if d.slow != nil {
-		close(d.slow)
-		d.slow = nil
-	}
-	if slow {
-		d.slow = make(chan struct{})
-	}
-}
-
 type lease struct {
 	ttl time.Duration
 	end time.Time
@@ -209,6 +183,18 @@
 	return i, ok
 }
 
+// Holder gives the member that the leader key names, and its term; "" if none does.
+func (s *State) Holder() (member string, term uint64) {
+	var h struct {
+		Member string
+		Term   uint64
+	}
+	if item, ok := s.Value("lead/holder"); !ok || json.Unmarshal(item.Value, &h) != nil {
+		return "", 0
+	}
+	return h.Member, h.Term
+}
+
 // Applied gives the transactions that were applied so far.
 func (s *State) Applied() []wire.Txn {
 	s.mu.Lock()
