--- a/internal/lab/meetings/meetings_test.go
+++ b/internal/lab/meetings/meetings_test.go
@@ -1,4 +1,4 @@
-package meetings
+package meetings_test
 
 import (
 	"flag"
@@ -21,10 +21,10 @@
 	for name, s := range sites {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := newMeeting(t, s, 1)
+			w := newWorld(t, s, 1)
 			w.until("a leader", time.Minute, func() bool { return w.leader() != nil })
 			for i := range 4 {
-				w.sells(fmt.Sprintf("job-%d", i), []string{"array", "service"}[i%2], []int{6, 3, 300, 1}[i], float64(40*(i/2)))
+				w.submits(fmt.Sprintf("job-%d", i), spec{kind: []string{"array", "service"}[i%2], tasks: []int{6, 3, 300, 1}[i], stub: float64(40 * (i / 2)), apart: i == 1})
 			}
 			for round, now := range []float64{1.2, 1.5} {
 				w.until("tasks run", 5*time.Minute, w.locked(func() bool { return w.running("job-1")+w.running("job-3") > 3 || round > 0 }))
@@ -49,7 +49,7 @@
 				old.door.Refuse(false)
 				old.apart(false)
 				w.holds(nil, w.workers)
-				took := w.until("cancellations are confirmed", 2*time.Minute, w.all(func(j *sold) bool { return !j.asked || !j.confirmed.IsZero() || j.done }))
+				took := w.until("cancellations are confirmed", 2*time.Minute, w.all(func(j *job) bool { return !j.asked || !j.confirmed.IsZero() || j.done }))
 				t.Logf("round %d: confirmed %v after the trouble", round, took)
 			}
 			w.pass(seconds(s.cancelS + s.lease))
@@ -69,12 +69,13 @@
 		for seed := range *histories {
 			t.Run(fmt.Sprintf("%s/%d", name, *firstHistory+seed), func(t *testing.T) {
 				t.Parallel()
-				w := newMeeting(t, s, uint64(*firstHistory+seed))
+				w := newWorld(t, s, uint64(*firstHistory+seed))
 				w.until("a leader", time.Minute, func() bool { return w.leader() != nil })
 				came := 0
+				w.looksClosely(seed%2 == 0)
 				for w.now().Sub(w.begun) < 4*time.Minute {
 					if came < 14 && w.r.IntN(20) == 0 || came < 4 {
-						w.sells(fmt.Sprintf("job-%d", came), []string{"array", "service"}[w.r.IntN(2)], 1+w.r.IntN(4), float64(40*w.r.IntN(2)))
+						w.submits(fmt.Sprintf("job-%d", came), w.someSpec())
 						came++
 					}
 					if w.r.IntN(40) == 0 {
@@ -85,20 +86,7 @@
 					}
 					w.step()
 				}
-				w.over(true)
-				w.say("all is over")
-				for range 4 {
-					w.step()
-				}
-				w.until("every cancellation is confirmed", 2*time.Minute+time.Duration(2*s.lease)*time.Second, w.all(func(j *sold) bool {
-					return !j.asked || !j.confirmed.IsZero() || j.done
-				}))
-				w.until("every other job runs or is done", 5*time.Minute, w.all(func(j *sold) bool {
-					return j.accepted && (j.asked || j.done || w.running(j.id) > 0)
-				}))
-				w.until("every array is done", 20*time.Minute, w.all(func(j *sold) bool {
-					return j.asked || j.done || j.kind == "service"
-				}))
+				w.recovers()
 				w.mu.Lock()
 				defer w.mu.Unlock()
 				if w.starts < came/2 {
@@ -108,3 +96,37 @@
 		}
 	}
 }
+
+// someSpec is any job.
+func (w *world) someSpec() spec {
+	s := spec{kind: []string{"array", "service"}[w.r.IntN(2)], team: []string{"t", "t", "small", "tight"}[w.r.IntN(4)], tasks: 1 + w.r.IntN(4), stub: float64(40 * w.r.IntN(2))}
+	switch w.r.IntN(6) {
+	case 0:
+		s.zone = []string{"a", "b"}[w.r.IntN(2)]
+	case 1:
+		s.types = []string{[]string{"g8", "m4"}[w.r.IntN(2)]}
+	case 2:
+		s.oneZone = true
+	case 3:
+		s.noSpot = true
+	}
+	if s.kind == "service" && s.tasks > 1 {
+		s.apart = s.zone == "" && s.types == nil && !s.oneZone
+	}
+	return s
+}
+
+// recovers ends all troubles and lets the world come to rest: every cancellation is confirmed, every other job runs or is done.
+func (w *world) recovers() {
+	w.t.Helper()
+	w.settles()
+	lease := seconds(w.site.lease)
+	w.until("every cancellation is confirmed", 2*time.Minute+2*lease, w.all(func(j *job) bool { return !j.asked || j.history.level == ended }))
+	w.until("every array is done", 30*time.Minute, w.all(func(j *job) bool {
+		return j.asked || j.done || j.kind == "service"
+	}))
+	// Services take their teams' rooms for ever: those that wait beside room are looked for all the while.
+	w.until("every other job runs or its team is at its limit", 5*time.Minute, w.all(func(j *job) bool {
+		return j.accepted && (j.asked || j.done || w.running(j.id) > 0 || w.use(j.team, true)+j.cpus > teamLimits[j.team])
+	}))
+}
--- /dev/null
+++ b/internal/lab/meetings/users_test.go
@@ -0,0 +1,536 @@
+package meetings_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"poppypass/internal/standin"
+	"poppypass/internal/wire"
+)
+
+// spec is what a user asks for; what is left out is as most jobs have it.
+type spec struct {
+	kind     string   // array, if it is empty
+	team     string   // t, if it is empty
+	priority string   // standard, if it is empty
+	tasks    int      // 1, if it is 0
+	cpus     float64  // 4, if it is 0
+	stub     float64  // seconds between checkpoints
+	runS     float64  // for how long its tasks run; 0: 20 to 120 s
+	types    []string // nil: any
+	zone     string   // empty: any
+	oneZone  bool
+	apart    bool
+	noSpot   bool
+	lacks    string // a field that its submission lacks
+}
+
+// job is a job, as its user knows it.
+type job struct {
+	spec
+	id       string
+	raw      []byte // its submission
+	accepted bool
+	asked    bool               // its user wants it cancelled
+	polling  context.CancelFunc // its poll is on its way; nil: none is
+	polled   sent               // when that was sent
+	asking   context.CancelFunc // its submission or request to cancel is on its way; nil: none is
+	sent     sent
+	next     time.Time // when it is asked about next
+	cancelAt time.Time // when its cancellation, or its submission, is asked for next
+	history  history
+
+	confirmed time.Time // when its user was told that it is cancelled
+	done      bool      // its user was told
+	completed map[string]bool
+	heard     sent // when an answer about it came last
+	roomy     sent // since when it waits though there is room; zero: it does not
+}
+
+// sent is a moment by the world's clock and by the machine's: a bound holds only once both are past it, since a starved machine
+// may let the world's go on alone.
+type sent struct{ at, real time.Time }
+
+func (w *world) moment() sent { return sent{w.now(), time.Now()} }
+
+func (w *world) past(s sent, d, real time.Duration) bool {
+	return w.now().Sub(s.at) > d && time.Since(s.real) > real
+}
+
+// history is what a job's users were told, in real order. Answers only move forward: unknown, accepted, over, and once it is
+// over it stays what it is.
+type history struct {
+	level int    // the furthest that any answer told
+	final string // the state that it is over in
+}
+
+const (
+	unknown = iota
+	accepted
+	ended
+)
+
+// levelOf is how far an answer tells a job to be; ok is false if it tells nothing.
+func levelOf(status int, state string) (level int, ok bool) {
+	switch {
+	case status == http.StatusNotFound:
+		return unknown, true
+	case status != http.StatusOK && status != http.StatusCreated:
+		return 0, false
+	case state == "done" || state == "withdrawn":
+		return ended, true
+	}
+	return accepted, true
+}
+
+// take takes in the answer to a request that began when before was known, and says what is wrong with it: a request that begins
+// after any answer arrived must never get an older one.
+func (h *history) take(before history, status int, state string) (broken string) {
+	level, ok := levelOf(status, state)
+	switch {
+	case !ok:
+		return ""
+	case level < before.level && level == unknown:
+		broken = "forgotten: unknown, and was accepted"
+	case level < before.level:
+		broken = fmt.Sprintf("went_back: called %s, and was %s", state, before.final)
+	case level == ended && before.level == ended && state != before.final,
+		level == ended && h.level == ended && state != h.final: // two that are on their way at once differ
+		broken = fmt.Sprintf("went_back: called %s, and was %s", state, h.final)
+	}
+	if level > h.level {
+		h.level = level
+	}
+	if level == ended && h.final == "" {
+		h.final = state
+	}
+	return broken
+}
+
+// Guards against a checker that sees nothing.
+func TestAHistoryMovesForward(t *testing.T) {
+	type answer struct {
+		before history
+		status int
+		state  string
+	}
+	was := func(level int, final string) history { return history{level, final} }
+	for name, c := range map[string]struct {
+		now    history
+		next   answer
+		broken string
+	}{
+		"a question that began before it was accepted": {was(accepted, ""), answer{was(unknown, ""), 404, ""}, ""},
+		"unknown after it was accepted":                {was(accepted, ""), answer{was(accepted, ""), 404, ""}, "forgotten"},
+		"running after it was done":                    {was(ended, "done"), answer{was(ended, "done"), 200, "running"}, "went_back"},
+		"a question that began before its end":         {was(ended, "done"), answer{was(accepted, ""), 200, "running"}, ""},
+		"done after it was cancelled":                  {was(ended, "withdrawn"), answer{was(ended, "withdrawn"), 200, "done"}, "went_back"},
+		"both at once":                                 {was(ended, "withdrawn"), answer{was(accepted, ""), 200, "done"}, "went_back"},
+		"a submission repeated after its end":          {was(ended, "done"), answer{was(ended, "done"), 201, "pending"}, "went_back"},
+		"no answer":                                    {was(ended, "done"), answer{was(ended, "done"), 503, ""}, ""},
+		"the same again":                               {was(ended, "done"), answer{was(ended, "done"), 200, "done"}, ""},
+	} {
+		h := c.now
+		if broken := h.take(c.next.before, c.next.status, c.next.state); !strings.HasPrefix(broken, c.broken) || (broken == "") != (c.broken == "") {
+			t.Errorf("%s: %q", name, broken)
+		}
+	}
+}
+
+// submits has a user submit a job, again and again until it is accepted.
+func (w *world) submits(id string, s spec) *job {
+	or := func(v *string, most string) {
+		if *v == "" {
+			*v = most
+		}
+	}
+	or(&s.kind, "array")
+	or(&s.team, "t")
+	or(&s.priority, "standard")
+	if s.tasks == 0 {
+		s.tasks = 1
+	}
+	if s.cpus == 0 {
+		s.cpus = 4
+	}
+	fields := map[string]any{
+		"ref": id, "lane": "l", "desk": s.team, "shape": s.kind, "urgency": s.priority, "seats": s.tasks, "cpus": s.cpus, "gpus": 0.0, "mem_gb": 1.0,
+		"bundle": "img", "image_gb": 1.0, "builds": s.types, "yard": nil, "same_place": s.oneZone, "apart": s.apart, "standby": !s.noSpot,
+		"ride_s": 10.0, "stub_s": s.stub, "stamp_s": s.stub / 10,
+	}
+	if s.zone != "" {
+		fields["yard"] = s.zone
+	}
+	delete(fields, s.lacks)
+	raw, err := json.Marshal(fields)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := &job{spec: s, id: id, raw: raw, completed: map[string]bool{}, next: w.now(), cancelAt: w.now(), heard: w.moment()}
+	w.jobs = append(w.jobs, j)
+	w.byID[id] = j
+	return j
+}
+
+func (w *world) jobOf(task string) *job {
+	j := w.byID[standin.JobOf(task)]
+	if j == nil {
+		w.breaks("invented: task %s of a job that nobody submitted", task)
+		return &job{id: standin.JobOf(task), completed: map[string]bool{}}
+	}
+	return j
+}
+
+// runs is how long a task runs.
+func (w *world) runs(task string) time.Duration {
+	j := w.jobOf(task)
+	switch {
+	case j.kind == "service":
+		return 100 * time.Hour
+	case j.runS > 0:
+		return seconds(j.runS)
+	}
+	return time.Duration(20+w.r.IntN(100)) * time.Second
+}
+
+// request is one of a user's.
+type request int
+
+const (
+	poll request = iota
+	submission
+	cancellation
+)
+
+// send sends a request about a job to a controller and takes in its answer. It returns when that is there.
+func (w *world) send(ctx context.Context, j *job, n *node, what request) {
+	w.mu.Lock()
+	before := j.history
+	w.mu.Unlock()
+	url, body, method := "http://"+n.addr+"/v2/runs", j.raw, http.MethodPost
+	switch what {
+	case poll:
+		url, body, method = url+"/"+j.id, nil, http.MethodGet
+	case cancellation:
+		url, body = url+"/"+j.id+"/cancel", nil
+	}
+	var out struct{ Status, Error string }
+	status := w.call(ctx, method, url, body, &out)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.told(j, n, what, before, status, out.Status, out.Error)
+}
+
+// told takes in an answer. The lock is held.
+func (w *world) told(j *job, n *node, what request, before history, status int, state, text string) {
+	if what == submission && (status == http.StatusBadRequest || status == http.StatusUnprocessableEntity) {
+		w.breaks("forgotten: %s is refused by %s with %d: %s", j.id, n.name, status, text)
+		return
+	}
+	if what == cancellation && status == http.StatusOK && state != "done" && state != "withdrawn" {
+		w.breaks("went_back: the cancellation of %s is answered %s by %s", j.id, state, n.name)
+	}
+	_, told := levelOf(status, state)
+	if !told {
+		return
+	}
+	was := j.history
+	if broken := j.history.take(before, status, state); broken != "" {
+		w.breaks("%s: %s by %s", broken, j.id, n.name)
+	}
+	j.heard = w.moment()
+	if j.history.level == was.level {
+		return
+	}
+	w.note("%s: %s is told %d %s", j.id, n.name, status, state)
+	if j.history.level >= accepted {
+		j.accepted = true
+	}
+	switch {
+	case j.history.level != ended:
+	case state == "done":
+		if j.done = true; len(j.completed) < j.tasks {
+			w.breaks("not_done: %s is called done with %d of %d tasks", j.id, len(j.completed), j.tasks)
+		}
+	default:
+		if j.confirmed = w.now(); !j.asked {
+			w.breaks("went_back: %s is called cancelled, and nobody cancelled it", j.id)
+		}
+	}
+	if w.looks {
+		w.closeLooks(j)
+	}
+}
+
+// looksClosely begins or ends close looks.
+func (w *world) looksClosely(on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.looks = on
+}
+
+// closeLooks has users ask at all controllers within milliseconds, again and again, and repeat the submission; some cancel at
+// once. The lock is held.
+func (w *world) closeLooks(j *job) {
+	if !j.asked && j.history.level == accepted && w.r.IntN(8) == 0 {
+		j.asked = true
+		w.note("%s is to be cancelled at once", j.id)
+	}
+	cancels := j.asked
+	for i, n := range w.nodes {
+		w.asking.Go(func() {
+			for round := range 3 {
+				w.send(w.t.Context(), j, n, poll)
+				if round == i%3 {
+					w.send(w.t.Context(), j, n, submission)
+				}
+				if cancels && round == 1 {
+					w.send(w.t.Context(), j, n, cancellation)
+				}
+			}
+		})
+	}
+}
+
+// asks has a user ask about a job every 5 s, and submit or cancel it every second until that is answered. The world goes on
+// meanwhile; a user waits for 5 s, and for 2 s when it asks.
+func (w *world) asks(j *job) {
+	n := w.anyNode()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	if j.polling != nil && w.past(j.polled, 2*time.Second, time.Second) {
+		j.polling()
+	}
+	if j.asking != nil && w.past(j.sent, 5*time.Second, time.Second) {
+		j.asking()
+	}
+	over := j.history.level == ended
+	if j.accepted && j.polling == nil && !now.Before(j.next) {
+		j.next = now.Add(w.seconds(4, 6))
+		if over {
+			j.next = now.Add(w.seconds(15, 25))
+		}
+		var ctx context.Context
+		ctx, j.polling = context.WithCancel(w.t.Context())
+		j.polled = w.moment()
+		w.asking.Go(func() {
+			w.send(ctx, j, n, poll)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			j.polling()
+			j.polling = nil
+		})
+	}
+	if j.asking != nil || now.Before(j.cancelAt) || j.accepted && (!j.asked || over) {
+		return
+	}
+	what := cancellation
+	if !j.accepted {
+		what = submission
+	}
+	j.cancelAt = now.Add(time.Second)
+	var ctx context.Context
+	ctx, j.asking = context.WithCancel(w.t.Context())
+	j.sent = w.moment()
+	w.asking.Go(func() {
+		w.send(ctx, j, n, what)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		j.asking()
+		j.asking = nil
+	})
+}
+
+// cancels has a job's user want it cancelled from now on.
+func (w *world) cancels(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, j := range w.jobs {
+		if j.id == id && !j.done {
+			j.asked, j.cancelAt = true, w.now()
+			w.note("%s is to be cancelled", id)
+		}
+	}
+}
+
+// running is how many tasks of a job are on machines. The lock is held.
+func (w *world) running(id string) int {
+	n := 0
+	for _, k := range w.workers {
+		for _, t := range k.rep.Tasks {
+			if !k.gone && standin.JobOf(t.Task) == id && present(t.State) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// holds tells whether a machine may still run what it reports: it is there, and its lease is not over.
+func (k *worker) holds() bool { return !k.gone && !k.over() }
+
+// use is how many CPUs a team's tasks take, those that wait for their image as well if fetching is set. The lock is held.
+func (w *world) use(team string, fetching bool) float64 {
+	sum := 0.0
+	for _, k := range w.workers {
+		if !k.holds() {
+			continue
+		}
+		for _, t := range k.rep.Tasks {
+			if j := w.jobOf(t.Task); j.team == team && (present(t.State) || fetching && t.State == wire.TaskFetching) {
+				sum += j.cpus
+			}
+		}
+	}
+	return sum
+}
+
+// siblings is how many other tasks of a job are in each zone. The lock is held.
+func (w *world) siblings(j *job, but string, fetching bool) map[string]int {
+	zones := map[string]int{}
+	for _, k := range w.workers {
+		if !k.holds() {
+			continue
+		}
+		for _, t := range k.rep.Tasks {
+			if t.Task != but && standin.JobOf(t.Task) == j.id && (present(t.State) || fetching && t.State == wire.TaskFetching) {
+				zones[k.rep.Zone]++
+			}
+		}
+	}
+	return zones
+}
+
+// fits says why a task of a job may not be in a place, given its other tasks.
+func (j *job) fits(k *worker, others map[string]int) (why string) {
+	elsewhere := 0
+	for zone, n := range others {
+		if zone != k.rep.Zone {
+			elsewhere += n
+		}
+	}
+	switch {
+	case j.types != nil && !slices.Contains(j.types, k.rep.Type):
+		return "type " + k.rep.Type
+	case j.zone != "" && j.zone != k.rep.Zone:
+		return "zone " + k.rep.Zone
+	case j.noSpot && k.rep.Spot:
+		return "a spot machine"
+	case j.oneZone && elsewhere > 0:
+		return fmt.Sprintf("zone %s, and %d others are elsewhere", k.rep.Zone, elsewhere)
+	case j.apart && others[k.rep.Zone]+1 > (j.tasks+1)/2:
+		return fmt.Sprintf("zone %s beside %d others", k.rep.Zone, others[k.rep.Zone])
+	}
+	return ""
+}
+
+// begins checks the rules at the start of a task. The lock is held.
+func (w *world) begins(k *worker, t *wire.TaskReport) {
+	w.starts++
+	w.note("%s attempt %d begins on %s", t.Task, t.Attempt, k.rep.Machine)
+	for _, o := range w.workers {
+		for _, u := range o.rep.Tasks {
+			if o != k && u.Task == t.Task && present(u.State) && !o.over() {
+				w.breaks("ran_twice: %s begins on %s while it is on %s", t.Task, k.rep.Machine, o.rep.Machine)
+			}
+		}
+	}
+	j := w.jobOf(t.Task)
+	if !j.confirmed.IsZero() {
+		w.breaks("ran_cancelled: %s begins on %s %v after its user was told", t.Task, k.rep.Machine, w.now().Sub(j.confirmed))
+	}
+	if use, most := w.use(j.team, false)+j.cpus, teamLimits[j.team]; use > most {
+		w.breaks("quota: %s begins on %s, and team %s uses %g of %g CPUs", t.Task, k.rep.Machine, j.team, use, most)
+	}
+	if why := j.fits(k, w.siblings(j, t.Task, false)); why != "" {
+		w.breaks("wrong_place: %s begins on %s: %s", t.Task, k.rep.Machine, why)
+	}
+}
+
+// checkCancelled looks for tasks of cancelled jobs. The lock is held.
+func (w *world) checkCancelled() {
+	limit := seconds(w.site.cancelS)
+	for _, k := range w.workers {
+		if !k.holds() {
+			continue
+		}
+		for _, t := range k.rep.Tasks {
+			if j := w.jobOf(t.Task); present(t.State) && !j.confirmed.IsZero() && w.now().Sub(j.confirmed) > limit {
+				w.breaks("ran_cancelled: %s is on %s %v after its user was told", t.Task, k.rep.Machine, w.now().Sub(j.confirmed))
+			}
+		}
+	}
+}
+
+const (
+	silence = 75 * time.Second // a job about which no question is answered for so long is forgotten
+	waitMax = 90 * time.Second // a job that waits for so long beside room breaks a rule
+)
+
+// checkServed looks, once all troubles are over, for jobs that are forgotten or left waiting. The lock is held.
+func (w *world) checkServed() {
+	if w.calm.at.IsZero() {
+		return
+	}
+	for _, j := range w.jobs {
+		if !j.accepted || j.history.level == ended {
+			continue
+		}
+		heard := j.heard
+		if heard.at.Before(w.calm.at) {
+			heard = w.calm
+		}
+		if w.past(heard, silence, patience) {
+			w.breaks("forgotten: no question about %s is answered for %v", j.id, w.now().Sub(heard.at))
+		}
+		switch machine := w.room(j); {
+		case machine == "":
+			j.roomy = sent{}
+		case j.roomy.at.IsZero():
+			j.roomy = w.moment()
+		case w.past(j.roomy, waitMax, patience):
+			w.breaks("waits: %s for %v, and %s has room", j.id, w.now().Sub(j.roomy.at), machine)
+		}
+	}
+}
+
+// room names a machine that could take a waiting task of a job; none if no task waits, there is none, or its team is at its limit.
+// The lock is held.
+func (w *world) room(j *job) (machine string) {
+	placed := len(j.completed)
+	for _, k := range w.workers {
+		for _, t := range k.rep.Tasks {
+			if k.holds() && standin.JobOf(t.Task) == j.id && t.State != wire.TaskExited {
+				placed++
+			}
+		}
+	}
+	if j.asked || placed >= j.tasks || w.use(j.team, true)+j.cpus > teamLimits[j.team] {
+		return ""
+	}
+	others := w.siblings(j, "", true)
+	for _, k := range w.workers {
+		if !k.holds() || k.impaired() || j.fits(k, others) != "" {
+			continue
+		}
+		free := typeCPUs[k.rep.Type]
+		for _, t := range k.rep.Tasks {
+			if t.State != wire.TaskExited {
+				free -= w.jobOf(t.Task).cpus
+			}
+		}
+		if free >= j.cpus {
+			return k.rep.Machine
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/meetings/workers_test.go
@@ -0,0 +1,283 @@
+package meetings_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"time"
+
+	"poppypass/internal/standin"
+	"poppypass/internal/wire"
+)
+
+// worker is a worker and its machine.
+type worker struct {
+	w                       *world
+	rep                     wire.Report
+	srv                     *httptest.Server
+	gone                    bool
+	seen                    time.Time // when the last answered report was sent
+	next                    time.Time
+	at                      int // which controller it reports to
+	sent                    time.Time
+	waits                   context.CancelFunc            // its report is on its way; nil: none is
+	due                     map[standin.Attempt]time.Time // when the present state of a task is over
+	hangs, deaf, lost, mute time.Time                     // until when; lost: no way to any controller or from it; mute: direct commands come
+	held                    []wire.DirectCommands
+	only                    *node  // the one controller that it reaches, and that reaches it; nil: all
+	term                    uint64 // that one's
+}
+
+// message is a copy of a report that comes again.
+type message struct {
+	at  time.Time
+	raw []byte
+}
+
+// join makes the cloud's machines workers, and ends those that it no longer has.
+func (w *world) join() {
+	there := w.cloud.Machines()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range there {
+		if !slices.ContainsFunc(w.workers, func(k *worker) bool { return k.rep.Machine == m.Name }) {
+			now := w.now()
+			k := &worker{w: w, seen: now, next: now.Add(w.bootTime()), due: map[standin.Attempt]time.Time{}, at: w.r.IntN(len(w.nodes))}
+			mux := http.NewServeMux()
+			mux.HandleFunc("POST "+wire.PathCommands, k.direct)
+			mux.HandleFunc("GET "+wire.PathShow, k.show)
+			k.srv = httptest.NewServer(mux)
+			k.rep = wire.Report{Machine: m.Name, Address: k.srv.Listener.Addr().String(), Type: m.Type, Zone: m.Zone, Spot: m.Spot, Session: 1, Tasks: []wire.TaskReport{}}
+			w.workers = append(w.workers, k)
+			w.note("%s in %s", m.Name, m.Zone)
+		}
+	}
+	for _, k := range w.workers {
+		if !k.gone && !slices.ContainsFunc(there, func(m wire.ListedMachine) bool { return m.Name == k.rep.Machine }) {
+			k.gone = true
+			w.note("%s is returned", k.rep.Machine)
+			k.rep.Tasks = nil
+		}
+	}
+}
+
+func (k *worker) away() bool { return k.gone || k.w.now().Before(k.hangs) || k.w.now().Before(k.lost) }
+
+// impaired tells whether something is wrong with a worker that may keep it from work.
+func (k *worker) impaired() bool {
+	now := k.w.now()
+	return k.away() || k.only != nil || now.Before(k.deaf) || now.Before(k.mute)
+}
+
+// bootTime is how long a machine takes until it reports: 5 s, or up to 2 s while machines are up at once.
+func (w *world) bootTime() time.Duration {
+	if w.quick {
+		return w.seconds(0, 2)
+	}
+	return 5 * time.Second
+}
+
+// present tells whether a task is on its machine: it has its image, and nothing ended it.
+func present(s wire.TaskState) bool { return s == wire.TaskRunning || s == wire.TaskSaving }
+
+// live brings a worker up to now: its lease, images, runs and saves. The lock is held.
+func (k *worker) live() {
+	now := k.w.now()
+	if k.gone || now.Before(k.hangs) {
+		return
+	}
+	if k.over() {
+		k.w.note("%s: session %d is over with %d tasks", k.rep.Machine, k.rep.Session, len(k.rep.Tasks))
+		k.rep.Session, k.seen, k.rep.Tasks, k.held = k.rep.Session+1, now, []wire.TaskReport{}, nil
+		k.next = now
+		clear(k.due)
+	}
+	if len(k.held) > 0 {
+		held := k.held
+		k.held = nil
+		for _, q := range held {
+			k.carryOut(q, "late ")
+		}
+	}
+	for i := range k.rep.Tasks {
+		t := &k.rep.Tasks[i]
+		key := standin.Attempt{Task: t.Task, Attempt: t.Attempt}
+		switch {
+		case t.State == wire.TaskFetching && !now.Before(k.due[key]):
+			k.w.begins(k, t)
+			t.State = wire.TaskRunning
+			k.due[key] = now.Add(k.w.runs(t.Task))
+			k.next = now
+		case t.State == wire.TaskRunning && !now.Before(k.due[key]):
+			t.State, t.Why = wire.TaskExited, wire.WhyDone
+			k.w.jobOf(t.Task).completed[t.Task] = true
+			k.next = now
+		case t.State == wire.TaskSaving && !now.Before(k.due[key]):
+			t.State, t.Why, t.Saved = wire.TaskExited, wire.WhyStopped, true
+			k.next = now
+		}
+	}
+}
+
+// over tells whether a worker's lease is over, so that it kills its tasks before it does anything else: the protocol has it look at
+// its lease first when it goes on after it hung.
+func (k *worker) over() bool {
+	return k.w.now().Sub(k.seen) > seconds(k.w.site.lease)
+}
+
+// carryOut executes direct commands, late or not, and tells whether token and session allowed it. The lock is held.
+func (k *worker) carryOut(q wire.DirectCommands, when string) bool {
+	if q.Token < k.rep.Token || q.Session != k.rep.Session {
+		return false
+	}
+	if q.Token > k.rep.Token {
+		k.rep.Token, k.next = q.Token, k.w.now()
+	}
+	k.obey(q.Commands, when+"direct")
+	return true
+}
+
+func (k *worker) direct(rw http.ResponseWriter, r *http.Request) {
+	var q wire.DirectCommands
+	if json.NewDecoder(r.Body).Decode(&q) != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	k.w.mu.Lock()
+	defer k.w.mu.Unlock()
+	k.live()
+	if now := k.w.now(); k.away() || now.Before(k.deaf) || k.only != nil && q.Token != k.term {
+		if !k.gone && !now.Before(k.deaf) && k.w.r.IntN(2) == 0 {
+			k.held = append(k.held, q) // it is carried out when the machine goes on
+		}
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	if !k.carryOut(q, "") {
+		status = http.StatusConflict
+	}
+	k.rep.Seq++
+	raw, _ := json.Marshal(k.rep) // plain data
+	rw.WriteHeader(status)
+	_, _ = rw.Write(raw)
+}
+
+func (k *worker) show(rw http.ResponseWriter, _ *http.Request) {
+	k.w.mu.Lock()
+	defer k.w.mu.Unlock()
+	k.live()
+	if k.away() || k.w.now().Before(k.deaf) || k.only != nil {
+		panic(http.ErrAbortHandler)
+	}
+	k.rep.Seq++
+	raw, _ := json.Marshal(k.rep)
+	_, _ = rw.Write(raw)
+}
+
+// obey executes commands. The lock is held.
+func (k *worker) obey(commands []wire.Command, how string) {
+	now := k.w.now()
+	for _, c := range commands {
+		i := slices.IndexFunc(k.rep.Tasks, func(t wire.TaskReport) bool { return t.Task == c.Task && t.Attempt == c.Attempt })
+		key := standin.Attempt{Task: c.Task, Attempt: c.Attempt}
+		switch {
+		case c.Op == wire.OpStart && i < 0:
+			t := wire.TaskReport{Task: c.Task, Attempt: c.Attempt, State: wire.TaskFetching}
+			if slices.ContainsFunc(k.rep.Tasks, func(o wire.TaskReport) bool { return o.Task == c.Task && o.State != wire.TaskExited }) {
+				t.State, t.Why = wire.TaskExited, wire.WhyBusy
+			}
+			k.w.note("%s attempt %d starts on %s by %s", c.Task, c.Attempt, k.rep.Machine, how)
+			k.due[key] = now.Add(k.w.seconds(0, k.w.site.imageS))
+			k.rep.Tasks = append(k.rep.Tasks, t)
+			k.next = now
+		case c.Op == wire.OpStop && i >= 0 && k.rep.Tasks[i].State != wire.TaskExited:
+			t := &k.rep.Tasks[i]
+			k.w.note("%s attempt %d is stopped on %s by %s", c.Task, c.Attempt, k.rep.Machine, how)
+			if c.GraceS != nil && *c.GraceS >= 4 && t.State == wire.TaskRunning {
+				t.State, k.due[key] = wire.TaskSaving, now.Add(4*time.Second)
+			} else {
+				t.State, t.Why = wire.TaskExited, wire.WhyStopped
+			}
+			k.next = now
+		case c.Op == wire.OpForget && i >= 0 && k.rep.Tasks[i].State == wire.TaskExited:
+			k.rep.Tasks = slices.Delete(slices.Clone(k.rep.Tasks), i, i+1)
+		}
+	}
+}
+
+// reports has a worker report if it is time, and give up a report that had no answer for 4 s.
+func (k *worker) reports() {
+	w := k.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k.live()
+	now := w.now()
+	if k.waits != nil && now.Sub(k.sent) >= 4*time.Second {
+		k.waits()
+	}
+	if k.waits != nil || k.away() || now.Before(k.next) {
+		return
+	}
+	k.rep.Seq++
+	session := k.rep.Session
+	raw, _ := json.Marshal(k.rep)
+	to := w.nodes[k.at%len(w.nodes)]
+	if w.r.IntN(100) < w.copies {
+		w.copied = append(w.copied, message{now.Add(w.seconds(2, 2+1.5*w.site.lease)), raw})
+	}
+	if w.r.IntN(100) < w.forNext {
+		w.kept = append(w.kept, raw)
+	}
+	if k.only != nil && k.only != to || now.Before(k.mute) {
+		k.answered(0, nil, to, session)
+		return
+	}
+	ctx, cancel := context.WithCancel(w.t.Context())
+	k.waits, k.sent = cancel, now
+	w.asking.Go(func() {
+		var a answer
+		status := w.post(ctx, "http://"+to.addr+wire.PathReport, raw, &a)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if cancel(); w.now().Sub(k.sent) > 4*time.Second {
+			status = 0
+		}
+		k.waits = nil
+		k.answered(status, &a, to, session)
+	})
+}
+
+// answer is what a controller answers a report.
+type answer struct {
+	wire.ReportAnswer
+	wire.Redirect
+}
+
+// answered takes in the answer to the report that was sent last. The lock is held.
+func (k *worker) answered(status int, a *answer, by *node, session uint64) {
+	w, now := k.w, k.w.now()
+	k.live()
+	if k.away() || now.Before(k.deaf) {
+		status = 0 // the answer is lost
+	}
+	pause := w.seconds(0.75*w.site.report, 1.25*w.site.report)
+	switch {
+	case status == http.StatusOK:
+		if a.Token >= k.rep.Token && session == k.rep.Session {
+			k.rep.Token, k.seen = a.Token, k.sent
+			k.obey(a.Commands, by.name)
+		}
+		if slices.ContainsFunc(k.rep.Tasks, func(t wire.TaskReport) bool { return t.State == wire.TaskExited }) {
+			pause = 500 * time.Millisecond
+		}
+	case status == http.StatusMisdirectedRequest && a.ReportTo != "" && a.ReportTo != by.name:
+		k.at = slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == a.ReportTo })
+		pause = 250 * time.Millisecond
+	default:
+		k.at = (k.at + 1) % len(w.nodes)
+		pause = time.Second
+	}
+	k.next = now.Add(pause)
+}
--- /dev/null
+++ b/internal/lab/meetings/world_test.go
@@ -0,0 +1,498 @@
+// Package meetings_test is a whole service on one machine in which troubles meet: controllers, workers, users, the state service and the
+// cloud, and the ways between them, on a clock that its tests hold.
+package meetings_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"poppypass/internal/config"
+	"poppypass/internal/controller"
+	"poppypass/internal/standin"
+	"poppypass/internal/wire"
+)
+
+// world is a whole service: several controllers, workers that report, hang and do not hear, users who submit, ask and cancel, a
+// state service that refuses, is down or carries transactions out late, and the ways between all of them. The rules are checked from
+// outside, by the workers and the users. Time goes on in steps, whatever is on its way: a call may take no time or, seen
+// from the clock, many seconds, as it may in a slow network. So the rules must hold however the goroutines are scheduled.
+type world struct {
+	t      testing.TB
+	r      *rand.Rand
+	site   site
+	clock  *clockwork.FakeClock
+	state  *standin.State
+	cloud  *standin.Cloud
+	nodes  []*node
+	client *http.Client
+	begun  time.Time
+	term   uint64         // the last that was seen to lead
+	asking sync.WaitGroup // requests on their way
+	ends   []ending       // troubles, and when they are over
+
+	rolling bool      // each leader ends soon
+	turn    time.Time // when the next one does
+
+	mu      sync.Mutex // guards what follows; never held over a call
+	workers []*worker
+	jobs    []*job
+	byID    map[string]*job
+	copied  []message
+	trace   strings.Builder
+	broken  string
+	starts  int
+	copies  int      // percent of reports of which a copy comes late
+	forNext int      // percent of reports of which a copy reaches every controller as the next leader begins
+	kept    [][]byte // those
+	quick   bool     // machines are up within 2 s
+	looks   bool     // users ask at all controllers after each answer that tells something new
+	calm    sent     // since when all troubles are over
+}
+
+// dice is a source of chance for several goroutines.
+type dice struct {
+	mu  sync.Mutex
+	src rand.Source
+}
+
+func (d *dice) Uint64() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.src.Uint64()
+}
+
+// site is what a deployment sets.
+type site struct {
+	nodes          int
+	lease, cancelS float64
+	report, imageS float64
+	machines       int
+}
+
+type node struct {
+	w     *world
+	name  string
+	addr  string
+	mesh  string
+	zone  string
+	door  *standin.Door
+	links map[string]*link // ways to the others, by their names
+	c     *controller.Controller
+	stop  func() // nil: it is down
+	back  time.Time
+}
+
+// link is the way from one controller to another.
+type link struct {
+	l    net.Listener
+	mu   sync.Mutex
+	shut bool
+	open []net.Conn
+}
+
+func newLink(t testing.TB, to string) *link {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &link{l: l}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go g.pass(in, to)
+		}
+	}()
+	t.Cleanup(func() { l.Close(); g.set(true) })
+	return g
+}
+
+func (g *link) pass(in net.Conn, to string) {
+	defer in.Close()
+	out, err := net.Dial("tcp", to)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	g.mu.Lock()
+	shut := g.shut
+	g.open = append(g.open, in, out)
+	g.mu.Unlock()
+	if shut {
+		return
+	}
+	go func() { _, _ = io.Copy(out, in); out.Close() }()
+	_, _ = io.Copy(in, out)
+}
+
+// set shuts the link, which ends what passes, or opens it.
+func (g *link) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut = shut; shut {
+		for _, c := range g.open {
+			c.Close()
+		}
+		g.open = nil
+	}
+}
+
+// patience is how long a condition may take by the machine's clock beyond its bound by the world's: what a starved machine needs.
+const patience = 20 * time.Second
+
+// worlds is how many there were.
+var worlds atomic.Int32
+
+// teamLimits are the teams and how many CPUs each may use; typeCPUs are the machine types' CPUs.
+var (
+	teamLimits = map[string]float64{"t": 8000, "small": 16, "tight": 24}
+	typeCPUs   = map[string]float64{"g8": 16, "m4": 8}
+)
+
+func newWorld(t testing.TB, s site, seed uint64) *world {
+	clock := clockwork.NewFakeClock()
+	w := &world{
+		t: t, r: rand.New(&dice{src: rand.NewPCG(seed, 5)}), site: s, clock: clock, byID: map[string]*job{}, state: standin.NewState(clock), begun: clock.Now(),
+		cloud: standin.NewCloud(s.machines,
+			wire.MachineType{Name: "g8", CPUs: typeCPUs["g8"], MemoryGB: 64, Price: 1, SpotPrice: 0.4, BootS: 5, Zones: []string{"a", "b"}},
+			wire.MachineType{Name: "m4", CPUs: typeCPUs["m4"], MemoryGB: 32, Price: 0.6, SpotPrice: 0.25, BootS: 5, Zones: []string{"b"}}),
+		client: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+	}
+	// An address of its own for each world, and ports that no connection is given: they are free when a controller is back.
+	n := int(worlds.Add(1))
+	host := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/250, 1+n%250)
+	for i := range s.nodes {
+		w.nodes = append(w.nodes, &node{w: w, name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("%s:%d", host, 20001+i), mesh: fmt.Sprintf("%s:%d", host, 21001+i), zone: string(rune('a' + i%2)), door: w.state.Door(), links: map[string]*link{}})
+	}
+	for _, n := range w.nodes {
+		for _, o := range w.nodes {
+			if o != n {
+				n.links[o.name] = newLink(t, o.mesh)
+			}
+		}
+	}
+	for _, n := range w.nodes {
+		n.boot()
+	}
+	t.Cleanup(func() {
+		w.asking.Wait()
+		for _, n := range w.nodes {
+			n.end()
+		}
+		w.state.Slow(nil)
+		w.clock.Advance(time.Minute) // what still waits at the state service goes on
+		for _, k := range w.workers {
+			k.srv.CloseClientConnections()
+			k.srv.Close()
+		}
+		w.client.CloseIdleConnections()
+		w.state.Close()
+		w.cloud.Close()
+	})
+	return w
+}
+
+// boot starts a controller, as a process with no memory of an earlier one.
+func (n *node) boot() {
+	s := &config.Settings{
+		Member: n.name, Zone: n.zone, Bind: n.addr, MeshAddr: n.mesh, Outside: config.Outside{Cloud: n.w.cloud.Addr(), State: n.door.Addr()},
+		Cluster: config.Cluster{
+			Zones:   []string{"a", "b"},
+			Workers: config.Workers{ReportS: n.w.site.report, LeaseS: n.w.site.lease, CancelS: n.w.site.cancelS},
+			State:   config.State{RPS: 1e6, WriteRPS: 1e6, ValueKB: 16, TxnOps: 24}, Cloud: config.Cloud{RPS: 1e6},
+		},
+	}
+	for _, o := range n.w.nodes {
+		if o != n {
+			s.Members = append(s.Members, config.Member{Name: o.name, Zone: o.zone, Endpoint: n.links[o.name].l.Addr().String()})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(teamLimits)) {
+		s.Cluster.Teams = append(s.Cluster.Teams, config.Team{Name: name, CPUs: teamLimits[name] / 2, CPUsMax: teamLimits[name]})
+	}
+	own, err := config.LoadProperties("")
+	if err != nil {
+		n.w.t.Fatal(err)
+	}
+	if n.c, err = controller.New(s, config.Watch("", nil, own), n.w.clock, slog.New(slog.DiscardHandler)); err != nil {
+		n.w.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.c.Run(ctx) }()
+	n.stop = func() {
+		stop()
+		if err := <-done; err != nil {
+			n.w.t.Errorf("controller %s ended: %v", n.name, err)
+		}
+	}
+}
+
+// end kills it.
+func (n *node) end() {
+	if n.stop != nil {
+		n.stop()
+		n.stop = nil
+	}
+}
+
+// apart cuts it from the others, or ends that.
+func (n *node) apart(cut bool) {
+	for _, o := range n.w.nodes {
+		if o != n {
+			n.links[o.name].set(cut)
+			o.links[n.name].set(cut)
+		}
+	}
+}
+
+// holds has some workers reach one controller alone, which leads; nil: all reach all again.
+func (w *world) holds(n *node, workers []*worker) {
+	_, term := w.holder()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range workers {
+		k.only, k.term = n, term
+	}
+}
+
+// holder gives the controller that the leader key names, and its term.
+func (w *world) holder() (n *node, term uint64) {
+	member, term := w.state.Holder()
+	if i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == member }); i >= 0 {
+		n = w.nodes[i]
+	}
+	if term > w.term {
+		w.term = term
+		w.say("%s leads in term %d", member, term)
+		w.mu.Lock()
+		kept := w.kept
+		w.kept = nil
+		w.mu.Unlock()
+		for _, raw := range kept {
+			for _, n := range w.nodes {
+				w.delivers(raw, n)
+			}
+		}
+	}
+	return n, term
+}
+
+// leader gives the controller that leads, by the leader key; nil if none does, or it is down.
+func (w *world) leader() *node {
+	if n, _ := w.holder(); n != nil && n.stop != nil {
+		return n
+	}
+	return nil
+}
+
+func (w *world) now() time.Time { return w.clock.Now() }
+
+// note adds to the trace. The lock is held.
+func (w *world) note(format string, args ...any) {
+	fmt.Fprintf(&w.trace, "%v ", w.now().Sub(w.begun))
+	fmt.Fprintf(&w.trace, format, args...)
+	w.trace.WriteByte('\n')
+}
+
+// breaks takes in that a rule is broken. The lock is held.
+func (w *world) breaks(format string, args ...any) {
+	w.note("BROKEN "+format, args...)
+	if w.broken == "" {
+		w.broken = fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) say(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.note(format, args...)
+}
+
+// call sends a request and reads the JSON that comes back; status 0: nothing did.
+func (w *world) call(ctx context.Context, method, url string, raw []byte, out any) int {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		w.t.Error(err)
+		return 0
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(out) != nil && resp.StatusCode == http.StatusOK {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// anyNode gives a controller that is up, or one that is not if none is.
+func (w *world) anyNode() *node {
+	n := w.nodes[w.r.IntN(len(w.nodes))]
+	for range 10 {
+		if n.stop != nil {
+			break
+		}
+		n = w.nodes[w.r.IntN(len(w.nodes))]
+	}
+	return n
+}
+
+func (w *world) post(ctx context.Context, url string, raw []byte, out any) int {
+	return w.call(ctx, http.MethodPost, url, raw, out)
+}
+
+// seconds gives a time between two bounds.
+func (w *world) seconds(least, most float64) time.Duration {
+	return seconds(least + w.r.Float64()*(most-least))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// tick is one step of time.
+const tick = 250 * time.Millisecond
+
+// step lets everybody do what is due, and time go on.
+func (w *world) step() {
+	w.join()
+	w.over(false)
+	if n := w.leader(); w.rolling && n != nil && !w.now().Before(w.turn) {
+		w.leaves(n, 0.2, 2)
+		w.turn = w.now().Add(w.seconds(3, 12))
+	}
+	for _, n := range w.nodes {
+		if n.stop == nil && !w.now().Before(n.back) {
+			w.say("%s is back", n.name)
+			n.boot()
+		}
+	}
+	w.mu.Lock()
+	workers, jobs := slices.Clone(w.workers), slices.Clone(w.jobs)
+	var due [][]byte
+	w.copied = slices.DeleteFunc(w.copied, func(l message) bool {
+		if w.now().Before(l.at) {
+			return false
+		}
+		due = append(due, l.raw)
+		return true
+	})
+	w.mu.Unlock()
+	for _, raw := range due {
+		w.delivers(raw, w.anyNode())
+	}
+	for _, k := range workers {
+		k.reports()
+	}
+	for _, j := range jobs {
+		w.asks(j)
+	}
+	w.check()
+	w.clock.Advance(tick)
+	w.state.Expire()
+	// What was due gets a moment of the machine: a call and its answer from each.
+	for _, n := range w.nodes {
+		if n.stop == nil {
+			continue
+		}
+		if resp, err := w.client.Get("http://" + n.addr + wire.PathHealth); err == nil {
+			resp.Body.Close()
+		}
+	}
+}
+
+// delivers has a copy of a report arrive; its answer reaches nobody.
+func (w *world) delivers(raw []byte, n *node) {
+	if n.stop == nil {
+		return
+	}
+	w.asking.Go(func() {
+		var out map[string]any
+		w.post(w.t.Context(), "http://"+n.addr+wire.PathReport, raw, &out)
+	})
+}
+
+// check looks for broken rules.
+func (w *world) check() {
+	w.mu.Lock()
+	w.checkCancelled()
+	w.checkServed()
+	broken, trace := w.broken, w.trace.String()
+	w.mu.Unlock()
+	if broken != "" {
+		w.t.Fatalf("%s\n%s", broken, trace)
+	}
+}
+
+// settles ends all troubles.
+func (w *world) settles() {
+	w.over(true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calm = w.moment()
+	for _, k := range w.workers { // what is wrong with machines ends by itself
+		for _, until := range []time.Time{k.hangs, k.deaf, k.lost, k.mute} {
+			if until.After(w.calm.at) {
+				w.calm.at = until
+			}
+		}
+	}
+	w.note("all is over from %v on", w.calm.at.Sub(w.begun))
+}
+
+// pass lets time pass.
+func (w *world) pass(d time.Duration) {
+	for ; d > 0; d -= tick {
+		w.step()
+	}
+}
+
+// until lets time pass until a condition holds, for a time at the most.
+func (w *world) until(what string, most time.Duration, holds func() bool) time.Duration {
+	w.t.Helper()
+	begun := w.now()
+	real := time.Now()
+	for !holds() {
+		// Both bounds: what it takes by the clock, and that a starved machine had time to do it.
+		if w.now().Sub(begun) > most && time.Since(real) > patience {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.t.Fatalf("never happened: %s\n%s", what, w.trace.String())
+		}
+		w.step()
+	}
+	return w.now().Sub(begun)
+}
+
+// locked tells whether something holds, under the lock.
+func (w *world) locked(fn func() bool) func() bool {
+	return func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return fn()
+	}
+}
+
+// all tells whether something holds of all jobs.
+func (w *world) all(fn func(*job) bool) func() bool {
+	return w.locked(func() bool { return !slices.ContainsFunc(w.jobs, func(j *job) bool { return !fn(j) }) })
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -26,11 +26,12 @@
 	named    int // machines so far
 	trouble  bool
 	silent   int // rentals that are executed without an answer
+	listed   int // how many machines its lists name at the most; negative: all
 }
 
 // NewCloud starts a cloud.
 func NewCloud(capacity int, types ...wire.MachineType) *Cloud {
-	c := &Cloud{Types: types, Capacity: capacity, booked: map[string][]string{}}
+	c := &Cloud{Types: types, Capacity: capacity, booked: map[string][]string{}, listed: -1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+wire.PathMachineTypes, func(w http.ResponseWriter, _ *http.Request) {
 		c.mu.Lock()
@@ -46,7 +47,11 @@
 	mux.HandleFunc("GET "+wire.PathMachines, func(w http.ResponseWriter, _ *http.Request) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		answer(w, http.StatusOK, wire.MachinePage{Machines: append([]wire.ListedMachine{}, c.machines...)})
+		list := append([]wire.ListedMachine{}, c.machines...)
+		if c.listed >= 0 {
+			list = list[:min(c.listed, len(list))]
+		}
+		answer(w, http.StatusOK, wire.MachinePage{Machines: list})
 	})
 	c.srv = httptest.NewServer(mux)
 	return c
@@ -68,6 +73,13 @@
 	c.silent = n
 }
 
+// Unlisted makes its lists lack all but the oldest n machines, as they lack new ones for a while; negative: no more.
+func (c *Cloud) Unlisted(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listed = n
+}
+
 // Trouble makes it refuse to tell its machine types, or ends that.
 func (c *Cloud) Trouble(trouble bool) {
 	c.mu.Lock()
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -31,6 +33,7 @@
 	refused  int // transactions
 	mute     func(wire.Txn) bool
 	late     func(wire.Txn) bool
+	slow     func() time.Duration
 	held     []wire.Txn // without an answer, and not carried out yet
 	txns     []wire.Txn // that were applied
 	doors    []*Door
@@ -99,6 +102,7 @@
 			answer(w, http.StatusServiceUnavailable, wire.Error{Error: "trouble"})
 			return
 		}
+		s.hold(r)
 		mux.ServeHTTP(w, r)
 	}))
 	return s
@@ -138,6 +142,34 @@
 	s.mute = fn
 }
 
+// Slow makes each request wait, by the test's clock, for as long as fn says before it is carried out, also when its caller has given
+// it up meanwhile; nil ends that. Watches wait as they do anyway.
+func (s *State) Slow(fn func() time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = fn
+}
+
+// hold has a request wait while the service is slow.
+func (s *State) hold(r *http.Request) {
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	if slow == nil || r.URL.Path == wire.PathWatch {
+		return
+	}
+	if r.Body != nil { // it is carried out even if its caller is gone
+		raw, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(raw))
+	}
+	if d := slow(); d > 0 {
+		<-s.clock.After(d)
+	}
+}
+
 // Late makes it keep transactions that fn picks: they get no answer, and are carried out when Deliver says so.
 func (s *State) Late(fn func(wire.Txn) bool) {
 	s.mu.Lock()
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -103,23 +103,33 @@
 // comes from a final state, from the leader's memory within its right, or
 // from a fresh read of the state service.
 func (d *Door) status(ctx context.Context, id string, read func(context.Context, string) (int, wire.JobStatus)) (int, wire.JobStatus) {
-	if s, ok := d.finals.Get(id); ok {
+	if s, ok := d.known(ctx, id); ok {
 		return http.StatusOK, s
 	}
-	if l := d.leader(); l != nil {
-		if s, ok := l.Status(ctx, id); ok {
-			return http.StatusOK, s
-		}
-	} else if resp, ok := d.peers.Relay(ctx, mesh.Request{Verb: mesh.Query, Job: id}); ok {
-		resp.Job.ID = id
-		if resp.Status == http.StatusOK {
-			d.learn(resp.Job)
+	if d.leader() == nil {
+		if resp, ok := d.peers.Relay(ctx, mesh.Request{Verb: mesh.Query, Job: id}); ok {
+			resp.Job.ID = id
+			if resp.Status == http.StatusOK {
+				d.learn(resp.Job)
+			}
+			return resp.Status, resp.Job
 		}
-		return resp.Status, resp.Job
 	}
 	return read(ctx, id)
 }
 
+// known gives a job's state if this member may tell it without reading: a final state, which never changes, before what the
+// leader's memory says within its right.
+func (d *Door) known(ctx context.Context, id string) (wire.JobStatus, bool) {
+	if s, ok := d.finals.Get(id); ok {
+		return s, true
+	}
+	if l := d.leader(); l != nil {
+		return l.Status(ctx, id)
+	}
+	return wire.JobStatus{}, false
+}
+
 func (d *Door) learn(s wire.JobStatus) {
 	if s.State.Final() {
 		d.finals.Add(s)
@@ -225,14 +235,8 @@
 	var s wire.JobStatus
 	switch req.Verb {
 	case mesh.Query:
-		if l := d.leader(); l != nil {
-			var ok bool
-			if s, ok = l.Status(ctx, req.Job); ok {
-				return mesh.Response{Status: http.StatusOK, Job: s}
-			}
-		}
-		if f, ok := d.finals.Get(req.Job); ok {
-			return mesh.Response{Status: http.StatusOK, Job: f}
+		if known, ok := d.known(ctx, req.Job); ok {
+			return mesh.Response{Status: http.StatusOK, Job: known}
 		}
 		status, s = d.polls.status(ctx, req.Job)
 	case mesh.Cancel:
