A test for each of the operators' further meetings

Mute machines, all controllers away, ten leaders in two minutes, hand-overs and back, jobs bound to a zone or apart that lose machines, more work than room over slow links, ends that meet cancellations, held commands, a zone cut off, long tasks out of reach, slow answers, transactions in doubt that come late: each in the world of whole controllers, with all rules counted.

--- /dev/null
+++ b/internal/lab/meetings/later_test.go
@@ -0,0 +1,329 @@
+package meetings_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The other meetings of the operators' list: docs/design/meetings.md has a row for each.
+
+// Guards against machines that reach no controller, while direct commands reach them: their tasks end with their leases, and
+// nothing that a direct command brings about is taken for a report of theirs.
+func TestMuteMachines(t *testing.T) {
+	plays(t, 11, func(w *world) {
+		for i := range 10 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 1 + i%3, kind: []string{"array", "service"}[i%2], team: []string{"t", "tight"}[i/5]})
+		}
+		w.runsSome(10)
+		for round, leases := range []float64{0.5, 1.4, 0.9, 2.2} {
+			w.impair(w.some(), mute, seconds(leases*w.site.lease))
+			w.pass(2 * time.Second)
+			w.cancels(fmt.Sprintf("job-%d", round))
+			w.cancels(fmt.Sprintf("job-%d", 9-round))
+			switch round {
+			case 1:
+				w.loses()
+			case 2:
+				refused(w, w.leads())
+			case 3:
+				outage(w, nil)
+			}
+			w.pass(seconds((leases + 0.5) * w.site.lease))
+		}
+		w.recovers()
+	})
+}
+
+// Guards against what is concluded from a time in which nobody looked: all controllers are away for longer than a lease, also as the
+// state service is down.
+func TestAllAreAwayForLongerThanALease(t *testing.T) {
+	plays(t, 12, func(w *world) {
+		for i := range 8 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 1 + i%3, kind: []string{"array", "service"}[i%2], apart: i%4 == 3})
+		}
+		w.runsSome(8)
+		for round := range 3 {
+			w.cancels(fmt.Sprintf("job-%d", round))
+			w.impair(w.some(), []int{hung, mute, deaf}[round], w.leases(0.5, 2.5))
+			if round == 1 {
+				w.lasts(w.leases(0.5, 2), func() { w.state.Refuse(true) }, func() { w.state.Refuse(false) })
+			}
+			allAway(w, nil)
+			w.pass(seconds(2.5 * w.site.lease))
+		}
+		w.recovers()
+	})
+}
+
+// Guards against state that leaders leave to each other: they change ten times in two minutes, also inside an outage, while jobs come, end
+// and are cancelled, and users look closely.
+func TestTenLeadersInTwoMinutes(t *testing.T) {
+	plays(t, 13, func(w *world) {
+		w.looksClosely(true)
+		first := w.term
+		for i := range 12 {
+			w.submits(fmt.Sprintf("job-%d", 2*i), spec{tasks: 2, runS: w.seconds(3, 30).Seconds(), team: []string{"t", "small", "tight"}[i%3]})
+			w.submits(fmt.Sprintf("job-%d", 2*i+1), spec{tasks: 2, kind: "service", apart: true})
+			w.pass(w.seconds(1, 4))
+			w.cancels(fmt.Sprintf("job-%d", w.r.IntN(2*i+2)))
+			if i == 4 {
+				w.lasts(20*time.Second, func() { w.state.Refuse(true) }, func() { w.state.Refuse(false) })
+				w.pass(2 * time.Second)
+				w.leaves(w.leaderOrAny(), 0.2, 2)
+				continue
+			}
+			w.leaves(w.leads(), 0.2, 2)
+			w.pass(w.seconds(2, 6))
+		}
+		if n := w.term - first; n < 9 {
+			w.t.Errorf("only %d changes of leaders", n)
+		}
+		w.recovers()
+	})
+}
+
+// Guards against leaders that hand over and back, all end, and one returns, also within a second.
+func TestHandedOverAndBack(t *testing.T) {
+	plays(t, 14, func(w *world) {
+		for i := range 8 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 1 + i%2, kind: []string{"array", "service"}[i%2], runS: 60})
+		}
+		w.runsSome(8)
+		for round := range 4 {
+			a := w.leads()
+			w.lasts(4*time.Second, func() { a.door.Refuse(true) }, func() { a.door.Refuse(false) })
+			w.until("another leads", time.Minute, func() bool { n := w.leader(); return n != nil && n != a })
+			w.cancels(fmt.Sprintf("job-%d", round))
+			b := w.leads()
+			w.lasts(4*time.Second, func() { b.door.Refuse(true) }, func() { b.door.Refuse(false) })
+			w.pass(w.seconds(1, 5))
+			for _, n := range w.nodes {
+				w.leaves(n, 3, 8)
+			}
+			w.nodes[w.r.IntN(len(w.nodes))].back = w.now().Add(w.seconds(0, 1))
+			w.pass(w.seconds(2, 12))
+		}
+		w.recovers()
+	})
+}
+
+// Guards against tasks in a wrong place: jobs that are bound to one zone, arrays whose tasks must be in the same zone or apart, and
+// those of one type of machine lose machines, as leaders change.
+func TestBoundJobsLoseMachines(t *testing.T) {
+	plays(t, 15, func(w *world) {
+		bound := []spec{{zone: "a"}, {zone: "b"}, {oneZone: true}, {apart: true}, {types: []string{"m4"}}, {noSpot: true}, {kind: "service", oneZone: true}, {kind: "service", apart: true}}
+		for i := range 16 {
+			s := bound[i%len(bound)]
+			s.tasks, s.runS = 2+i%3, w.seconds(10, 60).Seconds()
+			w.submits(fmt.Sprintf("job-%d", i), s)
+		}
+		w.runsSome(12)
+		for round := range 5 {
+			w.impair(w.some(), round%4, w.leases(0.8, 1.6))
+			w.pass(w.leases(0.3, 1.5))
+			switch round {
+			case 1, 3:
+				w.loses()
+			case 2:
+				w.takes(w.some())
+			}
+			w.pass(w.leases(0.3, 0.8))
+		}
+		for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
+			w.cancels(id)
+		}
+		w.recovers()
+	})
+}
+
+// takes has the cloud take machines back without a word.
+func (w *world) takes(some []*worker) {
+	for _, k := range some {
+		w.say("%s is taken", k.rep.Machine)
+		w.cloud.Take(k.rep.Machine)
+	}
+}
+
+// Guards against starvation and too many tasks: there is more work than room, urgent and not, the state service is slow, and the leader ends.
+func TestMoreWorkThanRoom(t *testing.T) {
+	plays(t, 16, func(w *world) {
+		most := 1500 * time.Millisecond
+		w.lasts(60*time.Second, func() { w.state.Slow(func() time.Duration { return time.Duration(w.r.Int64N(int64(most))) }) }, func() { w.state.Slow(nil) })
+		for i := range 60 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{
+				tasks: 1 + i%5, cpus: []float64{2, 4, 8}[i%3], runS: w.seconds(5, 25).Seconds(), stub: float64(40 * (i % 2)),
+				priority: []string{"urgent", "standard", "low", "production"}[i%4], team: []string{"t", "t", "small", "tight"}[i/4%4],
+			})
+			w.pass(w.seconds(0.2, 1.5))
+			switch i {
+			case 20, 40:
+				w.loses()
+			case 30:
+				w.impair(w.some(), hung, w.leases(0.5, 1.2))
+			}
+			if i%6 == 5 {
+				w.cancels(fmt.Sprintf("job-%d", w.r.IntN(i)))
+			}
+		}
+		w.recovers()
+	})
+}
+
+// Guards against an older answer, or two, as a cancellation, a question or a repeated submission meets the end of a job's last task;
+// with no other trouble.
+func TestAnEndMeetsACancellation(t *testing.T) {
+	plays(t, 17, func(w *world) {
+		w.looksClosely(true)
+		w.mu.Lock()
+		w.atEnd = true
+		w.mu.Unlock()
+		for i := range 60 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 1 + i%2, runS: w.seconds(1, 6).Seconds()})
+			w.pass(w.seconds(0.3, 1.5))
+		}
+		w.recovers()
+		done, cancelled := 0, 0
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, j := range w.jobs {
+			if j.done {
+				done++
+			} else if !j.confirmed.IsZero() {
+				cancelled++
+			}
+		}
+		if done == 0 || done+cancelled != len(w.jobs) {
+			w.t.Errorf("%d done and %d cancelled of %d", done, cancelled, len(w.jobs))
+		}
+	})
+}
+
+// Guards against commands that are held up for seconds and carried out as the machine goes on, after the next leader has acted: starts
+// of attempts that were given up, and stops.
+func TestCommandsAreHeldUp(t *testing.T) {
+	plays(t, 18, func(w *world) {
+		for i := range 6 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 4, kind: []string{"array", "service"}[i%2], runS: 60})
+		}
+		w.runsSome(8)
+		for round := range 6 {
+			w.impair(w.some(), hung, w.leases(0.3, 0.95))
+			w.submits(fmt.Sprintf("job-%d", 6+round), spec{tasks: 6, runS: 20})
+			w.cancels(fmt.Sprintf("job-%d", round))
+			w.pass(w.seconds(0.5, 3))
+			if round%2 == 0 {
+				w.loses()
+			}
+			w.pass(w.leases(0.5, 1.3))
+		}
+		w.recovers()
+	})
+}
+
+// Guards against what both sides of a cut conclude: a zone with workers and a controller is cut off for longer than a lease, with the
+// leader inside or outside.
+func TestAZoneIsCutOffForLongerThanALease(t *testing.T) {
+	plays(t, 19, func(w *world) {
+		for i := range 8 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 1 + i%3, kind: []string{"array", "service"}[i%2], apart: i%2 == 1 && i%3 > 0})
+		}
+		w.runsSome(8)
+		for round := range 4 {
+			lead := w.leads()
+			inside := lead
+			if round%2 == 1 { // the leader is outside
+				for _, n := range w.nodes {
+					if n.zone != lead.zone {
+						inside = n
+					}
+				}
+			}
+			w.cutsZone(inside, w.leases(1.2, 2.5))
+			w.pass(3 * time.Second)
+			w.cancels(fmt.Sprintf("job-%d", 2*round))
+			w.pass(seconds(0.6 * w.site.lease))
+			if round > 1 {
+				w.leaves(w.leaderOrAny(), 1, 4)
+			}
+			w.pass(seconds(2.5 * w.site.lease))
+		}
+		w.recovers()
+	})
+}
+
+// cutsZone cuts the zone of a controller off: that controller and the zone's workers reach each other and nobody else; other
+// controllers of the zone reach nobody.
+func (w *world) cutsZone(inside *node, d time.Duration) {
+	var some []*worker
+	w.mu.Lock()
+	for _, k := range w.workers {
+		if k.rep.Zone == inside.zone {
+			some = append(some, k)
+		}
+	}
+	w.mu.Unlock()
+	leader, _ := w.holder()
+	set := func(cut bool) {
+		for _, n := range w.nodes {
+			if n.zone == inside.zone {
+				n.apart(cut)
+				n.door.Refuse(cut)
+			}
+		}
+	}
+	w.say("zone %s is cut off with %s and %d workers", inside.zone, inside.name, len(some))
+	w.lasts(d, func() {
+		set(true)
+		w.holds(inside, some)
+		if leader != inside { // direct commands come from the leader
+			w.mu.Lock()
+			for _, k := range some {
+				k.term = 0
+			}
+			w.mu.Unlock()
+		}
+	}, func() { set(false); w.holds(nil, some) })
+}
+
+// Guards against the loss of long tasks, and their second copies, as a leader ends while their machines cannot be reached, or do not hear
+// the next one's answers; and against jobs of two or three tasks that end far apart across a change of leader.
+func TestLongTasksOutOfReachAsALeaderEnds(t *testing.T) {
+	plays(t, 20, func(w *world) {
+		for i := range 6 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 2 + i%2, runS: []float64{0, 150}[i/3]})
+		}
+		w.runsSome(10)
+		for round := range 4 {
+			w.impair(w.some(), []int{lost, deaf, hung, deaf}[round], w.leases(0.4, 1.5))
+			w.pass(w.seconds(0.2, 2))
+			w.loses()
+			w.pass(w.leases(0.5, 2))
+		}
+		w.recovers()
+	})
+}
+
+// Guards against a state service that answers slowly while users cancel and ask, leaders are refused and end.
+func TestSlowAnswersMeetCancellations(t *testing.T) {
+	plays(t, 21, func(w *world) {
+		w.looksClosely(true)
+		for round, most := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second} {
+			w.state.Slow(func() time.Duration { return time.Duration(w.r.Int64N(int64(most))) })
+			for i := range 6 {
+				w.submits(fmt.Sprintf("job-%d", 6*round+i), spec{tasks: 1 + i%2, runS: w.seconds(3, 20).Seconds(), kind: []string{"array", "service"}[i/3]})
+				w.pass(w.seconds(1, 3))
+				w.cancels(fmt.Sprintf("job-%d", w.r.IntN(6*round+i+1)))
+			}
+			switch round {
+			case 1, 3:
+				refused(w, w.leaderOrAny())
+			case 2:
+				w.leaves(w.leaderOrAny(), 0.2, 3)
+			}
+			w.pass(w.seconds(5, 15))
+		}
+		w.state.Slow(nil)
+		w.recovers()
+	})
+}
--- a/internal/lab/meetings/letter_test.go
+++ b/internal/lab/meetings/letter_test.go
@@ -17,7 +17,7 @@
 	for _, name := range []string{"lease 10, three", "lease 18, five"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, sites[name], seed)
+			w := newWorld(t, sites[name], seed+*shift)
 			w.leads()
 			fn(w)
 		})
@@ -96,14 +96,24 @@
 // Guards against a writer that takes its own earlier write for another's, and others that conclude from what they read meanwhile: a
 // transaction is carried out at once and only its answer is lost. Each kind of them, with a leader that ends in the middle.
 func TestOnlyTheAnswerIsLost(t *testing.T) {
+	inDoubt(t, func(w *world, picks func(wire.Txn) bool) { w.state.Mute(picks) })
+}
+
+// Guards against a transaction without an answer that is carried out late, after newer ones of the same controller.
+func TestTransactionsAreLate(t *testing.T) {
+	inDoubt(t, func(w *world, picks func(wire.Txn) bool) { w.state.Late(picks) })
+}
+
+// inDoubt has transactions of each kind be in doubt: fn has the state service treat those that are picked so; nil ends that.
+func inDoubt(t *testing.T, fn func(*world, func(wire.Txn) bool)) {
 	for _, prefix := range []string{jobs.PrefixJob, jobs.PrefixRun, jobs.PrefixEnd, "lead/", "fence/", "keep/", ""} {
 		t.Run("key "+prefix, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, sites["lease 18, five"], 2)
+			w := newWorld(t, sites["lease 18, five"], 2+*shift)
 			w.leads()
 			w.looksClosely(true)
 			var lost int
-			w.state.Mute(func(txn wire.Txn) bool {
+			fn(w, func(txn wire.Txn) bool {
 				if !slices.ContainsFunc(txn.Then, func(c wire.Change) bool { return strings.HasPrefix(c.Put+c.Delete, prefix) }) || lost > 0 && rand.IntN(3) == 0 {
 					return false
 				}
@@ -126,9 +136,9 @@
 					refused(w, w.leaderOrAny())
 				}
 			}
-			w.state.Mute(nil)
+			fn(w, nil)
 			if lost == 0 && prefix != "keep/" && prefix != "fence/" {
-				t.Error("no answer was lost")
+				t.Error("no transaction was in doubt")
 			}
 			// The leader ends once, is refused once, and may be the one that is cut off; elections without an answer come on top.
 			if most := uint64(5); w.term > most && strings.HasSuffix(prefix, "/") && prefix != "lead/" {
--- a/internal/lab/meetings/meetings_test.go
+++ b/internal/lab/meetings/meetings_test.go
@@ -21,7 +21,7 @@
 	for name, s := range sites {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, s, 1)
+			w := newWorld(t, s, 1+*shift)
 			w.until("a leader", time.Minute, func() bool { return w.leader() != nil })
 			for i := range 4 {
 				w.submits(fmt.Sprintf("job-%d", i), spec{kind: []string{"array", "service"}[i%2], tasks: []int{6, 3, 300, 1}[i], stub: float64(40 * (i / 2)), apart: i == 1})
@@ -59,6 +59,7 @@
 
 var (
 	histories    = flag.Int("meetings", 2, "how many random histories of meetings are played for each site")
+	shift        = flag.Uint64("shift", 0, "what is added to the seeds of the meetings that are set")
 	firstHistory = flag.Int("meeting", 100, "the seed of the first")
 )
 
@@ -121,7 +122,10 @@
 	w.t.Helper()
 	w.settles()
 	lease := seconds(w.site.lease)
-	w.until("every cancellation is confirmed", 2*time.Minute+2*lease, w.all(func(j *job) bool { return !j.asked || j.history.level == ended }))
+	confirmed := func() {
+		w.until("every cancellation is confirmed", 2*time.Minute+2*lease, w.all(func(j *job) bool { return !j.asked || j.history.level == ended }))
+	}
+	confirmed()
 	w.until("every array is done", 30*time.Minute, w.all(func(j *job) bool {
 		return j.asked || j.done || j.kind == "service"
 	}))
@@ -129,4 +133,5 @@
 	w.until("every other job runs or its team is at its limit", 5*time.Minute, w.all(func(j *job) bool {
 		return j.accepted && (j.asked || j.done || w.running(j.id) > 0 || w.use(j.team, true)+j.cpus > teamLimits[j.team])
 	}))
+	confirmed() // some were asked for meanwhile
 }
--- a/internal/lab/meetings/users_test.go
+++ b/internal/lab/meetings/users_test.go
@@ -362,6 +362,18 @@
 	}
 }
 
+// completes takes in that a task has completed on its machine. The lock is held.
+func (w *world) completes(j *job, task string) {
+	j.completed[task] = true
+	if !w.atEnd || len(j.completed) < j.tasks {
+		return
+	}
+	if w.r.IntN(2) == 0 {
+		j.asked, j.cancelAt = true, w.now()
+	}
+	w.closeLooks(j)
+}
+
 // running is how many tasks of a job are on machines. The lock is held.
 func (w *world) running(id string) int {
 	n := 0
--- a/internal/lab/meetings/workers_test.go
+++ b/internal/lab/meetings/workers_test.go
@@ -112,7 +112,7 @@
 			k.next = now
 		case t.State == wire.TaskRunning && !now.Before(k.due[key]):
 			t.State, t.Why = wire.TaskExited, wire.WhyDone
-			k.w.jobOf(t.Task).completed[t.Task] = true
+			k.w.completes(k.w.jobOf(t.Task), t.Task)
 			k.next = now
 		case t.State == wire.TaskSaving && !now.Before(k.due[key]):
 			t.State, t.Why, t.Saved = wire.TaskExited, wire.WhyStopped, true
--- a/internal/lab/meetings/world_test.go
+++ b/internal/lab/meetings/world_test.go
@@ -63,6 +63,7 @@
 	kept    [][]byte // those
 	quick   bool     // machines are up within 2 s
 	looks   bool     // users ask at all controllers after each answer that tells something new
+	atEnd   bool     // users cancel, ask and submit again as the last task of a job completes
 	calm    sent     // since when all troubles are over
 }
 
@@ -289,6 +290,10 @@
 		w.kept = nil
 		w.mu.Unlock()
 		for _, raw := range kept {
+			if w.r.IntN(2) == 0 { // one that is held back until the new leader has acted
+				w.copied = append(w.copied, message{w.now().Add(w.seconds(1, 12)), raw})
+				continue
+			}
 			for _, n := range w.nodes {
 				w.delivers(raw, n)
 			}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -80,6 +80,13 @@
 	c.listed = n
 }
 
+// Take takes a machine back without a word.
+func (c *Cloud) Take(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.machines = slices.DeleteFunc(c.machines, func(m wire.ListedMachine) bool { return m.Name == name })
+}
+
 // Trouble makes it refuse to tell its machine types, or ends that.
 func (c *Cloud) Trouble(trouble bool) {
 	c.mu.Lock()
