No job waits for minutes beside room: what is held is bounded, and never where replicas stay

Cause: the queue's head and jobs that wait to begin hold a machine, or a part of their team's limit, against all behind them until their task fits. Where replicas stay on that machine, or take that part, it never does: others waited beside its room for as long as those ran (in the new test's random clusters up to 6 min 26 s with the bound taken out). Room for expected work of higher priority was kept likewise, a machine found deaf again and again was shut out for up to five minutes, and a machine on which a task failed was avoided for as long by a job that fitted nowhere else.

Change: a machine is held only if what ends by itself, or was told to, leaves enough room, and the one is taken where it does soonest; a limit only if replicas leave enough of it. After 70 s in which anything is held (or room kept for expected work while somebody waits) one pass holds nothing. A deaf machine's longest pause is one minute; a job that has nothing for 60 s avoids no machine.

Shown: TestNoJobWaitsBesideRoom (red without the bound and without the part on expected work), TestTheLargestBeginInTime holds as before, TestAMachineIsNotShutOutForLong, TestAMachineIsNotAvoidedForEver, TestWhenAMachineHasRoom; each red with the former constants.

--- a/internal/leader/errors_test.go
+++ b/internal/leader/errors_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
 	"poppypass/internal/fleet"
 	"poppypass/internal/jobs"
+	"poppypass/internal/placement"
 	"poppypass/internal/roster"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -133,3 +135,49 @@
 		}
 	}
 }
+
+// Guards against a job that waits for minutes beside the only machine with room, since a task of it failed there once.
+func TestAMachineIsNotAvoidedForEver(t *testing.T) {
+	l, clock := leaderWith(t)
+	p := l.runs(t, "job-1", "n-large", 1)
+	l.ends(p, wire.WhyError)
+	avoids := func() bool {
+		l.book.Jobs["job-1"].PauseUntil = time.Time{}
+		items, _ := l.items(clock.Now())
+		return len(items) == 1 && items[0].Avoid != nil && items[0].Avoid("n-large")
+	}
+	if !avoids() {
+		t.Fatal("the machine is not avoided at first")
+	}
+	clock.Advance(75 * time.Second)
+	if avoids() {
+		t.Error("it is avoided though the job has nothing for 75 s")
+	}
+}
+
+// Guards against a hold that brings nothing: what a machine's replicas take never gets free, and what runs on others does.
+func TestWhenAMachineHasRoom(t *testing.T) {
+	l, clock := leaderWith(t)
+	m := l.roster.Machines["n-large"]
+	whole := placement.Room{CPUs: 64}
+	free := func() float64 { return freeTime(m, l.env.typeOf(m.Type), clock.Now())(whole) }
+	if s := free(); s != 0 {
+		t.Errorf("an empty machine has room in %v s", s)
+	}
+	p := l.runs(t, "job-1", "n-large", 1)
+	if s := free(); !math.IsInf(s, 1) {
+		t.Errorf("beside a replica there is room in %v s", s)
+	}
+	p.Job.Kind, p.Job.EstimateS, p.Running = wire.KindArray, 100, clock.Now().Add(-40*time.Second)
+	if s := free(); s != 60 {
+		t.Errorf("room in %v s, 60 are left of its run", s)
+	}
+	p.Running = clock.Now().Add(-200 * time.Second)
+	if s := free(); s != 50 {
+		t.Errorf("room in %v s for a task that runs on beyond what was expected", s)
+	}
+	p.Stop = &jobs.Stop{GraceS: 5}
+	if s := free(); s != 5 {
+		t.Errorf("room in %v s for one that was told to stop", s)
+	}
+}
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -13,6 +13,7 @@
 	"poppypass/internal/charge"
 	"poppypass/internal/jobs"
 	"poppypass/internal/leadership"
+	"poppypass/internal/placement"
 	"poppypass/internal/roster"
 	"poppypass/internal/statestore"
 	"poppypass/internal/tuning"
@@ -33,6 +34,7 @@
 	book    *jobs.Book
 	roster  *roster.Roster
 	fleet   fleetState
+	holding placement.Holds
 	leaving map[string]bool // machines that the cloud will soon take
 	images  imageHints
 	begun   time.Time
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -24,7 +25,7 @@
 	wanted, teams := append(slices.Clone(items), l.reserved(now)...), l.teams()
 	open := l.roomyMachines(now, wanted)
 	l.takeSides(items)
-	placed := placement.Pass(now, wanted, open, teams)
+	placed := l.holding.Pass(now, wanted, open, teams)
 	next := map[string]int{}
 	for _, d := range placed {
 		j := byID[d.Item.Job.ID]
@@ -154,8 +155,9 @@
 		if j.Kind == wire.KindArray {
 			it.Entered = j.Entered
 		}
-		// A job that fails everywhere may go anywhere.
-		if bad := len(j.Avoid); bad > 0 && bad < tuning.BadJobMachines {
+		// A job that fails everywhere may go anywhere, and so may one that has nothing and waits beside such a machine for long.
+		waits := j.Placed == 0 && now.Sub(j.WaitSince) >= tuning.AvoidWait
+		if bad := len(j.Avoid); bad > 0 && bad < tuning.BadJobMachines && !waits {
 			it.Avoid = func(machine string) bool { return now.Before(j.Avoid[machine]) }
 		}
 		if trials[j] {
@@ -206,6 +208,7 @@
 			continue
 		}
 		v := viewOf(m, t)
+		v.FreeS = freeTime(m, t, now)
 		out = append(out, &v)
 	}
 	return out
@@ -249,6 +252,47 @@
 	return placement.Room{CPUs: t.CPUs - used.CPUs, GPUs: t.GPUs - used.GPUs, MemoryGB: t.MemoryGB - used.MemoryGB}
 }
 
+// freeTime estimates how long it takes until what ends by itself on a machine, or was told to, leaves some room.
+func freeTime(m *roster.Machine, t *wire.MachineType, now time.Time) func(need placement.Room) float64 {
+	type end struct {
+		s    float64
+		room placement.Room
+	}
+	return func(need placement.Room) float64 {
+		free := freeOn(m, t)
+		ends := make([]end, 0, len(m.Places))
+		for _, p := range m.Places {
+			e := end{room: placement.Room{CPUs: p.Job.CPUs, GPUs: p.Job.GPUs, MemoryGB: p.Job.MemoryGB}}
+			switch {
+			case p.Stop != nil:
+				e.s = p.Stop.GraceS
+			case p.Job.Kind == wire.KindService:
+				continue
+			default:
+				e.s, _ = p.Job.RunS()
+				if !p.Running.IsZero() {
+					ran := now.Sub(p.Running).Seconds()
+					e.s = max(e.s-ran, ran/4) // one that takes longer than expected goes on for a while
+				}
+			}
+			ends = append(ends, e)
+		}
+		slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.s, b.s) })
+		after := 0.0
+		for _, e := range ends {
+			if free.Holds(need) {
+				break
+			}
+			free.Sub(e.room, -1)
+			after = e.s
+		}
+		if !free.Holds(need) {
+			return math.Inf(1)
+		}
+		return after
+	}
+}
+
 // fetchTime estimates how long a machine takes to get an image: nothing for
 // one that it holds, as far as its tasks show; images fetched at the same time
 // share its rate.
@@ -289,6 +333,10 @@
 		if t := teams[j.Team]; t != nil {
 			t.CPUs += float64(j.Placed) * j.CPUs
 			t.GPUs += float64(j.Placed) * j.GPUs
+			if j.Kind == wire.KindService && j.Open() {
+				t.Stays.CPUs += float64(j.Placed) * j.CPUs
+				t.Stays.GPUs += float64(j.Placed) * j.GPUs
+			}
 		}
 	}
 	return teams
--- a/internal/placement/overdue.go
+++ b/internal/placement/overdue.go
@@ -13,8 +13,8 @@
 // taken by small ones, its team's limit is used up by them, or it is behind them in every pass. So the wait to begin is
 // bounded. A job none of whose tasks was placed within tuning.BeginBound is overdue: before anything else of its priority it
 // gets one task; if none fits, a machine, and what it needs of its team's limit, is kept from those behind it until one
-// does. With that task it has begun, and the order is the usual one again, so that the small lose one task's time to
-// each large job.
+// does, as far as what runs ends by itself, and for tuning.HoldMax at a time (Holds). With that task it has begun, and the order is the
+// usual one again, so that the small lose one task's time to each large job.
 
 // overdueIn gives the places of the overdue items among those from lo to hi, the largest first, of equals those that came
 // first. The small ones have the usual order in their favour, and the large are few: one task for each is little.
@@ -51,9 +51,13 @@
 			return append(placed, Placement{it, m})
 		}
 	}
+	// What stays of the team's use leaves too little of its limit: keeping the rest brings nothing, and keeps its other jobs waiting.
+	if !p.mayHold || team.Stays.CPUs+need.CPUs > team.CPUsMax+slack || team.Stays.GPUs+need.GPUs > team.GPUsMax+slack {
+		return placed
+	}
 	// Both at a time: one after the other took as long as both.
 	if team.keeps == "" {
-		team.keeps, team.kept = it.Job.ID, need
+		team.keeps, team.kept, p.keeps = it.Job.ID, need, true
 	}
 	if team.keeps == it.Job.ID && p.holds < max(1, len(p.machines)/tuning.BeginHoldShare) && it.hold(p.machines, need) {
 		p.holds++
--- a/internal/placement/overdue_test.go
+++ b/internal/placement/overdue_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +21,10 @@
 	running  []ending
 	began    map[string]time.Duration // after its coming
 	done     float64                  // CPU seconds of tasks that ended
+	holds    Holds
+	ghosts   func() []*Item      // work that is expected; nil: none
+	beside   map[*Item]time.Time // since when an item waits though a machine that fits has room and its team is under its limit
+	longest  time.Duration       // for how long any did
 }
 
 type ending struct {
@@ -58,17 +64,110 @@
 	q.items = waiting
 	for _, m := range q.machines {
 		m.held = ""
+		m.FreeS = func(need Room) float64 { return q.freeS(m, need) }
 	}
 	for _, t := range q.limits {
 		t.keeps = ""
 	}
-	for _, p := range Pass(q.now, append([]*Item{}, waiting...), q.machines, q.limits) {
+	wanted := append([]*Item{}, waiting...)
+	free := make([]Room, len(q.machines)) // what ghosts take is theirs for one pass
+	if q.ghosts != nil {
+		wanted = append(wanted, q.ghosts()...)
+	}
+	for i, m := range q.machines {
+		free[i] = m.Free
+	}
+	placed := q.holds.Pass(q.now, wanted, q.machines, q.limits)
+	for i, m := range q.machines {
+		m.Free = free[i]
+	}
+	for _, p := range placed {
+		p.Machine.Free.Sub(p.Item.Need(), 1)
+
 		if p.Item.Started++; p.Item.Started == 1 {
 			q.began[p.Item.Job.ID] = q.now.Sub(p.Item.Entered)
 		}
 		run := time.Duration(p.Item.Job.EstimateS * float64(time.Second))
 		q.running = append(q.running, ending{q.now.Add(run), p.Machine, p.Item.Need(), p.Item.Job.Team, p.Item})
 	}
+	q.watch(waiting)
+}
+
+// freeS is when a machine has room, by the tasks that run there; replicas stay.
+func (q *queue) freeS(m *Machine, need Room) float64 {
+	free := m.Free
+	running := slices.SortedFunc(slices.Values(q.running), func(a, b ending) int { return a.at.Compare(b.at) })
+	for _, e := range running {
+		if free.Holds(need) {
+			return 0
+		}
+		if e.m != m {
+			continue
+		}
+		if free.Sub(e.need, -1); free.Holds(need) {
+			return e.at.Sub(q.now).Seconds()
+		}
+	}
+	if free.Holds(need) {
+		return 0
+	}
+	return math.Inf(1)
+}
+
+// watch looks for items that wait beside room.
+func (q *queue) watch(waiting []*Item) {
+	for _, it := range waiting {
+		team, need := q.limits[it.Job.Team], it.Need()
+		room := it.Waiting > 0 && team.fits(need) && slices.ContainsFunc(q.machines, func(m *Machine) bool {
+			return m.Free.Holds(need) && it.Allowed(m.Type, m.Zone, m.Spot)
+		})
+		if since, known := q.beside[it]; !room {
+			delete(q.beside, it)
+		} else if !known {
+			q.beside[it] = q.now
+		} else {
+			q.longest = max(q.longest, q.now.Sub(since))
+		}
+	}
+}
+
+// Guards against jobs that wait for ever beside room that is held for one that cannot use it: a task needs a whole machine, or most
+// of its team's limit, where replicas stay; and against any hold that lasts.
+func TestNoJobWaitsBesideRoom(t *testing.T) {
+	for seed := range uint64(12) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		q := &queue{now: now, began: map[string]time.Duration{}, beside: map[*Item]time.Time{}, limits: map[string]*Team{"hot": {CPUsMax: 64}, "t": {CPUsMax: 1000}}}
+		for i := range 2 + r.IntN(6) {
+			m := machine(fmt.Sprintf("m-%d", i), string(rune('a'+i%2)), false, 16)
+			if r.IntN(3) > 0 { // a replica stays
+				m.Free.CPUs -= 1
+				q.limits["hot"].CPUs++
+				q.limits["hot"].Stays.CPUs++
+			}
+			q.machines = append(q.machines, m)
+		}
+		q.limits["hot"].CPUsMax = q.limits["hot"].CPUs + 8
+		if seed%2 == 1 { // room is kept for work of higher priority
+			q.ghosts = func() []*Item {
+				return []*Item{{Job: &wire.Job{ID: "ghost", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityHigh, Tasks: 3, CPUs: 4, EstimateS: 20}, Since: q.now, Waiting: 3, Ghost: true}}
+			}
+		}
+		for s := range 900 {
+			if r.IntN(4) == 0 && s < 600 {
+				q.come(fmt.Sprintf("small-%d", s), []string{"hot", "t"}[r.IntN(2)], 1+r.IntN(3), float64(1+r.IntN(4)), float64(20+r.IntN(200)), wire.PriorityNormal)
+			}
+			if s%150 == 20 {
+				q.come(fmt.Sprintf("whole-%d", s), "t", 2, 16, 60, []wire.Priority{wire.PriorityNormal, wire.PriorityHigh}[r.IntN(2)])
+				q.come(fmt.Sprintf("limit-%d", s), "hot", 1, 12, 60, wire.PriorityNormal)
+				zone := q.come(fmt.Sprintf("zone-%d", s), "t", 3, 9, 100, wire.PriorityNormal)
+				zone.Job.Zone = "a"
+			}
+			q.second()
+		}
+		if q.longest >= 90*time.Second {
+			t.Errorf("seed %d: a job waited for %v beside room", seed, q.longest)
+		}
+	}
 }
 
 // Guards against the largest of a class that never begin while small work goes on: tasks for which each machine that gets
@@ -77,7 +176,7 @@
 	const bound = 240 * time.Second
 	for seed := range uint64(6) {
 		r := rand.New(rand.NewPCG(seed, 2))
-		q := &queue{now: now, began: map[string]time.Duration{}, limits: map[string]*Team{
+		q := &queue{now: now, began: map[string]time.Duration{}, beside: map[*Item]time.Time{}, limits: map[string]*Team{
 			"hot": {CPUsMax: 64, CPUsMin: 16}, "guest": {CPUsMax: 1e9, Fill: 40}, "t": {CPUsMax: 80, CPUsMin: 40},
 		}}
 		for i := range 10 {
@@ -115,6 +214,9 @@
 				t.Fatalf("seed %d: %s began after %v (ever: %v)", seed, id, took, ok)
 			}
 		}
+		if q.longest >= 90*time.Second {
+			t.Errorf("seed %d: a job waited for %v beside room", seed, q.longest)
+		}
 		// What is kept for them costs little of what the machines can do.
 		if used := q.done / (600 * 160); used < 0.85 {
 			t.Errorf("seed %d: %.2f of the machines' time was of use", seed, used)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,6 +1,6 @@
 // Package placement decides what runs where: the order of the waiting tasks,
 // the teams' limits, the choice of a machine. It does no I/O and keeps no
-// state: each pass works on the views that it is given.
+// state but since when something is held (Holds): each pass works on the views that it is given.
 package placement
 
 import (
@@ -38,6 +38,7 @@
 	Price            float64 // an hour, of the whole machine
 	Total, Free      Room
 	FetchS           func(image string, gb float64) float64 // until it would have the image; nil: no time
+	FreeS            func(need Room) float64                // until what ends by itself leaves that much, in seconds; infinite: it never does; nil: not known
 	Victims          []Victim                               // tasks on it that may be stopped for others
 	Unproven         bool                                   // nothing has proved yet that it hears this leader
 	held             string                                 // the job that holds it against those behind
@@ -109,6 +110,7 @@
 	CPUs, GPUs       float64 // used by all tasks that may be somewhere
 	CPUsMax, GPUsMax float64
 	CPUsMin, GPUsMin float64 // its guarantee
+	Stays            Room    // what of its use does not end by itself
 	keeps            string  // the overdue job for whose begin a part of the limit is kept from the others
 	kept             Room    // that part
 	Fill             float64 // CPUs that one job of a team without a cap may have had before it lets others begin; 0: any
@@ -289,7 +291,7 @@
 // priority, what fits its team's guarantee goes before what teams borrow: room
 // that was taken back from a borrower must not go to the next one that waited
 // longer. Jobs that wait for their first task for too long come before all of that,
-// with one task each. Last come ghosts, which keep room from lower priorities only.
+// with one task each. Last come ghosts, which keep room from lower priorities only, and not for ever (Holds).
 //
 // It changes the items' waiting counts and zones, the machines' free room and
 // the teams' use.
@@ -300,8 +302,32 @@
 
 // Sorted is Pass for items that are in order already.
 func Sorted(now time.Time, items []*Item, machines []*Machine, teams map[string]*Team) []Placement {
-	var placed []Placement
-	p := pass{now: now, machines: machines, roomy: roomy(machines, items), teams: teams, stuck: make([]bool, len(items)), searches: map[shape]*search{}}
+	placed, _ := sorted(now, items, machines, teams, true)
+	return placed
+}
+
+// Holds bounds for how long machines and parts of limits are held for those that wait for more than there is, and room for work that
+// is expected, while others wait: what is held is room in which they may not start. It remembers between passes since when something has been held; after tuning.HoldMax one pass
+// holds nothing, so that no job waits for longer beside room, and what is held then counts anew. The zero value holds nothing yet.
+type Holds struct{ since time.Time }
+
+// Pass is Pass with that bound.
+func (h *Holds) Pass(now time.Time, items []*Item, machines []*Machine, teams map[string]*Team) []Placement {
+	Sort(items, teams, now)
+	open := !h.since.IsZero() && now.Sub(h.since) >= tuning.HoldMax
+	placed, held := sorted(now, items, machines, teams, !open)
+	switch {
+	case !held:
+		h.since = time.Time{}
+	case h.since.IsZero():
+		h.since = now
+	}
+	return placed
+}
+
+// sorted places items that are in order; held tells that something was held against others, which it is only if that may be.
+func sorted(now time.Time, items []*Item, machines []*Machine, teams map[string]*Team, mayHold bool) (placed []Placement, held bool) {
+	p := pass{now: now, machines: machines, roomy: roomy(machines, items), teams: teams, stuck: make([]bool, len(items)), searches: map[shape]*search{}, mayHold: mayHold}
 	for lo, hi := 0, 0; lo < len(items); lo = hi {
 		for hi = lo; hi < len(items) && Level(items[hi], teams, now) == Level(items[lo], teams, now); hi++ {
 		}
@@ -324,7 +350,7 @@
 			}
 		}
 	}
-	return placed
+	return placed, p.held || p.holds > 0 || p.keeps || p.starved
 }
 
 // turn is a part of a pass over the items of one priority.
@@ -343,8 +369,12 @@
 	teams    map[string]*Team
 	stuck    []bool // items for which there is no room
 	searches map[shape]*search
+	mayHold  bool // something may be held against those behind
 	held     bool // a head holds a machine
 	holds    int  // machines held for overdue items
+	keeps    bool // a part of a limit is kept for one
+	ghosts   bool // ghosts have taken room
+	starved  bool // after that there was none for somebody
 }
 
 // roomy are the machines with room for the least of what the items need. In a
@@ -381,7 +411,7 @@
 	if it.Ghost {
 		team = &Team{CPUsMax: math.Inf(1), GPUsMax: math.Inf(1)}
 	}
-	if team == nil {
+	if team == nil || it.Ghost && !p.mayHold {
 		return placed
 	}
 	need := it.Need()
@@ -396,27 +426,37 @@
 		}
 		if m == nil {
 			p.stuck[i] = true
-			if !p.held && !it.Ghost && p.now.Sub(it.Since) >= tuning.HeadHold {
+			p.starved = p.starved || p.ghosts && !it.Ghost
+			if p.mayHold && !p.held && !it.Ghost && p.now.Sub(it.Since) >= tuning.HeadHold {
 				p.held = it.hold(p.machines, need)
 			}
 			break
 		}
 		it.take(m, need, team)
-		if !it.Ghost {
+		if p.ghosts = p.ghosts || it.Ghost; !it.Ghost {
 			placed = append(placed, Placement{it, m})
 		}
 	}
 	return placed
 }
 
-// hold takes the machine that is nearest to having room for the item.
+// hold takes the machine that has room for the item soonest, by what runs there; of equals, or where that is not known, the one with
+// the most. One whose room never comes, since replicas stay there, is not held: it was once, against all others, for as long as they ran.
 func (it *Item) hold(machines []*Machine, need Room) bool {
 	var best *Machine
+	soonest := math.Inf(1)
 	for _, m := range machines {
-		if m.held == "" && m.Total.Holds(need) && it.Allowed(m.Type, m.Zone, m.Spot) &&
-			(it.Avoid == nil || !it.Avoid(m.Name)) && (best == nil || m.Free.CPUs > best.Free.CPUs) {
-			best = m
+		if m.held != "" || !m.Total.Holds(need) || !it.Allowed(m.Type, m.Zone, m.Spot) || it.Avoid != nil && it.Avoid(m.Name) {
+			continue
+		}
+		s := 0.0
+		if m.FreeS != nil {
+			s = m.FreeS(need)
+		}
+		if math.IsInf(s, 1) || best != nil && (s > soonest || s == soonest && m.Free.CPUs <= best.Free.CPUs) {
+			continue
 		}
+		best, soonest = m, s
 	}
 	if best == nil {
 		return false
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -80,3 +80,19 @@
 		}
 	})
 }
+
+// Guards against a machine that gets no work long after the way to it is whole again: a way that flapped for a quarter of an hour had it
+// shut out for five minutes, and a job that fitted nowhere else waited beside its room.
+func TestAMachineIsNotShutOutForLong(t *testing.T) {
+	s, now := &State{}, t0
+	for range 12 {
+		now = now.Add(20 * time.Second)
+		s.Missed(now)
+		s.Failed(now, now.Add(time.Second))
+		now = now.Add(20 * time.Second)
+		s.Proved(now)
+	}
+	if most := 75 * time.Second; !s.Usable(now.Add(most), true) {
+		t.Errorf("%v after it heard us it is given no work", most)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -254,8 +254,10 @@
 	// changes to spare: what the next leader does not know is fetched once more, a second or two for a start.
 	ImagesEvery = 10 * time.Second
 	ImagesRoom  = 4
-	// AvoidFor is how long a job avoids a machine on which its task failed.
-	AvoidFor = 300 * time.Second
+	// AvoidFor is how long a job avoids a machine on which its task failed, and AvoidWait for how long one none of whose tasks is
+	// placed may wait beside such a machine: a place that may fail is better than none.
+	AvoidFor  = 300 * time.Second
+	AvoidWait = 60 * time.Second
 )
 
 // Machines that the cloud takes back.
@@ -273,7 +275,7 @@
 	// DeafPause is how long a machine that did not hear us gets no work once it does again; it doubles each time up to
 	// DeafPauseMax, and counts anew after DeafForget: a way that flaps costs a lease each time.
 	DeafPause    = 5 * time.Second
-	DeafPauseMax = 5 * time.Minute
+	DeafPauseMax = time.Minute
 	DeafForget   = 15 * time.Minute
 	// AskPause is the first pause between questions to a machine that does not answer; it doubles up to AskPauseMax, so
 	// that one that is back is found within that.
@@ -378,6 +380,9 @@
 	// SearchShapes is for how many shapes of tasks a pass keeps the machines in order: with 40
 	// bytes for each machine and shape, 16 MB at the most with 10,000 machines, until the pass ends.
 	SearchShapes = 40
+	// HoldMax is for how long machines and parts of limits are held for those that need more than there is, before one pass
+	// holds nothing: users expect that no job waits for 90 s while a machine that fits has room, and a pass may be PassWaitMax away.
+	HoldMax = 70 * time.Second
 	// HeadHold is the wait after which the queue's head holds a machine against those behind.
 	HeadHold = 30 * time.Second
 	// PassWaitMin and PassWaitMax bound the pause between passes that place
