--- a/internal/lab/meetings/later_test.go
+++ b/internal/lab/meetings/later_test.go
@@ -149,6 +149,7 @@
 func TestMoreWorkThanRoom(t *testing.T) {
 	plays(t, 16, func(w *world) {
 		most := 1500 * time.Millisecond
+		slowLinks(w, nil)
 		w.lasts(60*time.Second, func() { w.state.Slow(func() time.Duration { return time.Duration(w.r.Int64N(int64(most))) }) }, func() { w.state.Slow(nil) })
 		for i := range 60 {
 			w.submits(fmt.Sprintf("job-%d", i), spec{
--- a/internal/lab/meetings/letter_test.go
+++ b/internal/lab/meetings/letter_test.go
@@ -247,7 +247,10 @@
 // the next one knows the machine from its report alone.
 func TestMachinesThatAreUpAtOnce(t *testing.T) {
 	plays(t, 5, func(w *world) {
-		for round := range 5 {
+		w.mu.Lock()
+		w.site.imageS = 0.25 // tasks begin at once
+		w.mu.Unlock()
+		for round := range 8 {
 			w.quick = true
 			w.cloud.Unlisted(len(w.cloud.Machines()))
 			w.cloud.Silent(2)
@@ -258,6 +261,7 @@
 				w.submits(fmt.Sprintf("job-%d", 3*round+i), spec{tasks: 6, cpus: 8, runS: 10})
 			}
 			w.pass(w.seconds(1, 6))
+			w.impair(w.some(), lost, w.leases(0.3, 0.9)) // they run on, and the next leader has not heard of them
 			w.loses()
 			w.pass(w.seconds(1, 8))
 			w.state.Deliver()
--- a/internal/lab/meetings/troubles_test.go
+++ b/internal/lab/meetings/troubles_test.go
@@ -55,7 +55,7 @@
 	{"refused", refused}, {"refused", refused}, {"outage", outage}, {"ends", ends}, {"ends", ends}, {"apart", apart}, {"apart", apart},
 	{"late transactions", lateTransactions}, {"answers lost", answersLost}, {"copies", copies}, {"copies for the next leader", copiesForNext},
 	{"machines", machines}, {"machines", machines}, {"machines", machines}, {"alone with workers", aloneWithWorkers}, {"called off", calledOff},
-	{"all away", allAway}, {"leaders in a row", leadersInARow}, {"slow", slowAnswers}, {"cloud", cloudTroubles},
+	{"all away", allAway}, {"leaders in a row", leadersInARow}, {"slow", slowAnswers}, {"cloud", cloudTroubles}, {"links", slowLinks}, {"links", slowLinks}, {"zone", zoneCut},
 }
 
 // trouble begins one of the troubles, mostly one that concerns the leader.
@@ -204,6 +204,20 @@
 	w.lasts(w.seconds(5, 30), func() { w.state.Slow(func() time.Duration { return time.Duration(rand.Int64N(int64(most))) }) }, func() { w.state.Slow(nil) })
 }
 
+// slowLinks has reports, their answers and direct commands be on their way for seconds.
+func slowLinks(w *world, _ *node) {
+	most := w.seconds(0.5, 6)
+	w.say("links take up to %v", most)
+	set := func(d time.Duration) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.links = d
+	}
+	w.lasts(w.seconds(5, 60), func() { set(most) }, func() { set(0) })
+}
+
+func zoneCut(w *world, n *node) { w.cutsZone(n, w.leases(0.3, 2)) }
+
 // cloudTroubles has rentals go without an answer, machines be up at once, and be listed late.
 func cloudTroubles(w *world, _ *node) {
 	w.say("rentals without answers, machines up at once and not listed")
--- a/internal/lab/meetings/workers_test.go
+++ b/internal/lab/meetings/workers_test.go
@@ -147,6 +147,11 @@
 	}
 	k.w.mu.Lock()
 	defer k.w.mu.Unlock()
+	if d := k.w.onWay(); d > 0 {
+		k.w.mu.Unlock()
+		k.w.waits(k.w.t.Context(), d) // it is executed late, also when its sender has given it up
+		k.w.mu.Lock()
+	}
 	k.live()
 	if now := k.w.now(); k.away() || now.Before(k.deaf) || k.only != nil && q.Token != k.term {
 		if !k.gone && !now.Before(k.deaf) && k.w.r.IntN(2) == 0 {
@@ -168,7 +173,8 @@
 	k.w.mu.Lock()
 	defer k.w.mu.Unlock()
 	k.live()
-	if k.away() || k.w.now().Before(k.deaf) || k.only != nil {
+	// One that reaches a single controller answers whoever asks: who that is cannot be seen here, and the one that keeps it asks.
+	if k.away() || k.w.now().Before(k.deaf) {
 		panic(http.ErrAbortHandler)
 	}
 	k.rep.Seq++
@@ -236,9 +242,18 @@
 	}
 	ctx, cancel := context.WithCancel(w.t.Context())
 	k.waits, k.sent = cancel, now
+	there, back := w.onWay(), w.onWay()
 	w.asking.Go(func() {
 		var a answer
-		status := w.post(ctx, "http://"+to.addr+wire.PathReport, raw, &a)
+		status := 0
+		if w.waits(ctx, there) {
+			status = w.post(ctx, "http://"+to.addr+wire.PathReport, raw, &a)
+		} else {
+			w.delivers(raw, to) // it arrives, though its worker has given it up
+		}
+		if !w.waits(ctx, back) {
+			status = 0
+		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if cancel(); w.now().Sub(k.sent) > 4*time.Second {
@@ -249,6 +264,27 @@
 	})
 }
 
+// onWay is how long a message is on its way: no time, or up to what slow links take. The lock is held.
+func (w *world) onWay() time.Duration {
+	if w.links <= 0 || w.r.IntN(2) == 0 {
+		return 0
+	}
+	return w.seconds(0, w.links.Seconds())
+}
+
+// waits lets time pass on the world's clock, and tells whether it did before ctx ended.
+func (w *world) waits(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-w.clock.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // answer is what a controller answers a report.
 type answer struct {
 	wire.ReportAnswer
--- a/internal/lab/meetings/world_test.go
+++ b/internal/lab/meetings/world_test.go
@@ -58,13 +58,14 @@
 	trace   strings.Builder
 	broken  string
 	starts  int
-	copies  int      // percent of reports of which a copy comes late
-	forNext int      // percent of reports of which a copy reaches every controller as the next leader begins
-	kept    [][]byte // those
-	quick   bool     // machines are up within 2 s
-	looks   bool     // users ask at all controllers after each answer that tells something new
-	atEnd   bool     // users cancel, ask and submit again as the last task of a job completes
-	calm    sent     // since when all troubles are over
+	copies  int           // percent of reports of which a copy comes late
+	forNext int           // percent of reports of which a copy reaches every controller as the next leader begins
+	kept    [][]byte      // those
+	quick   bool          // machines are up within 2 s
+	looks   bool          // users ask at all controllers after each answer that tells something new
+	links   time.Duration // how long reports, answers and direct commands are on their way at the most
+	atEnd   bool          // users cancel, ask and submit again as the last task of a job completes
+	calm    sent          // since when all troubles are over
 }
 
 // dice is a source of chance for several goroutines.
@@ -427,9 +428,6 @@
 
 // delivers has a copy of a report arrive; its answer reaches nobody.
 func (w *world) delivers(raw []byte, n *node) {
-	if n.stop == nil {
-		return
-	}
 	w.asking.Go(func() {
 		var out map[string]any
 		w.post(w.t.Context(), "http://"+n.addr+wire.PathReport, raw, &out)
