--- a/internal/lab/meetings/later_test.go
+++ b/internal/lab/meetings/later_test.go
@@ -61,7 +61,7 @@
 func TestTenLeadersInTwoMinutes(t *testing.T) {
 	plays(t, 13, func(w *world) {
 		w.looksClosely(true)
-		first := w.term
+		last := w.term - 1
 		for i := range 12 {
 			w.submits(fmt.Sprintf("job-%d", 2*i), spec{tasks: 2, runS: w.seconds(3, 30).Seconds(), team: []string{"t", "small", "tight"}[i%3]})
 			w.submits(fmt.Sprintf("job-%d", 2*i+1), spec{tasks: 2, kind: "service", apart: true})
@@ -73,12 +73,12 @@
 				w.leaves(w.leaderOrAny(), 0.2, 2)
 				continue
 			}
+			// One that is back at once is named by the leader key still: a leader is new by its term.
+			w.until("a new leader", time.Minute, func() bool { _, term := w.holder(); return term > last && w.leader() != nil })
+			last = w.term
 			w.leaves(w.leads(), 0.2, 2)
 			w.pass(w.seconds(2, 6))
 		}
-		if n := w.term - first; n < 9 {
-			w.t.Errorf("only %d changes of leaders", n)
-		}
 		w.recovers()
 	})
 }
