--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,4 +1,4 @@
-// Package controller wires the slices into one process: the doors for users,
+// Package controller wires the slices into one process: the handlers for users,
 // workers and peers, and the leader's loop while this member leads.
 package controller
 
@@ -54,8 +54,8 @@
 	peers   *peers.Peers
 	keeper  *keeper.Keeper
 	zone    *keeper.Zone
-	users   *users.Door
-	reports *workers.Door
+	users   *users.Handler
+	reports *workers.Handler
 	ledger  *ledger.Door     // nil: no charges are kept
 	graphs  *airflow.Door    // nil: no graphs are served
 	metrics *metrics.Metrics // nil: they are served nowhere
--- a/internal/lab/meetings/later_test.go
+++ b/internal/lab/meetings/later_test.go
@@ -92,11 +92,11 @@
 		w.runsSome(8)
 		for round := range 4 {
 			a := w.leads()
-			w.lasts(4*time.Second, func() { a.door.Refuse(true) }, func() { a.door.Refuse(false) })
+			w.lasts(4*time.Second, func() { a.endpoint.Refuse(true) }, func() { a.endpoint.Refuse(false) })
 			w.until("another leads", time.Minute, func() bool { n := w.leader(); return n != nil && n != a })
 			w.cancels(fmt.Sprintf("job-%d", round))
 			b := w.leads()
-			w.lasts(4*time.Second, func() { b.door.Refuse(true) }, func() { b.door.Refuse(false) })
+			w.lasts(4*time.Second, func() { b.endpoint.Refuse(true) }, func() { b.endpoint.Refuse(false) })
 			w.pass(w.seconds(1, 5))
 			for _, n := range w.nodes {
 				w.leaves(n, 3, 8)
@@ -269,7 +269,7 @@
 		for _, n := range w.nodes {
 			if n.zone == inside.zone {
 				n.apart(cut)
-				n.door.Refuse(cut)
+				n.endpoint.Refuse(cut)
 			}
 		}
 	}
--- a/internal/lab/meetings/letter_test.go
+++ b/internal/lab/meetings/letter_test.go
@@ -214,13 +214,13 @@
 			old := w.leads()
 			switch round {
 			case 0:
-				w.lasts(12*time.Second, func() { old.door.Refuse(true) }, func() { old.door.Refuse(false) })
+				w.lasts(12*time.Second, func() { old.endpoint.Refuse(true) }, func() { old.endpoint.Refuse(false) })
 			case 1:
-				w.lasts(12*time.Second, func() { old.door.Refuse(true); old.apart(true) }, func() { old.door.Refuse(false); old.apart(false) })
+				w.lasts(12*time.Second, func() { old.endpoint.Refuse(true); old.apart(true) }, func() { old.endpoint.Refuse(false); old.apart(false) })
 			case 2:
 				w.leaves(old, 0.2, 1)
 			case 3: // the state service refuses the leader alone, and a second later everybody
-				w.lasts(12*time.Second, func() { old.door.Refuse(true) }, func() { old.door.Refuse(false) })
+				w.lasts(12*time.Second, func() { old.endpoint.Refuse(true) }, func() { old.endpoint.Refuse(false) })
 			}
 			for i := range 6 {
 				id := fmt.Sprintf("job-%d", 6*round+i)
--- a/internal/lab/meetings/meetings_test.go
+++ b/internal/lab/meetings/meetings_test.go
@@ -34,7 +34,7 @@
 				}
 				w.say("%s of zone %s is refused", old.name, old.zone)
 				w.holds(old, w.workers[:len(w.workers)/2])
-				old.door.Refuse(true)
+				old.endpoint.Refuse(true)
 				old.apart(round == 1) // from the other controllers as well: it keeps its zone's workers by itself
 				w.until("another leads", time.Minute, func() bool { n := w.leader(); return n != nil && n != old })
 				for i := range 2 {
@@ -46,7 +46,7 @@
 				w.pass(seconds(now * s.cancelS))
 				w.say("it is back")
 				w.state.Refuse(false)
-				old.door.Refuse(false)
+				old.endpoint.Refuse(false)
 				old.apart(false)
 				w.holds(nil, w.workers)
 				took := w.until("cancellations are confirmed", 2*time.Minute, w.all(func(j *job) bool { return !j.asked || !j.confirmed.IsZero() || j.done }))
--- a/internal/lab/meetings/troubles_test.go
+++ b/internal/lab/meetings/troubles_test.go
@@ -69,7 +69,7 @@
 
 func refused(w *world, n *node) {
 	w.say("%s is refused by the state service", n.name)
-	w.lasts(w.seconds(1, 20), func() { n.door.Refuse(true) }, func() { n.door.Refuse(false) })
+	w.lasts(w.seconds(1, 20), func() { n.endpoint.Refuse(true) }, func() { n.endpoint.Refuse(false) })
 }
 
 func outage(w *world, _ *node) {
@@ -96,7 +96,7 @@
 func apart(w *world, n *node) {
 	refused := w.r.IntN(2) == 0
 	w.say("%s is cut from the others, and refused: %v", n.name, refused)
-	w.lasts(w.seconds(2, 1.5*w.site.lease), func() { n.apart(true); n.door.Refuse(refused) }, func() { n.apart(false); n.door.Refuse(false) })
+	w.lasts(w.seconds(2, 1.5*w.site.lease), func() { n.apart(true); n.endpoint.Refuse(refused) }, func() { n.apart(false); n.endpoint.Refuse(false) })
 }
 
 func lateTransactions(w *world, _ *node) {
--- a/internal/lab/meetings/world_test.go
+++ b/internal/lab/meetings/world_test.go
@@ -89,16 +89,16 @@
 }
 
 type node struct {
-	w     *world
-	name  string
-	addr  string
-	mesh  string
-	zone  string
-	door  *standin.Door
-	links map[string]*link // ways to the others, by their names
-	c     *controller.Controller
-	stop  func() // nil: it is down
-	back  time.Time
+	w        *world
+	name     string
+	addr     string
+	mesh     string
+	zone     string
+	endpoint *standin.Endpoint
+	links    map[string]*link // ways to the others, by their names
+	c        *controller.Controller
+	stop     func() // nil: it is down
+	back     time.Time
 }
 
 // link is the way from one controller to another.
@@ -183,7 +183,7 @@
 	n := int(worlds.Add(1))
 	host := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, n/250, 1+n%250)
 	for i := range s.nodes {
-		w.nodes = append(w.nodes, &node{w: w, name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("%s:%d", host, 20001+i), mesh: fmt.Sprintf("%s:%d", host, 21001+i), zone: string(rune('a' + i%2)), door: w.state.Door(), links: map[string]*link{}})
+		w.nodes = append(w.nodes, &node{w: w, name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("%s:%d", host, 20001+i), mesh: fmt.Sprintf("%s:%d", host, 21001+i), zone: string(rune('a' + i%2)), endpoint: w.state.Endpoint(), links: map[string]*link{}})
 	}
 	for _, n := range w.nodes {
 		for _, o := range w.nodes {
@@ -216,7 +216,7 @@
 // boot starts a controller, as a process with no memory of an earlier one.
 func (n *node) boot() {
 	s := &config.Settings{
-		Member: n.name, Zone: n.zone, Bind: n.addr, MeshAddr: n.mesh, Outside: config.Outside{Cloud: n.w.cloud.Addr(), State: n.door.Addr()},
+		Member: n.name, Zone: n.zone, Bind: n.addr, MeshAddr: n.mesh, Outside: config.Outside{Cloud: n.w.cloud.Addr(), State: n.endpoint.Addr()},
 		Cluster: config.Cluster{
 			Zones:   []string{"a", "b"},
 			Workers: config.Workers{ReportS: n.w.site.report, LeaseS: n.w.site.lease, CancelS: n.w.site.cancelS},
--- a/internal/leader/ways.go
+++ b/internal/leader/ways.go
@@ -158,7 +158,7 @@
 		return
 	}
 	l.ways.heard(now)
-	switch l.roster.Reborn(m, mark, rep) {
+	switch l.roster.Restarted(m, mark, rep) {
 	case roster.AskLater:
 		m.Doubt = true
 		return
--- a/internal/roster/asked.go
+++ b/internal/roster/asked.go
@@ -43,22 +43,22 @@
 	}
 }
 
-// Rebirth is what an answer proves of its machine's worker.
-type Rebirth int
+// Restart is what an answer proves of its machine's worker.
+type Restart int
 
 // What it may prove.
 const (
-	SameLife Rebirth = iota
+	SameLife Restart = iota
 	AskLater         // perhaps started anew; an answer to one of its reports may still be on its way
 	AskAgain         // started anew; that older leaders' commands are refused is not known yet
 	GiveUp           // started anew; a start of ours may still arrive there, so only its deletion proves anything
 	Anew             // started anew: nothing of its former life is there, nor can come
 )
 
-// Reborn judges an answer to a question. A worker drops answers after 4 s. Within that of the last report that we took, an
+// Restarted judges an answer to a question. A worker drops answers after 4 s. Within that of the last report that we took, an
 // answer with a start may be on its way to the new life: its first report may have been taken for one of the former
 // life, and a copy of a later one of that for its next.
-func (r *Roster) Reborn(m *Machine, mark Mark, rep *wire.Report) Rebirth {
+func (r *Roster) Restarted(m *Machine, mark Mark, rep *wire.Report) Restart {
 	switch {
 	case rep.Newer(mark.Session, mark.Seq):
 		return SameLife
@@ -75,7 +75,7 @@
 
 // Begin takes in that a machine's worker was started anew, as an answer shows that holds our token: what was placed there in
 // its former life is gone. The worker lists all that is on its machine; older leaders' commands are refused by their
-// tokens; answers to reports of the former life reach nobody, and none to one of the new life is on its way (Reborn); and no direct start of ours is open. Without this a
+// tokens; answers to reports of the former life reach nobody, and none to one of the new life is on its way (Restarted); and no direct start of ours is open. Without this a
 // machine that was back at once was shut out as a copy until its new life had sent as many reports as the former one.
 func (r *Roster) Begin(m *Machine, rep *wire.Report, now time.Time) []Outcome {
 	var a Answer
--- a/internal/roster/copies_test.go
+++ b/internal/roster/copies_test.go
@@ -126,7 +126,7 @@
 	m := f.Machines["n-1"]
 	_, _, mark, _ := f.Question(m, t0.Add(5*time.Second))
 	anew := report(1, 2, term)
-	if got := f.Reborn(m, mark, anew); got != Anew {
+	if got := f.Restarted(m, mark, anew); got != Anew {
 		t.Fatalf("judged %v", got)
 	}
 	f.Begin(m, anew, t0.Add(5*time.Second))
--- a/internal/roster/proofs_test.go
+++ b/internal/roster/proofs_test.go
@@ -32,7 +32,7 @@
 		after time.Duration // from the last report that was taken to the question
 		open  bool          // a direct start is without an answer
 		token uint64
-		want  Rebirth
+		want  Restart
 	}{
 		{"nothing can come", tuning.AnswerLife, false, term, Anew},
 		{"an answer may be on its way", tuning.AnswerLife - time.Millisecond, false, term, AskLater},
@@ -51,10 +51,10 @@
 		if !ok {
 			t.Fatal("nobody can be asked")
 		}
-		if got := f.Reborn(m, mark, &wire.Report{Machine: "n-1", Session: 1, Seq: 2, Token: c.token}); got != c.want {
+		if got := f.Restarted(m, mark, &wire.Report{Machine: "n-1", Session: 1, Seq: 2, Token: c.token}); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
-		if got := f.Reborn(m, mark, &wire.Report{Machine: "n-1", Session: 1, Seq: 6, Token: c.token}); got != SameLife {
+		if got := f.Restarted(m, mark, &wire.Report{Machine: "n-1", Session: 1, Seq: 6, Token: c.token}); got != SameLife {
 			t.Errorf("%s: a newer answer is of another life: %v", c.name, got)
 		}
 	}
--- a/internal/roster/world_test.go
+++ b/internal/roster/world_test.go
@@ -230,9 +230,9 @@
 	case w.chance(1, "hang"):
 		k.hangs = w.now.Add(w.within(2*simLease, "for"))
 		return
-	case w.chance(1, "reborn"):
+	case w.chance(1, "restarted"):
 		k.life++
-		w.note("reborn %s", k.rep.Machine)
+		w.note("restarted %s", k.rep.Machine)
 		k.rep.Session, k.rep.Seq, k.rep.Token, k.rep.Tasks, k.heard, k.waits = 1, 0, 0, nil, w.now, time.Time{}
 	case k != w.workers[0] && w.chance(1, "dies"):
 		k.dead, k.rep.Tasks = true, nil
@@ -326,7 +326,7 @@
 				m.Reach.Failed(w.now, w.now)
 				break
 			}
-			life := w.r.Reborn(m, mark, rep)
+			life := w.r.Restarted(m, mark, rep)
 			w.note("asked %s %+v: %v s%d q%d", name, mark, life, rep.Session, rep.Seq)
 			switch life {
 			case Anew:
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -22,33 +22,33 @@
 	clock clockwork.Clock
 	srv   *httptest.Server
 
-	mu       sync.Mutex
-	revision uint64
-	keys     map[string]wire.Item
-	leases   map[uint64]*lease
-	nextID   uint64
-	events   []wire.Event
-	wake     chan struct{} // closed at each change
-	refuse   bool
-	refused  int // transactions
-	mute     func(wire.Txn) bool
-	late     func(wire.Txn) bool
-	slow     func() time.Duration
-	held     []wire.Txn // without an answer, and not carried out yet
-	txns     []wire.Txn // that were applied
-	doors    []*Door
-}
-
-// Door is an address of the service of its own, for one caller: it may refuse that one alone.
-type Door struct {
+	mu        sync.Mutex
+	revision  uint64
+	keys      map[string]wire.Item
+	leases    map[uint64]*lease
+	nextID    uint64
+	events    []wire.Event
+	wake      chan struct{} // closed at each change
+	refuse    bool
+	refused   int // transactions
+	mute      func(wire.Txn) bool
+	late      func(wire.Txn) bool
+	slow      func() time.Duration
+	held      []wire.Txn // without an answer, and not carried out yet
+	txns      []wire.Txn // that were applied
+	endpoints []*Endpoint
+}
+
+// Endpoint is an address of the service of its own, for one caller: it may refuse that one alone.
+type Endpoint struct {
 	s      *State
 	srv    *httptest.Server
 	refuse bool // guarded by s.mu
 }
 
-// Door opens one. Close of the service closes it.
-func (s *State) Door() *Door {
-	d := &Door{s: s}
+// Endpoint opens one. Close of the service closes it.
+func (s *State) Endpoint() *Endpoint {
+	d := &Endpoint{s: s}
 	d.srv = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		refuse := d.refuse
@@ -61,15 +61,15 @@
 	}))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.doors = append(s.doors, d)
+	s.endpoints = append(s.endpoints, d)
 	return d
 }
 
-// Addr is the door's address.
-func (d *Door) Addr() string { return strings.TrimPrefix(d.srv.URL, "http://") }
+// Addr is the endpoint's address.
+func (d *Endpoint) Addr() string { return strings.TrimPrefix(d.srv.URL, "http://") }
 
 // Refuse makes it answer 503 to this caller alone, whose leases run out meanwhile, or ends that.
-func (d *Door) Refuse(refuse bool) {
+func (d *Endpoint) Refuse(refuse bool) {
 	d.s.mu.Lock()
 	defer d.s.mu.Unlock()
 	d.refuse = refuse
@@ -114,9 +114,9 @@
 // Close stops it.
 func (s *State) Close() {
 	s.mu.Lock()
-	doors := s.doors
+	endpoints := s.endpoints
 	s.mu.Unlock()
-	for _, d := range doors {
+	for _, d := range endpoints {
 		d.srv.CloseClientConnections()
 		d.srv.Close()
 	}
--- a/internal/users/odd_test.go
+++ b/internal/users/odd_test.go
@@ -44,12 +44,12 @@
 func TestOddSubmissions(t *testing.T) {
 	state := standin.NewState(clockwork.NewFakeClock())
 	t.Cleanup(state.Close)
-	doors := []*Door{}
+	members := []*Handler{}
 	for range 2 {
-		d, _ := doorWith(t, state.Addr())
-		doors = append(doors, d)
+		d, _ := handlerWith(t, state.Addr())
+		members = append(members, d)
 	}
-	submit := func(d *Door, raw []byte) (int, string) {
+	submit := func(d *Handler, raw []byte) (int, string) {
 		w := httptest.NewRecorder()
 		d.ServeSubmit(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, wire.PathJobs, strings.NewReader(string(raw))))
 		var out wire.Error
@@ -102,7 +102,7 @@
 	for i, c := range cases {
 		id := fmt.Sprintf("job-%d", 1000+i)
 		raw := changed(t, id, c.fields)
-		for n, d := range doors {
+		for n, d := range members {
 			want := c.status
 			if n > 0 && want == http.StatusCreated {
 				want = http.StatusOK // it is known
@@ -117,7 +117,7 @@
 		}
 	}
 	for _, raw := range []string{"", "null", "[]", "7", `"x"`, "{", `{"ref":"job-1"`, "\x00", strings.Repeat("x", wire.MaxBody+1)} {
-		if status, text := submit(doors[0], []byte(raw)); status != http.StatusBadRequest || text == "" || strings.Contains(text, "\n") {
+		if status, text := submit(members[0], []byte(raw)); status != http.StatusBadRequest || text == "" || strings.Contains(text, "\n") {
 			t.Errorf("%.20q: %d %q", raw, status, text)
 		}
 	}
@@ -128,7 +128,7 @@
 func TestOddRequestsForKnownJobs(t *testing.T) {
 	state := standin.NewState(clockwork.NewFakeClock())
 	t.Cleanup(state.Close)
-	d, _ := doorWith(t, state.Addr())
+	d, _ := handlerWith(t, state.Addr())
 	do := func(serve http.HandlerFunc, id string, raw []byte) (int, wire.JobStatus) {
 		w := httptest.NewRecorder()
 		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, wire.PathJobs, strings.NewReader(string(raw)))
--- a/internal/users/polls.go
+++ b/internal/users/polls.go
@@ -17,7 +17,7 @@
 // live jobs. Two reads for each used up the limit when users asked eight times
 // as often. Each answer was read after its poll came.
 type poller struct {
-	d *Door
+	d *Handler
 
 	mu      sync.Mutex
 	waiting map[string][]chan pollAnswer
@@ -29,7 +29,7 @@
 	status wire.JobStatus
 }
 
-func newPoller(d *Door) *poller {
+func newPoller(d *Handler) *poller {
 	return &poller{d: d, waiting: map[string][]chan pollAnswer{}}
 }
 
--- a/internal/users/polls_test.go
+++ b/internal/users/polls_test.go
@@ -42,7 +42,7 @@
 		write(struct{}{})
 	}))
 	t.Cleanup(srv.Close)
-	d, _ := doorWith(t, strings.TrimPrefix(srv.URL, "http://"))
+	d, _ := handlerWith(t, strings.TrimPrefix(srv.URL, "http://"))
 	p := d.polls
 	var wg sync.WaitGroup
 	poll := func(id string, want int, state wire.JobState) {
--- a/internal/users/show.go
+++ b/internal/users/show.go
@@ -14,7 +14,7 @@
 
 // Ask has the leader's subsystems answer a question: a path and query beside the
 // protocol's. The answer is a status and JSON.
-func (d *Door) Ask(ctx context.Context, uri string) (status int, body json.RawMessage) {
+func (d *Handler) Ask(ctx context.Context, uri string) (status int, body json.RawMessage) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.PollWait)
 	defer cancel()
 	return d.ofLeader(ctx, mesh.Request{Verb: mesh.Show, Payload: []byte(uri)}, "the leader cannot be asked now",
@@ -22,12 +22,12 @@
 }
 
 // AnswerShow answers a question that another member hands on to the leader.
-func (d *Door) AnswerShow(ctx context.Context, uri string) mesh.Response {
+func (d *Handler) AnswerShow(ctx context.Context, uri string) mesh.Response {
 	return d.asLeader(func(l *leader.Loop) (int, json.RawMessage) { return show(ctx, l, uri) })
 }
 
 // Do has the leader's subsystems carry out a command.
-func (d *Door) Do(ctx context.Context, c leader.Command) (status int, body json.RawMessage) {
+func (d *Handler) Do(ctx context.Context, c leader.Command) (status int, body json.RawMessage) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.CommandWait)
 	defer cancel()
 	raw, err := json.Marshal(c)
@@ -39,7 +39,7 @@
 }
 
 // AnswerDo carries out a command that another member hands on to the leader.
-func (d *Door) AnswerDo(ctx context.Context, payload []byte) mesh.Response {
+func (d *Handler) AnswerDo(ctx context.Context, payload []byte) mesh.Response {
 	var c leader.Command
 	if json.Unmarshal(payload, &c) != nil {
 		return notLeading()
@@ -49,7 +49,7 @@
 
 // ofLeader has the leader answer: this member, or the one that leads; none is what is said if
 // neither can.
-func (d *Door) ofLeader(ctx context.Context, req mesh.Request, none string, here func(*leader.Loop) (int, json.RawMessage)) (int, json.RawMessage) {
+func (d *Handler) ofLeader(ctx context.Context, req mesh.Request, none string, here func(*leader.Loop) (int, json.RawMessage)) (int, json.RawMessage) {
 	if l := d.leader(); l != nil {
 		return here(l)
 	}
@@ -62,7 +62,7 @@
 }
 
 // asLeader answers another member, if this one leads.
-func (d *Door) asLeader(here func(*leader.Loop) (int, json.RawMessage)) mesh.Response {
+func (d *Handler) asLeader(here func(*leader.Loop) (int, json.RawMessage)) mesh.Response {
 	l := d.leader()
 	if l == nil {
 		return notLeading()
@@ -106,7 +106,7 @@
 }
 
 // ServeWhy says what a job waits for.
-func (d *Door) ServeWhy(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) ServeWhy(w http.ResponseWriter, r *http.Request) {
 	if id := r.PathValue("id"); !wire.ValidJobID(id) {
 		httpjson.WriteRaw(w, http.StatusNotFound, problem("no such job"))
 		return
--- a/internal/users/submissions.go
+++ b/internal/users/submissions.go
@@ -17,7 +17,7 @@
 
 // ServeSubmit accepts a job: it is accepted once it is stored. Any member may
 // store it, so that accepting goes on while nobody leads.
-func (d *Door) ServeSubmit(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) ServeSubmit(w http.ResponseWriter, r *http.Request) {
 	body, err := httpjson.ReadBody(r, wire.MaxBody)
 	if err != nil {
 		httpjson.Fail(w, http.StatusBadRequest, httpjson.OneLine(err))
@@ -52,7 +52,7 @@
 // long, another one: the state service may refuse this member alone or not
 // answer it. Whoever is second finds the job stored. The first answer that
 // decides counts; without any it is our own.
-func (d *Door) accept(ctx context.Context, body []byte) submission {
+func (d *Handler) accept(ctx context.Context, body []byte) submission {
 	ownAnswer := make(chan submission, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, tuning.SubmitWait)
@@ -97,13 +97,13 @@
 func refused(status int, text string) submission { return submission{status: status, text: text} }
 
 // AnswerSubmission accepts a job that another member could not store.
-func (d *Door) AnswerSubmission(ctx context.Context, body []byte) mesh.Response {
+func (d *Handler) AnswerSubmission(ctx context.Context, body []byte) mesh.Response {
 	a := d.submit(ctx, body)
 	return mesh.Response{Status: a.status, Job: wire.JobStatus{State: a.job.State}, Payload: []byte(a.text)}
 }
 
 // submit accepts a job here, or says why it is not accepted.
-func (d *Door) submit(ctx context.Context, body []byte) submission {
+func (d *Handler) submit(ctx context.Context, body []byte) submission {
 	job, err := wire.ParseJob(body)
 	if err != nil {
 		return refused(http.StatusBadRequest, httpjson.OneLine(err))
@@ -158,7 +158,7 @@
 }
 
 // relaySubmission has another member accept a submission, the leader first.
-func (d *Door) relaySubmission(ctx context.Context, body []byte) submission {
+func (d *Handler) relaySubmission(ctx context.Context, body []byte) submission {
 	none := refused(http.StatusServiceUnavailable, "no other controller can store the job now; submit it again")
 	job, err := wire.ParseJob(body)
 	if err != nil {
@@ -182,7 +182,7 @@
 
 // Impossible says why a job can never run, or nothing; while the machine types are not
 // known, nothing is known against it.
-func (d *Door) Impossible(j *wire.Job) string {
+func (d *Handler) Impossible(j *wire.Job) string {
 	if types := d.types(); types != nil {
 		return d.impossible(j, types)
 	}
@@ -190,7 +190,7 @@
 }
 
 // impossible says why a job can never run, or nothing.
-func (d *Door) impossible(j *wire.Job, types []wire.MachineType) string {
+func (d *Handler) impossible(j *wire.Job, types []wire.MachineType) string {
 	team, ok := d.teams[j.Team]
 	if !ok {
 		return "the team is unknown"
--- a/internal/users/users.go
+++ b/internal/users/users.go
@@ -1,4 +1,4 @@
-// Package users is the door for users: submissions, polls and cancellations.
+// Package users is the HTTP handler for users: submissions, polls and cancellations.
 package users
 
 import (
@@ -20,8 +20,8 @@
 	"poppypass/internal/wire"
 )
 
-// Door answers users. It is safe for concurrent use.
-type Door struct {
+// Handler answers users. It is safe for concurrent use.
+type Handler struct {
 	settings *config.Settings
 	clock    clockwork.Clock
 	log      *slog.Logger
@@ -37,11 +37,11 @@
 	alone    func() bool // neither the state service nor any other member answers this one
 }
 
-// New makes the door. current gives the leader's loop while this member has
+// New makes the handler. current gives the leader's loop while this member has
 // the right to act, nil otherwise; alone tells that neither the state service nor any other member answers
 // this one; the rest is what that loop finds as well.
-func New(env *leader.Env, p *peers.Peers, current func() *leader.Loop, alone func() bool) *Door {
-	d := &Door{
+func New(env *leader.Env, p *peers.Peers, current func() *leader.Loop, alone func() bool) *Handler {
+	d := &Handler{
 		settings: env.Settings, clock: env.Clock, log: env.Log, store: env.Store, peers: p,
 		teams: env.Teams, finals: env.Finals, types: env.Types, leader: current, full: env.Full, accounts: env.Accounts, alone: alone,
 	}
@@ -53,7 +53,7 @@
 // knows the machine types. Whether the state service answers is not weighed by itself,
 // since in its outages all nodes would leave the balance for minutes; but one that no other member
 // answers either can serve nobody, and its users had better ask another.
-func (d *Door) ServeHealth(w http.ResponseWriter, _ *http.Request) {
+func (d *Handler) ServeHealth(w http.ResponseWriter, _ *http.Request) {
 	if d.alone() {
 		httpjson.Unavailable(w, "neither the state service nor any other controller answers")
 		return
@@ -66,7 +66,7 @@
 }
 
 // ServeGet answers a poll.
-func (d *Door) ServeGet(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) ServeGet(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	if !wire.ValidJobID(id) {
 		httpjson.Fail(w, http.StatusNotFound, "no such job")
@@ -90,7 +90,7 @@
 
 // leave answers a user of a member that can serve nobody at once, and closes the connection: through the load balancer the
 // user finds another, which an open connection keeps it from. Its polls otherwise failed here for as long as that lasts.
-func (d *Door) leave(w http.ResponseWriter) bool {
+func (d *Handler) leave(w http.ResponseWriter) bool {
 	if !d.alone() {
 		return false
 	}
@@ -102,7 +102,7 @@
 // status finds a job's state: 200, 404, or 503 when it cannot be told now. It
 // comes from a final state, from the leader's memory within its right, or
 // from a fresh read of the state service.
-func (d *Door) status(ctx context.Context, id string, read func(context.Context, string) (int, wire.JobStatus)) (int, wire.JobStatus) {
+func (d *Handler) status(ctx context.Context, id string, read func(context.Context, string) (int, wire.JobStatus)) (int, wire.JobStatus) {
 	if s, ok := d.known(ctx, id); ok {
 		return http.StatusOK, s
 	}
@@ -120,7 +120,7 @@
 
 // known gives a job's state if this member may tell it without reading: a final state, which never changes, before what the
 // leader's memory says within its right.
-func (d *Door) known(ctx context.Context, id string) (wire.JobStatus, bool) {
+func (d *Handler) known(ctx context.Context, id string) (wire.JobStatus, bool) {
 	if s, ok := d.finals.Get(id); ok {
 		return s, true
 	}
@@ -130,7 +130,7 @@
 	return wire.JobStatus{}, false
 }
 
-func (d *Door) learn(s wire.JobStatus) {
+func (d *Handler) learn(s wire.JobStatus) {
 	if s.State.Final() {
 		d.finals.Add(s)
 	}
@@ -139,7 +139,7 @@
 // storedStatus reads a job's state from the state service. The order matters:
 // a job's record is dropped in the transaction that stores its end, so a job
 // that has no record when it is read either ended before or was never accepted.
-func (d *Door) storedStatus(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
+func (d *Handler) storedStatus(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
 	item, live, err := store.Get(ctx, jobs.KeyJob(id))
 	if err != nil {
 		d.log.Debug("state unreadable", "job", id, "err", err)
@@ -152,7 +152,7 @@
 }
 
 // endStatus reads the final state of a job that had no record a moment before.
-func (d *Door) endStatus(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
+func (d *Handler) endStatus(ctx context.Context, id string, store *statestore.Client) (int, wire.JobStatus) {
 	s := wire.JobStatus{ID: id}
 	end, live, err := store.Get(ctx, jobs.KeyEnd(id))
 	if err != nil {
@@ -173,7 +173,7 @@
 }
 
 // ServeCancel cancels a job. Only the leader writes that.
-func (d *Door) ServeCancel(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) ServeCancel(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	if !wire.ValidJobID(id) {
 		httpjson.Fail(w, http.StatusNotFound, "no such job")
@@ -201,7 +201,7 @@
 }
 
 // cancel cancels a job if this member leads; the status is -1 if it does not.
-func (d *Door) cancel(ctx context.Context, id string) (int, wire.JobStatus) {
+func (d *Handler) cancel(ctx context.Context, id string) (int, wire.JobStatus) {
 	if s, ok := d.finals.Get(id); ok {
 		return http.StatusOK, s
 	}
@@ -227,7 +227,7 @@
 
 // AnswerPeer answers a query or a cancellation that another member hands on to
 // the leader.
-func (d *Door) AnswerPeer(ctx context.Context, req mesh.Request) mesh.Response {
+func (d *Handler) AnswerPeer(ctx context.Context, req mesh.Request) mesh.Response {
 	if !wire.ValidJobID(req.Job) || d.leader() == nil {
 		return mesh.Response{Status: http.StatusServiceUnavailable}
 	}
--- a/internal/users/users_test.go
+++ b/internal/users/users_test.go
@@ -25,8 +25,8 @@
 	"poppypass/internal/wire"
 )
 
-// doorWith makes a door of a member that does not lead, with a state service and other members.
-func doorWith(t *testing.T, state string, members ...config.Member) (*Door, *clockwork.FakeClock) {
+// handlerWith makes a handler of a member that does not lead, with a state service and other members.
+func handlerWith(t *testing.T, state string, members ...config.Member) (*Handler, *clockwork.FakeClock) {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	log := slog.New(slog.DiscardHandler)
@@ -72,7 +72,7 @@
 			}
 		}()
 	}
-	d, _ := doorWith(t, "127.0.0.1:1", members...)
+	d, _ := handlerWith(t, "127.0.0.1:1", members...)
 	if d.relaySubmission(ctx, body).decided() {
 		t.Error("an answer, though no member gave one")
 	}
@@ -98,7 +98,7 @@
 	go mesh.Serve(ctx, peer, func(_ context.Context, r mesh.Request) mesh.Response {
 		return mesh.Response{Status: http.StatusCreated, Job: wire.JobStatus{State: wire.StateQueued}}
 	}, slog.New(slog.DiscardHandler))
-	d, clock := doorWith(t, silent.Addr().String(), config.Member{Name: "m1", Endpoint: peer.Addr().String()})
+	d, clock := handlerWith(t, silent.Addr().String(), config.Member{Name: "m1", Endpoint: peer.Addr().String()})
 	done := make(chan int, 1)
 	go func() { done <- d.accept(ctx, body).status }()
 	if err := clock.BlockUntilContext(ctx, 1); err != nil {
@@ -115,7 +115,7 @@
 func TestWithoutMemoryASubmissionIsRefusedAtOnce(t *testing.T) {
 	state := standin.NewState(clockwork.NewFakeClock())
 	t.Cleanup(state.Close)
-	d, _ := doorWith(t, state.Addr())
+	d, _ := handlerWith(t, state.Addr())
 	full := true
 	d.full = func() bool { return full }
 	submit := func() *httptest.ResponseRecorder {
@@ -137,7 +137,7 @@
 func TestAMemberThatIsCutOffFromAllSendsItsUsersOn(t *testing.T) {
 	state := standin.NewState(clockwork.NewFakeClock())
 	t.Cleanup(state.Close)
-	d, _ := doorWith(t, state.Addr())
+	d, _ := handlerWith(t, state.Addr())
 	alone := true
 	d.alone = func() bool { return alone }
 	status := func(serve http.HandlerFunc, method, path string) *httptest.ResponseRecorder {
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -1,4 +1,4 @@
-// Package workers is the door for workers: it answers their reports, sends
+// Package workers is the HTTP handler for workers: it answers their reports, sends
 // them to the leader, or helps them when they have lost it.
 package workers
 
@@ -35,8 +35,8 @@
 	Alone() bool
 }
 
-// Door answers workers. It is safe for concurrent use.
-type Door struct {
+// Handler answers workers. It is safe for concurrent use.
+type Handler struct {
 	member    string
 	clock     clockwork.Clock
 	elector   *leadership.Elector
@@ -49,10 +49,10 @@
 	kept      *kept
 }
 
-// New makes the door of a member. current gives the leader's loop while this
+// New makes the handler of a member. current gives the leader's loop while this
 // member has the right to act, nil otherwise; show asks a worker for its report.
-func New(member string, w config.Workers, clock clockwork.Clock, e *leadership.Elector, p *peers.Peers, k Keeper, z ZoneKeeper, current func() *leader.Loop, show Show) *Door {
-	return &Door{
+func New(member string, w config.Workers, clock clockwork.Clock, e *leadership.Elector, p *peers.Peers, k Keeper, z ZoneKeeper, current func() *leader.Loop, show Show) *Handler {
+	return &Handler{
 		member: member, clock: clock, elector: e, peers: p, keeper: k, zone: z, leader: current, redirects: newRedirects(), wanted: wanted{patience: patience(w)},
 		kept: newKept(time.Duration(w.LeaseS*float64(time.Second)), show),
 	}
@@ -61,7 +61,7 @@
 // ServeReport takes a worker's report. A leader within its right answers it.
 // A follower names the leader; a worker that has evidently lost the leader, or
 // comes while the leader does not answer us either, is helped instead.
-func (d *Door) ServeReport(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) ServeReport(w http.ResponseWriter, r *http.Request) {
 	body, err := httpjson.ReadBody(r, tuning.MaxReport)
 	if err != nil {
 		httpjson.Fail(w, http.StatusBadRequest, httpjson.OneLine(err))
@@ -110,7 +110,7 @@
 
 // answerReport has the leader's loop answer a report; ok is false when this
 // member may not answer it.
-func (d *Door) answerReport(ctx context.Context, rep *wire.Report) (wire.ReportAnswer, bool) {
+func (d *Handler) answerReport(ctx context.Context, rep *wire.Report) (wire.ReportAnswer, bool) {
 	l := d.leader()
 	if l == nil {
 		return wire.ReportAnswer{}, false
@@ -130,7 +130,7 @@
 // help answers a worker that cannot reach the leader: by asking the leader
 // through the mesh, or, when that cannot be reached from here either, by
 // keeping the worker's lease without any commands. leads is false if the one that is named said that it does not lead.
-func (d *Door) help(ctx context.Context, body []byte, rep *wire.Report, lead string) (a wire.ReportAnswer, ok, leads bool) {
+func (d *Handler) help(ctx context.Context, body []byte, rep *wire.Report, lead string) (a wire.ReportAnswer, ok, leads bool) {
 	if !d.peers.Known(lead) {
 		return a, false, true
 	}
@@ -167,7 +167,7 @@
 // the leader is out of reach, or between two leaders. The answer bears the
 // worker's own token: it claims no right that the worker does not know. A
 // worker without tasks has nothing to lose.
-func (d *Door) keep(ctx context.Context, rep *wire.Report) (a wire.ReportAnswer, ok bool) {
+func (d *Handler) keep(ctx context.Context, rep *wire.Report) (a wire.ReportAnswer, ok bool) {
 	if rep.Token == 0 || len(rep.Tasks) == 0 || d.wanted.soon(d.clock.Now()) {
 		return a, false
 	}
@@ -257,7 +257,7 @@
 
 // AnswerPeer answers a report that a follower hands on: with 421 if this member does not lead, 503 if the leader does not
 // answer that report.
-func (d *Door) AnswerPeer(ctx context.Context, body []byte) mesh.Response {
+func (d *Handler) AnswerPeer(ctx context.Context, body []byte) mesh.Response {
 	var rep wire.Report
 	if json.Unmarshal(body, &rep) != nil || rep.Check() != nil {
 		return mesh.Response{Status: http.StatusBadRequest}
