--- a/internal/leader/errors_test.go
+++ b/internal/leader/errors_test.go
@@ -159,8 +159,11 @@
 func TestWhenAMachineHasRoom(t *testing.T) {
 	l, clock := leaderWith(t)
 	m := l.roster.Machines["n-large"]
-	whole := placement.Room{CPUs: 64}
-	free := func() float64 { return freeTime(m, l.env.typeOf(m.Type), clock.Now())(whole) }
+	free := func() float64 {
+		lacks := placement.Room{CPUs: 64}
+		lacks.Sub(freeOn(m, l.env.typeOf(m.Type)), 1)
+		return freeTime(m, clock.Now())(lacks)
+	}
 	if s := free(); s != 0 {
 		t.Errorf("an empty machine has room in %v s", s)
 	}
--- a/internal/leader/place.go
+++ b/internal/leader/place.go
@@ -208,7 +208,7 @@
 			continue
 		}
 		v := viewOf(m, t)
-		v.FreeS = freeTime(m, t, now)
+		v.FreeS = freeTime(m, now)
 		out = append(out, &v)
 	}
 	return out
@@ -252,44 +252,44 @@
 	return placement.Room{CPUs: t.CPUs - used.CPUs, GPUs: t.GPUs - used.GPUs, MemoryGB: t.MemoryGB - used.MemoryGB}
 }
 
-// freeTime estimates how long it takes until what ends by itself on a machine, or was told to, leaves some room.
-func freeTime(m *roster.Machine, t *wire.MachineType, now time.Time) func(need placement.Room) float64 {
+// freeTime estimates how long it takes until what ends by itself on a machine, or was told to, leaves so much more room. The machine's
+// tasks are put in order once, when it is first asked for: most machines never are.
+func freeTime(m *roster.Machine, now time.Time) func(lacks placement.Room) float64 {
 	type end struct {
 		s    float64
-		room placement.Room
+		left placement.Room // that it and those before leave
 	}
-	return func(need placement.Room) float64 {
-		free := freeOn(m, t)
-		ends := make([]end, 0, len(m.Places))
-		for _, p := range m.Places {
-			e := end{room: placement.Room{CPUs: p.Job.CPUs, GPUs: p.Job.GPUs, MemoryGB: p.Job.MemoryGB}}
-			switch {
-			case p.Stop != nil:
-				e.s = p.Stop.GraceS
-			case p.Job.Kind == wire.KindService:
-				continue
-			default:
-				e.s, _ = p.Job.RunS()
-				if !p.Running.IsZero() {
-					ran := now.Sub(p.Running).Seconds()
-					e.s = max(e.s-ran, ran/4) // one that takes longer than expected goes on for a while
+	var ends []end
+	return func(lacks placement.Room) float64 {
+		if ends == nil {
+			ends = append(make([]end, 0, len(m.Places)+1), end{}) // nothing has ended yet
+			for _, p := range m.Places {
+				e := end{left: placement.Room{CPUs: p.Job.CPUs, GPUs: p.Job.GPUs, MemoryGB: p.Job.MemoryGB}}
+				switch {
+				case p.Stop != nil:
+					e.s = p.Stop.GraceS
+				case p.Job.Kind == wire.KindService:
+					continue
+				default:
+					e.s, _ = p.Job.RunS()
+					if !p.Running.IsZero() {
+						ran := now.Sub(p.Running).Seconds()
+						e.s = max(e.s-ran, ran/4) // one that takes longer than expected goes on for a while
+					}
 				}
+				ends = append(ends, e)
+			}
+			slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.s, b.s) })
+			for i := range ends[1:] {
+				ends[i+1].left.Sub(ends[i].left, -1)
 			}
-			ends = append(ends, e)
 		}
-		slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.s, b.s) })
-		after := 0.0
 		for _, e := range ends {
-			if free.Holds(need) {
-				break
+			if e.left.Holds(lacks) {
+				return e.s
 			}
-			free.Sub(e.room, -1)
-			after = e.s
-		}
-		if !free.Holds(need) {
-			return math.Inf(1)
 		}
-		return after
+		return math.Inf(1)
 	}
 }
 
--- a/internal/placement/overdue_test.go
+++ b/internal/placement/overdue_test.go
@@ -64,7 +64,10 @@
 	q.items = waiting
 	for _, m := range q.machines {
 		m.held = ""
-		m.FreeS = func(need Room) float64 { return q.freeS(m, need) }
+		m.FreeS = func(lacks Room) float64 {
+			lacks.Sub(m.Free, -1)
+			return q.freeS(m, lacks)
+		}
 	}
 	for _, t := range q.limits {
 		t.keeps = ""
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -38,7 +38,7 @@
 	Price            float64 // an hour, of the whole machine
 	Total, Free      Room
 	FetchS           func(image string, gb float64) float64 // until it would have the image; nil: no time
-	FreeS            func(need Room) float64                // until what ends by itself leaves that much, in seconds; infinite: it never does; nil: not known
+	FreeS            func(lacks Room) float64               // until what ends by itself leaves so much more, in seconds; infinite: it never does; nil: not known
 	Victims          []Victim                               // tasks on it that may be stopped for others
 	Unproven         bool                                   // nothing has proved yet that it hears this leader
 	held             string                                 // the job that holds it against those behind
@@ -451,7 +451,9 @@
 		}
 		s := 0.0
 		if m.FreeS != nil {
-			s = m.FreeS(need)
+			lacks := need
+			lacks.Sub(m.Free, 1)
+			s = m.FreeS(lacks)
 		}
 		if math.IsInf(s, 1) || best != nil && (s > soonest || s == soonest && m.Free.CPUs <= best.Free.CPUs) {
 			continue
