A job that the listing tells before the watch is not missing

Replayed with the watch's answers logged: the listing had overtaken the watch by a fraction of a second, nothing was lost. Such jobs are taken in and not counted as errors any more; TestStoredJobsThatTheBookLacksAreFound is red without it.

--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -39,6 +39,7 @@
 	images  imageHints
 	begun   time.Time
 	arrived int           // jobs that came in this tenure
+	watched uint64        // the revision up to which new jobs are in
 	loaded  bool          // all stored records are in: before, nothing is placed or concluded
 	writing bool          // a transaction is on its way
 	doubt   atomic.Bool   // that transaction may be carried out already
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -29,15 +29,24 @@
 }
 
 // compareJobs takes in stored jobs that the book lacks. One that ended since they were read is over by what is known of
-// final states.
+// final states. Those that came behind what the watch has told are not missing: with a slow state service the listing
+// overtakes it, and operators were told of an error.
 func (l *Loop) compareJobs(items []wire.Item) {
-	var missing []wire.Item
+	var missing, early []wire.Item
 	for _, item := range items {
 		id := item.Key[len(jobs.PrefixJob):]
-		if _, over := l.env.Finals.Get(id); !over && l.book.Jobs[id] == nil {
+		_, over := l.env.Finals.Get(id)
+		switch {
+		case over || l.book.Jobs[id] != nil:
+		case item.Version > l.watched:
+			early = append(early, item)
+		default:
 			missing = append(missing, item)
 		}
 	}
+	if len(early) > 0 {
+		l.takeJobs(early)
+	}
 	if len(missing) == 0 {
 		return
 	}
--- a/internal/leader/reconcile_test.go
+++ b/internal/leader/reconcile_test.go
@@ -22,14 +22,37 @@
 		}
 		return wire.Item{Key: jobs.KeyJob(id), Value: value, Version: 3}
 	}
+	l.watched = 3
+	counted := &countsFound{}
+	l.env.Observer = counted
 	l.env.Finals.Add(wire.JobStatus{ID: "job-3", State: wire.StateDone}) // it ended after it was read
 	l.changed = false
 	l.compareJobs([]wire.Item{item("job-1"), item("job-2"), item("job-3"), {Key: jobs.KeyJob("job-4"), Value: []byte("{")}})
 	if l.book.Jobs["job-2"] == nil || l.book.Jobs["job-3"] != nil || l.book.Jobs["job-1"] != known || !l.changed {
 		t.Errorf("known: %v, changed %v", len(l.book.Jobs), l.changed)
 	}
+	if counted.found != 1 {
+		t.Errorf("%d are counted as missing", counted.found)
+	}
+	// The listing overtakes the watch: the job is taken in, and was not missing.
+	early := item("job-5")
+	early.Version = l.watched + 1
+	l.compareJobs([]wire.Item{early})
+	if l.book.Jobs["job-5"] == nil || counted.found != 1 {
+		t.Errorf("%d are counted as missing, with one that the watch has yet to tell", counted.found)
+	}
+}
+
+// countsFound counts stored jobs that were missing.
+type countsFound struct {
+	Observer
+	found int
 }
 
+func (c *countsFound) Found(n int) { c.found += n }
+
+func (c *countsFound) Came(string, string, string) {}
+
 // Operators see who is served: the largest tenth of a class beside the others, and for how long the oldest waits to begin.
 func TestTheLargestOfAClassAreTold(t *testing.T) {
 	l, clock := leaderWith(t)
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -49,7 +49,8 @@
 	if len(l.slices) > 0 && !read(jobs.PrefixLeft, func(items []wire.Item) { lefts = append(lefts, items...) }) {
 		return
 	}
-	l.post(func() { l.takeProgress(progress, lefts) })
+	listed := revision
+	l.post(func() { l.takeProgress(progress, lefts); l.watched = listed })
 	l.loadImages(ctx)
 	go l.reconcile(ctx)
 	for ctx.Err() == nil {
@@ -70,8 +71,8 @@
 				items = append(items, wire.Item{Key: e.Put, Value: e.Value, Version: e.Version})
 			}
 		}
-		if len(items) > 0 {
-			l.post(func() { l.takeJobs(items) })
+		if told := revision; len(items) > 0 {
+			l.post(func() { l.takeJobs(items); l.watched = told })
 		}
 	}
 }
--- a/internal/placement/overdue_test.go
+++ b/internal/placement/overdue_test.go
@@ -99,13 +99,16 @@
 // freeS is when a machine has room, by the tasks that run there; replicas stay.
 func (q *queue) freeS(m *Machine, need Room) float64 {
 	free := m.Free
-	running := slices.SortedFunc(slices.Values(q.running), func(a, b ending) int { return a.at.Compare(b.at) })
-	for _, e := range running {
-		if free.Holds(need) {
-			return 0
+	var there []ending
+	for _, e := range q.running {
+		if e.m == m {
+			there = append(there, e)
 		}
-		if e.m != m {
-			continue
+	}
+	slices.SortFunc(there, func(a, b ending) int { return a.at.Compare(b.at) })
+	for _, e := range there {
+		if free.Holds(need) {
+			break
 		}
 		if free.Sub(e.need, -1); free.Holds(need) {
 			return e.at.Sub(q.now).Seconds()
