--- a/internal/lab/meetings/later_test.go
+++ b/internal/lab/meetings/later_test.go
@@ -104,10 +104,42 @@
 			w.nodes[w.r.IntN(len(w.nodes))].back = w.now().Add(w.seconds(0, 1))
 			w.pass(w.seconds(2, 12))
 		}
+		w.formerLeaderInAnOutage("job-5")
+		w.formerLeaderInAnOutage("job-7")
 		w.recovers()
 	})
 }
 
+// formerLeaderInAnOutage has a leader be cut off, another confirm a cancellation and end, and an outage begin as the first is
+// back: it must not act again, for it remembers the job as running.
+func (w *world) formerLeaderInAnOutage(id string) {
+	w.t.Helper()
+	w.until("services run", 3*time.Minute, w.locked(func() bool { return w.running(id) > 0 || w.byID[id].history.level == ended }))
+	first := w.leads()
+	w.pass(5 * time.Second)
+	if first != w.leader() {
+		first = w.leads()
+	}
+	first.endpoint.Refuse(true)
+	first.apart(true)
+	w.until("another leads", time.Minute, func() bool { n := w.leader(); return n != nil && n != first })
+	w.cancels(id)
+	w.until("its cancellation is confirmed", time.Minute+seconds(w.site.lease), w.locked(func() bool { return w.byID[id].history.level == ended }))
+	w.say("the state service is down, and %s can be reached again", first.name)
+	w.state.Refuse(true)
+	first.apart(false)
+	w.leaves(w.leaderOrAny(), 8, 10)
+	for range 40 { // users ask everywhere
+		w.mu.Lock()
+		w.closeLooks(w.byID[id])
+		w.mu.Unlock()
+		w.step()
+	}
+	w.state.Refuse(false)
+	first.endpoint.Refuse(false)
+	w.pass(10 * time.Second)
+}
+
 // Guards against tasks in a wrong place: jobs that are bound to one zone, arrays whose tasks must be in the same zone or apart, and
 // those of one type of machine lose machines, as leaders change.
 func TestBoundJobsLoseMachines(t *testing.T) {
--- a/internal/leader/errors_test.go
+++ b/internal/leader/errors_test.go
@@ -184,3 +184,27 @@
 		t.Errorf("room in %v s for one that was told to stop", s)
 	}
 }
+
+// Guards against pauses between passes that grow for ever: what only time makes possible, such as the end of a job's pause after
+// failures, is found within the longest pause.
+func TestPassesGoOn(t *testing.T) {
+	l, clock := leaderWith(t)
+	j := l.waits(t, wire.Job{ID: "job-1", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 1, CPUs: 1})
+	begun := clock.Now()
+	blocked := l.waits(t, wire.Job{ID: "job-2", Team: "t", Kind: wire.KindArray, Priority: wire.PriorityNormal, Tasks: 1, CPUs: 99}) // fits nowhere
+	for j.PauseUntil = begun.Add(40 * time.Second); j.Placed == 0; clock.Advance(250 * time.Millisecond) {
+		now := clock.Now()
+		for _, m := range l.roster.Machines { // it reports all the while
+			m.Heard, m.LeaseEnd = now, now.Add(10*time.Second)
+		}
+		if l.changed || !now.Before(l.nextPass) {
+			l.pass(now)
+		}
+		if waited := now.Sub(j.PauseUntil); waited > tuning.PassWaitMax+time.Second {
+			t.Fatalf("waits for %v since it may be placed", waited)
+		}
+	}
+	if blocked.Placed > 0 {
+		t.Error("a task is placed that fits nowhere")
+	}
+}
