An error that a controller logs counts in the world of meetings

The bound on changes of leaders was near what a starved machine may bring (five, with the fault six to nine). A leader that does not know its own write logs that it gives up: that counts in every world now, and the bound is gone. Red without the recognition of our own write.

--- a/internal/lab/meetings/letter_test.go
+++ b/internal/lab/meetings/letter_test.go
@@ -140,10 +140,6 @@
 			if lost == 0 && prefix != "keep/" && prefix != "fence/" {
 				t.Error("no transaction was in doubt")
 			}
-			// The leader ends once, is refused once, and may be the one that is cut off; elections without an answer come on top.
-			if most := uint64(5); w.term > most && strings.HasSuffix(prefix, "/") && prefix != "lead/" {
-				t.Errorf("%d leaders: one that does not know its own write gives up", w.term)
-			}
 			w.recovers()
 		})
 	}
--- a/internal/lab/meetings/world_test.go
+++ b/internal/lab/meetings/world_test.go
@@ -235,7 +235,7 @@
 	if err != nil {
 		n.w.t.Fatal(err)
 	}
-	if n.c, err = controller.New(s, config.Watch("", nil, own), n.w.clock, slog.New(slog.DiscardHandler)); err != nil {
+	if n.c, err = controller.New(s, config.Watch("", nil, own), n.w.clock, slog.New(&errorLog{w: n.w, name: n.name})); err != nil {
 		n.w.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -249,6 +249,29 @@
 	}
 }
 
+// errorLog is a controller's log, of which errors count: whatever is in doubt, late or lost, a leader whose records nobody else
+// wrote must never find them changed and give up.
+type errorLog struct {
+	slog.Handler
+	w    *world
+	name string
+}
+
+func (l *errorLog) Enabled(_ context.Context, level slog.Level) bool { return level >= slog.LevelError }
+
+func (l *errorLog) WithAttrs([]slog.Attr) slog.Handler { return l }
+
+func (l *errorLog) WithGroup(string) slog.Handler { return l }
+
+func (l *errorLog) Handle(_ context.Context, r slog.Record) error {
+	text := r.Message
+	r.Attrs(func(a slog.Attr) bool { text += fmt.Sprintf(" %s=%v", a.Key, a.Value); return true })
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	l.w.breaks("error: %s logs %s", l.name, text)
+	return nil
+}
+
 // end kills it.
 func (n *node) end() {
 	if n.stop != nil {
