A watch that stands still is told: jobs older than it waits count as missing

Jobs behind the watch's revision were taken in silently since the last change, however old: a stalled watch would have shown nowhere.

--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -29,30 +29,33 @@
 }
 
 // compareJobs takes in stored jobs that the book lacks. One that ended since they were read is over by what is known of
-// final states. Those that came behind what the watch has told are not missing: with a slow state service the listing
-// overtakes it, and operators were told of an error.
+// final states. One that came behind what the watch has told, and not long ago, is not missing: with a slow state service the
+// listing overtakes the watch, and operators were told of an error. A watch that stands still is one.
 func (l *Loop) compareJobs(items []wire.Item) {
-	var missing, early []wire.Item
+	now := l.env.Clock.Now()
+	var lacked []wire.Item
 	for _, item := range items {
 		id := item.Key[len(jobs.PrefixJob):]
-		_, over := l.env.Finals.Get(id)
-		switch {
-		case over || l.book.Jobs[id] != nil:
-		case item.Version > l.watched:
-			early = append(early, item)
-		default:
-			missing = append(missing, item)
+		if _, over := l.env.Finals.Get(id); !over && l.book.Jobs[id] == nil {
+			lacked = append(lacked, item)
 		}
 	}
-	if len(early) > 0 {
-		l.takeJobs(early)
+	if len(lacked) == 0 {
+		return
+	}
+	l.takeJobs(lacked)
+	found, unreadable := 0, 0
+	for _, item := range lacked {
+		switch j := l.book.Jobs[item.Key[len(jobs.PrefixJob):]]; {
+		case j == nil:
+			unreadable++
+		case item.Version <= l.watched || now.Sub(j.Entered) > tuning.JobWatch:
+			found++
+		}
 	}
-	if len(missing) == 0 {
+	if found+unreadable == 0 {
 		return
 	}
-	before := len(l.book.Jobs)
-	l.takeJobs(missing)
-	found := len(l.book.Jobs) - before
 	l.env.observe(func(o Observer) { o.Found(found) })
-	l.log.Error("stored jobs were missing here", "found", found, "unreadable", len(missing)-found)
+	l.log.Error("stored jobs were missing here", "found", found, "unreadable", unreadable)
 }
--- a/internal/leader/reconcile_test.go
+++ b/internal/leader/reconcile_test.go
@@ -41,6 +41,14 @@
 	if l.book.Jobs["job-5"] == nil || counted.found != 1 {
 		t.Errorf("%d are counted as missing, with one that the watch has yet to tell", counted.found)
 	}
+	// One that the watch should have told long ago was missing.
+	late := item("job-6")
+	late.Version = l.watched + 2
+	clock.Advance(tuning.JobWatch + time.Second)
+	l.compareJobs([]wire.Item{late})
+	if l.book.Jobs["job-6"] == nil || counted.found != 2 {
+		t.Errorf("%d are counted as missing, with one that the watch never told", counted.found)
+	}
 }
 
 // countsFound counts stored jobs that were missing.
