--- a/internal/lab/meetings/users_test.go
+++ b/internal/lab/meetings/users_test.go
@@ -320,16 +320,8 @@
 		if over {
 			j.next = now.Add(w.seconds(15, 25))
 		}
-		var ctx context.Context
-		ctx, j.polling = context.WithCancel(w.t.Context())
 		j.polled = w.moment()
-		w.asking.Go(func() {
-			w.send(ctx, j, n, poll)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			j.polling()
-			j.polling = nil
-		})
+		w.goes(j, n, poll, &j.polling)
 	}
 	if j.asking != nil || now.Before(j.cancelAt) || j.accepted && (!j.asked || over) {
 		return
@@ -339,15 +331,20 @@
 		what = submission
 	}
 	j.cancelAt = now.Add(time.Second)
-	var ctx context.Context
-	ctx, j.asking = context.WithCancel(w.t.Context())
 	j.sent = w.moment()
+	w.goes(j, n, what, &j.asking)
+}
+
+// goes sends a request while the world goes on; giveUp ends it, and is nil again once it is over. The lock is held.
+func (w *world) goes(j *job, n *node, what request, giveUp *context.CancelFunc) {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	*giveUp = cancel
 	w.asking.Go(func() {
+		defer cancel()
 		w.send(ctx, j, n, what)
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		j.asking()
-		j.asking = nil
+		*giveUp = nil
 	})
 }
 
@@ -480,11 +477,9 @@
 func (w *world) begins(k *worker, t *wire.TaskReport) {
 	w.starts++
 	w.note("%s attempt %d begins on %s", t.Task, t.Attempt, k.rep.Machine)
-	for _, o := range w.workers {
-		for _, u := range o.rep.Tasks {
-			if o != k && u.Task == t.Task && present(u.State) && !o.over() {
-				w.breaks("ran_twice: %s begins on %s while it is on %s", t.Task, k.rep.Machine, o.rep.Machine)
-			}
+	for o, u := range w.onMachines(false) {
+		if o != k && u.Task == t.Task {
+			w.breaks("ran_twice: %s begins on %s while it is on %s", t.Task, k.rep.Machine, o.rep.Machine)
 		}
 	}
 	j := w.jobOf(t.Task)
@@ -545,17 +540,13 @@
 // The lock is held.
 func (w *world) room(j *job) (machine string) {
 	placed := len(j.completed)
-	for _, k := range w.workers {
-		for _, t := range k.rep.Tasks {
-			if k.holds() && standin.JobOf(t.Task) == j.id && t.State != wire.TaskExited {
-				placed++
-			}
-		}
+	others := w.siblings(j, "", true)
+	for _, n := range others {
+		placed += n
 	}
 	if j.asked || placed >= j.tasks || w.use(j.team, true)+j.cpus > teamLimits[j.team] {
 		return ""
 	}
-	others := w.siblings(j, "", true)
 	for _, k := range w.workers {
 		if !k.holds() || k.impaired() || j.fits(k, others) != "" {
 			continue
--- a/internal/lab/meetings/world_test.go
+++ b/internal/lab/meetings/world_test.go
@@ -197,6 +197,11 @@
 	}
 	t.Cleanup(func() {
 		w.asking.Wait()
+		w.mu.Lock()
+		if w.broken != "" && !t.Failed() { // since the last step
+			t.Errorf("%s\n%s", w.broken, w.trace.String())
+		}
+		w.mu.Unlock()
 		for _, n := range w.nodes {
 			n.end()
 		}
@@ -481,6 +486,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calm = w.moment()
+	for _, n := range w.nodes {
+		if n.stop == nil && n.back.After(w.calm.at) {
+			w.calm.at = n.back
+		}
+	}
 	for _, k := range w.workers { // what is wrong with machines ends by itself
 		for _, until := range []time.Time{k.hangs, k.deaf, k.lost, k.mute} {
 			if until.After(w.calm.at) {
