Refused alone, then down for all: replicas come before the array that would take every machine

Cause: TestRefusedAloneThenDownForAll waits until four replicas run, three of them apart. Which job the leader hears of first is left to chance; where it was the array of 300 tasks, all 14 machines that the cloud has were rented in one zone, and the third replica waited for longer than the test does, with no room for it anywhere.

Change: the replicas come first and all of them have to run; then the arrays, of which at least 12 and one task have to run before the trouble begins. Before, nothing was asked of the arrays: the check is stricter.

--- a/internal/lab/meetings/meetings_test.go
+++ b/internal/lab/meetings/meetings_test.go
@@ -23,11 +23,18 @@
 			t.Parallel()
 			w := newWorld(t, s, 1+*shift)
 			w.until("a leader", time.Minute, func() bool { return w.leader() != nil })
-			for i := range 4 {
-				w.submits(fmt.Sprintf("job-%d", i), spec{kind: []string{"array", "service"}[i%2], tasks: []int{6, 3, 300, 1}[i], stub: float64(40 * (i / 2)), apart: i == 1})
+			submits := func(numbers ...int) {
+				for _, i := range numbers {
+					w.submits(fmt.Sprintf("job-%d", i), spec{kind: []string{"array", "service"}[i%2], tasks: []int{6, 3, 300, 1}[i], stub: float64(40 * (i / 2)), apart: i == 1})
+				}
 			}
+			// Those that stay come first: if the leader hears of the 300 tasks before them, all machines may be rented in one zone, and
+			// replicas that must be apart wait until the array is done, as they should.
+			submits(1, 3)
+			w.until("every replica runs", 5*time.Minute, w.locked(func() bool { return w.running("job-1")+w.running("job-3") > 3 }))
+			submits(0, 2)
+			w.until("tasks of both arrays run", 5*time.Minute, w.locked(func() bool { return w.running("job-0") > 0 && w.running("job-2") >= 12 }))
 			for round, now := range []float64{1.2, 1.5} {
-				w.until("tasks run", 5*time.Minute, w.locked(func() bool { return w.running("job-1")+w.running("job-3") > 3 || round > 0 }))
 				old := w.leader()
 				if old == nil {
 					w.until("a leader again", time.Minute, func() bool { old = w.leader(); return old != nil })
