--- a/internal/lab/meetings/later_test.go
+++ b/internal/lab/meetings/later_test.go
@@ -392,3 +392,102 @@
 		w.recovers()
 	})
 }
+
+// Guards against commands of a leader that has since ended, been deposed, or still leads, and that arrive after newer ones: a start
+// whose job is cancelled meanwhile, or whose task ran elsewhere. Half of the direct commands are held up, unanswered, and carried out once, up
+// to 16 s later or as the next leader acts. Teams are at their limits, so that the room of a task that is taken for gone is used at once.
+func TestCommandsOfFormerLeadersComeLate(t *testing.T) {
+	plays(t, 23, func(w *world) {
+		w.holdsUp(50)
+		n := 0
+		fill := w.submitter(func(i int) spec {
+			n = i + 1
+			return spec{team: []string{"small", "tight", "t"}[i%3], tasks: 1 + i%4, kind: []string{"array", "service", "array"}[i/3%3], runS: w.seconds(2, 20).Seconds()}
+		})
+		for round := range 16 {
+			fill(6)
+			w.pass(w.seconds(0.3, 3))
+			switch round % 4 {
+			case 0:
+				w.loses()
+			case 1:
+				refused(w, w.leads())
+			case 2:
+				lead := w.leads()
+				w.lasts(w.seconds(4, 15), func() { lead.standsStill(true) }, func() { lead.standsStill(false) })
+			}
+			for range 3 { // mostly jobs whose starts are on their way
+				w.cancels(fmt.Sprintf("job-%d", n-1-w.r.IntN(6)))
+			}
+			if round%5 == 4 {
+				w.impair(w.some(), []int{hung, lost, deaf}[round%3], w.leases(0.3, 1.2))
+			}
+			w.pass(w.seconds(1, 10))
+		}
+		for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
+			w.cancels(id)
+		}
+		w.holdsUp(0)
+		w.recovers()
+	})
+}
+
+// Guards against what a controller had looked at before it stood still, and uses after: its right, who answered, promises, a vacant
+// leader key. Leaders and others stand still, in the middle of cancellations, elections and an outage, and go on together.
+func TestControllersStandStill(t *testing.T) {
+	plays(t, 24, func(w *world) {
+		w.looksClosely(true)
+		for i := range 12 {
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 1 + i%3, kind: []string{"array", "service"}[i%2], team: []string{"t", "tight", "small"}[i%3], apart: i%4 == 3})
+		}
+		w.runsSome(8)
+		for round := range 9 {
+			lead := w.leads()
+			w.lasts(w.seconds(2, 30), func() { lead.standsStill(true) }, func() { lead.standsStill(false) })
+			w.cancels(fmt.Sprintf("job-%d", round))
+			w.submits(fmt.Sprintf("job-%d", 12+round), spec{tasks: 2, runS: w.seconds(3, 20).Seconds()})
+			w.pass(w.seconds(0.2, 6))
+			switch round % 3 {
+			case 1: // the next one too, perhaps as it is elected
+				n := w.nodes[w.r.IntN(len(w.nodes))]
+				w.lasts(w.seconds(1, 10), func() { n.standsStill(true) }, func() { n.standsStill(false) })
+			case 2:
+				w.lasts(w.leases(0.3, 1.5), func() { w.state.Refuse(true) }, func() { w.state.Refuse(false) })
+			}
+			if round%4 == 2 { // all at once
+				for _, n := range w.nodes {
+					w.lasts(w.leases(0.2, 1.3), func() { n.standsStill(true) }, func() { n.standsStill(false) })
+				}
+			}
+			w.pass(w.seconds(3, 20))
+		}
+		w.recovers()
+	})
+}
+
+// Guards against what is concluded from requests without an answer that are no transactions: a renewal or the end of a lease that is carried out late or
+// unknown to its caller, a read that fails, while leaders change and users cancel.
+func TestRequestsToTheStateServiceAreInDoubt(t *testing.T) {
+	plays(t, 25, func(w *world) {
+		w.looksClosely(true)
+		for i := range 24 {
+			if i%6 == 0 {
+				requestsLost(w, nil)
+			}
+			w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 1 + i%3, kind: []string{"array", "array", "service"}[i%3], runS: w.seconds(2, 20).Seconds()})
+			w.pass(w.seconds(1, 4))
+			w.cancels(fmt.Sprintf("job-%d", w.r.IntN(i+1)))
+			switch i % 6 {
+			case 1:
+				w.leaves(w.leaderOrAny(), 0.2, 3)
+			case 3:
+				refused(w, w.leaderOrAny())
+			case 5:
+				n := w.leaderOrAny()
+				w.lasts(w.seconds(3, 12), func() { n.standsStill(true) }, func() { n.standsStill(false) })
+			}
+			w.pass(w.seconds(1, 6))
+		}
+		w.recovers()
+	})
+}
--- a/internal/lab/meetings/troubles_test.go
+++ b/internal/lab/meetings/troubles_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
+	"poppypass/internal/standin"
 	"poppypass/internal/wire"
 )
 
@@ -55,6 +57,7 @@
 	{"refused", refused}, {"refused", refused}, {"outage", outage}, {"ends", ends}, {"ends", ends}, {"apart", apart}, {"apart", apart},
 	{"late transactions", lateTransactions}, {"answers lost", answersLost}, {"copies", copies}, {"copies for the next leader", copiesForNext},
 	{"machines", machines}, {"machines", machines}, {"machines", machines}, {"alone with workers", aloneWithWorkers}, {"called off", calledOff},
+	{"late commands", lateCommandsCome}, {"late commands", lateCommandsCome}, {"stands still", standsStill}, {"stands still", standsStill}, {"requests lost", requestsLost},
 	{"all away", allAway}, {"leaders in a row", leadersInARow}, {"slow", slowAnswers}, {"cloud", cloudTroubles}, {"links", slowLinks}, {"links", slowLinks}, {"zone", zoneCut},
 }
 
@@ -119,6 +122,46 @@
 	w.lasts(w.seconds(5, 60), func() { w.forNext = 30 }, func() { w.forNext = 0 })
 }
 
+// lateCommandsCome has direct commands be held up, unanswered, and be carried out seconds later.
+func lateCommandsCome(w *world, _ *node) {
+	w.say("direct commands come late")
+	w.lasts(w.seconds(5, 90), func() { w.holdsUp(20 + w.r.IntN(60)) }, func() { w.holdsUp(0) })
+}
+
+// holdsUp has that many of a hundred direct commands come late.
+func (w *world) holdsUp(percent int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.late = percent
+}
+
+// standsStill has a controller stand still for up to half a minute.
+func standsStill(w *world, n *node) {
+	if n.stop == nil {
+		return
+	}
+	w.say("%s stands still", n.name)
+	w.lasts(w.seconds(1, 30), func() { n.standsStill(true) }, func() { w.say("%s goes on", n.name); n.standsStill(false) })
+}
+
+// requestsLost has what is asked of leases, and reads, go without an answer; some of the former are carried out late.
+func requestsLost(w *world, _ *node) {
+	w.say("requests are lost or late")
+	w.lasts(w.seconds(5, 40), func() {
+		w.state.Lose(func(r *http.Request) standin.Fate {
+			switch rand.IntN(6) {
+			case 0:
+				return standin.Unanswered
+			case 1:
+				if r.Method != http.MethodGet {
+					return standin.Delayed
+				}
+			}
+			return standin.Answered
+		})
+	}, func() { w.state.Lose(nil) })
+}
+
 func machines(w *world, _ *node) {
 	w.impair(w.some(), w.r.IntN(4), w.seconds(1, 1.4*w.site.lease))
 }
--- a/internal/lab/meetings/workers_test.go
+++ b/internal/lab/meetings/workers_test.go
@@ -37,6 +37,30 @@
 	all bool // it reaches every controller
 }
 
+// lateCommands are direct commands that are held up on their way.
+type lateCommands struct {
+	at       time.Time
+	to       *worker
+	commands wire.DirectCommands
+}
+
+// comesLate has a direct command arrive of which its sender heard nothing. The lock is held.
+func (k *worker) comesLate(q wire.DirectCommands) {
+	k.live()
+	switch {
+	case k.gone || k.w.now().Before(k.lost) || k.w.now().Before(k.deaf) || k.only != nil && q.Token != k.term: // it is lost
+	case k.away():
+		k.held = append(k.held, q)
+	default:
+		k.carryOut(q, "late ")
+	}
+}
+
+// heldBack tells whether the leader of a term stands still, so that nothing that it sent is on its way. The lock is held.
+func (w *world) heldBack(term uint64) bool {
+	return slices.ContainsFunc(w.nodes, func(n *node) bool { return n.still && n.term != 0 && n.term == term })
+}
+
 // join makes the cloud's machines workers, and ends those that it no longer has.
 func (w *world) join() {
 	there := w.cloud.Machines()
@@ -153,7 +177,16 @@
 		k.w.waits(k.w.t.Context(), d) // it is executed late, also when its sender has given it up
 		k.w.mu.Lock()
 	}
+	for k.w.heldBack(q.Token) {
+		k.w.mu.Unlock()
+		k.w.waits(k.w.t.Context(), tick)
+		k.w.mu.Lock()
+	}
 	k.live()
+	if k.w.r.IntN(100) < k.w.late {
+		k.w.heldUp = append(k.w.heldUp, lateCommands{k.w.now().Add(k.w.seconds(2, 16)), k, q})
+		panic(http.ErrAbortHandler)
+	}
 	if now := k.w.now(); k.away() || now.Before(k.deaf) || k.only != nil && q.Token != k.term {
 		if !k.gone && !now.Before(k.deaf) && k.w.r.IntN(2) == 0 {
 			k.held = append(k.held, q) // it is carried out when the machine goes on
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -30,7 +30,8 @@
 
 // compareJobs takes in stored jobs that the book lacks. One that ended since they were read is over by what is known of
 // final states. One that came behind what the watch has told, and not long ago, is not missing: with a slow state service the
-// listing overtakes the watch, and operators were told of an error. A watch that stands still is one.
+// listing overtakes the watch, and operators were told of an error. A watch that stands still is one, unless the whole process stood
+// still: then the right to act is over, and the listing may come in before what the watch had brought meanwhile.
 func (l *Loop) compareJobs(items []wire.Item) {
 	now := l.env.Clock.Now()
 	var lacked []wire.Item
@@ -49,7 +50,7 @@
 		switch j := l.book.Jobs[item.Key[len(jobs.PrefixJob):]]; {
 		case j == nil:
 			unreadable++
-		case item.Version <= l.watched || now.Sub(j.Entered) > tuning.JobWatch:
+		case item.Version <= l.watched || now.Sub(j.Entered) > tuning.JobWatch && l.env.Valid(l.tenure.Term):
 			found++
 		}
 	}
