A zone's only member that is started anew in an outage goes on answering its workers

Change: members say in their pings until when their right lasts, by the time of day; a member that was started anew hears what was last said under its name and answers until then, less twice the clocks' error. The former life's record stands for longer than that, and a leader that finds it asks the living process, which says whom it answered. Rides in fields that pings had and did not use; members of an earlier build ignore it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,6 +79,7 @@
 	}
 	c.keeper = keeper.New(s, c.store, clock, log)
 	c.zone = keeper.NewZone(s, c.store, clock, log)
+	c.peers.Remember(c.zone)
 	teams := map[string]config.Team{}
 	for _, t := range s.Cluster.Teams {
 		teams[t.Name] = t
--- a/internal/controller/serve_peers.go
+++ b/internal/controller/serve_peers.go
@@ -27,7 +27,7 @@
 	case mesh.Yield:
 		return yesOrNo(c.store.Urgent().Revoke(ctx, req.Number) == nil)
 	case mesh.Ping:
-		return c.servePing()
+		return c.servePing(req)
 	case mesh.NotLeading:
 		return yesOrNo(c.elector.NotLeading())
 	case mesh.Kept:
@@ -88,14 +88,15 @@
 	return r
 }
 
-// servePing answers a ping, and tells whether this member has no memory for more jobs.
-func (c *Controller) servePing() mesh.Response {
+// servePing answers a ping, and tells whether this member has no memory for more jobs and what it remembers of the other's right for
+// its zone. Members from before that send no name.
+func (c *Controller) servePing(req mesh.Request) mesh.Response {
 	name, term := c.elector.Holder()
 	status := http.StatusOK
 	if c.env.Full() {
 		status = http.StatusInsufficientStorage
 	}
-	return mesh.Response{Status: status, Leader: name, Term: term}
+	return mesh.Response{Status: status, Leader: name, Term: term, Payload: c.peers.Pinged(req.Job, req.Payload)}
 }
 
 func yesOrNo(yes bool) mesh.Response {
--- a/internal/keeper/zone.go
+++ b/internal/keeper/zone.go
@@ -32,6 +32,9 @@
 //     began to read (KeptAsking). A member that gives no such word may have, until its record is gone.
 //   - A process that was started anew gives no word for its former life: it has none to give
 //     until a lease after its own start, by when all answers of that life are over.
+//   - It takes up the right of its former life, if another member remembers when that ends: that life's record stands until a worker's lease
+//     after that, whichever process answers. The end is told by the time of day, so a message that was held up on its way
+//     tells nothing wrong; it counts as reached as early as two clocks that differ as far as they may can have it.
 //
 // Terms and fences play no part in that: the right allows no command, no record and
 // no campaign. It is safe for concurrent use.
@@ -44,10 +47,12 @@
 	lease  time.Duration // a worker's
 	right  time.Duration // how long the right lasts; 0: workers' leases are too long for one
 	born   time.Time
+	off    time.Duration // how far a time of day may be from the true one
 
 	mu       sync.Mutex
 	pass     uint64               // the lease of our record; 0: none
 	sent     time.Time            // when the request was sent that gave it its time
+	former   time.Time            // by the time of day: when the right of a former life ends; zero: none is known
 	answered map[string]time.Time // machines that we answered by the right, and when
 }
 
@@ -63,6 +68,7 @@
 		store: store, clock: clock, log: log, member: s.Member, zone: s.Zone,
 		lease: time.Duration(s.Cluster.Workers.LeaseS * float64(time.Second)),
 		born:  clock.Now(), answered: map[string]time.Time{},
+		off: time.Duration(s.Cluster.ClockErrorMS * float64(time.Millisecond)),
 	}
 	z.right = max(0, min(tuning.ZoneRight, tuning.MaxTTL-z.over()-tuning.KeepExtra))
 	return z
@@ -78,13 +84,51 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	now := z.clock.Now()
-	if zone == "" || zone != z.zone || z.pass == 0 || now.Sub(z.sent) >= z.right {
+	if zone == "" || zone != z.zone || !z.own(now) && !z.inherited(now) {
 		return false
 	}
 	z.answered[machine] = now
 	return true
 }
 
+// own tells whether the right that this process obtained lasts. The lock is held.
+func (z *Zone) own(now time.Time) bool { return z.pass != 0 && now.Sub(z.sent) < z.right }
+
+// inherited tells whether that of a former life surely lasts. The lock is held.
+func (z *Zone) inherited(now time.Time) bool {
+	return z.right > 0 && now.Round(0).Add(2*z.off).Before(z.former)
+}
+
+// claim is what a member tells others of its right, for its next life.
+type claim struct {
+	Zone    string `json:"zone"`
+	UntilMS int64  `json:"until_ms"` // when the right ends, by the time of day
+}
+
+// Claim tells until when the right lasts; nil: there is none.
+func (z *Zone) Claim() []byte {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	now := z.clock.Now()
+	if !z.own(now) {
+		return nil
+	}
+	return wire.Value(claim{Zone: z.zone, UntilMS: now.Add(z.right - now.Sub(z.sent)).UnixMilli()})
+}
+
+// Inherit takes up what another member remembers of this one's right. What cannot be read counts as nothing.
+func (z *Zone) Inherit(remembered []byte) {
+	var c claim
+	if json.Unmarshal(remembered, &c) != nil || c.Zone != z.zone {
+		return
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if until := time.UnixMilli(c.UntilMS); until.After(z.former) {
+		z.former = until
+	}
+}
+
 // Kept gives those of some machines that this member may have answered by its right
 // within a worker's lease and KeptAsking before now. sure is false while it cannot tell: an earlier
 // process of it may have.
@@ -110,7 +154,11 @@
 func (z *Zone) Alone() bool {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return z.pass != 0 && z.clock.Since(z.sent) > 2*tuning.ZoneRenew
+	since := z.sent
+	if z.pass == 0 {
+		since = z.born
+	}
+	return (z.pass != 0 || z.inherited(z.clock.Now())) && z.clock.Since(since) > 2*tuning.ZoneRenew
 }
 
 // Run obtains the right and renews it until ctx ends.
--- a/internal/keeper/zone_test.go
+++ b/internal/keeper/zone_test.go
@@ -168,3 +168,50 @@
 		}
 	}
 }
+
+// Guards against the loss of a zone's tasks as its only member is started anew while the state service is out: another member remembers its right, whose
+// record stands as long, and a leader that reads it later asks the new life.
+func TestARestartedMemberTakesUpItsFormerRight(t *testing.T) {
+	w := newZoneWorld(t)
+	w.off = 250 * time.Millisecond
+	w.Renew(t.Context())
+	w.pass(20 * time.Second)
+	w.state.Refuse(true)
+	claim, ends := w.Claim(), w.clock.Now().Add(tuning.ZoneRight-20*time.Second)
+	off := w.off
+	w.restart()
+	w.off = off
+	w.Renew(t.Context())
+	if w.Answer("n-1", "a") || w.Claim() != nil {
+		t.Error("answers without any right")
+	}
+	for _, other := range []string{"", "{", "{}", `{"zone":"b","until_ms":9999999999999}`} {
+		if w.Inherit([]byte(other)); w.Answer("n-1", "a") {
+			t.Errorf("answers by %q", other)
+		}
+	}
+	w.Inherit(claim)
+	if w.Answer("n-2", "b") {
+		t.Error("answers another zone's machine")
+	}
+	for w.Answer("n-1", "a") {
+		if w.pass(time.Second); w.clock.Now().After(ends) {
+			t.Fatal("answers beyond the end of its former life's right")
+		}
+		w.Inherit(claim) // a copy that comes late changes nothing
+	}
+	if left := ends.Sub(w.clock.Now()); left < 0 || left > 2*time.Second {
+		t.Errorf("stops %v before the end", left)
+	}
+	w.state.Refuse(false)
+	if w.concludes("n-1", true) || w.concludes("n-1", false) {
+		t.Error("concluded, though it was answered a moment ago")
+	}
+	w.pass(zoneLease + tuning.KeptAsking + time.Second)
+	if !w.concludes("n-1", true) || w.concludes("n-1", false) {
+		t.Error("not concluded a lease after the last answer, or without the member's word while the record stands")
+	}
+	if w.Renew(t.Context()); !w.Answer("n-1", "a") || w.Claim() == nil {
+		t.Error("has no right of its own once it is served")
+	}
+}
--- a/internal/lab/meetings/later_test.go
+++ b/internal/lab/meetings/later_test.go
@@ -506,3 +506,54 @@
 		w.recovers()
 	})
 }
+
+// Guards against the loss of a zone's tasks: its only controller leads, ends while the state service is out, and is back within
+// seconds, so that nobody can be elected. The others remember its right for its zone.
+func TestAZonesOnlyMemberIsStartedAnewInAnOutage(t *testing.T) {
+	w := newWorld(t, sites["lease 10, three"], 26+*shift)
+	only := w.nodes[1] // that of zone b
+	for i := range 8 {
+		w.submits(fmt.Sprintf("job-%d", i), spec{tasks: 2, kind: []string{"array", "service"}[i%2], runS: 600, zone: []string{"a", "b"}[i%2]})
+	}
+	w.runsSome(12)
+	w.until("the only member of its zone leads", 5*time.Minute, func() bool {
+		n := w.leader()
+		if n != nil && n != only {
+			w.leaves(n, 4, 6)
+		}
+		return n == only
+	})
+	w.pass(15 * time.Second) // the others hear its claim, and all workers come
+	busy := map[*worker]uint64{} // those with tasks, and their sessions
+	w.mu.Lock()
+	for _, k := range w.workers {
+		if len(k.rep.Tasks) > 0 {
+			busy[k] = k.rep.Session
+		}
+	}
+	w.mu.Unlock()
+	w.say("the state service is down")
+	w.state.Refuse(true)
+	w.pass(time.Second)
+	w.leaves(only, 1, 3)
+	w.pass(seconds(2.5 * w.site.lease))
+	if kept := w.locked(func() bool {
+		for k, session := range busy {
+			if !k.gone && k.rep.Session != session {
+				w.note("%s in %s lost its session", k.rep.Machine, k.rep.Zone)
+				return false
+			}
+		}
+		return len(busy) > 1
+	})(); !kept {
+		w.mu.Lock()
+		trace := w.trace.String()
+		w.mu.Unlock()
+		t.Fatalf("of %d machines with tasks one lost them\n%s", len(busy), trace)
+	}
+	w.cancels("job-1")
+	w.cancels("job-4")
+	w.pass(5 * time.Second)
+	w.state.Refuse(false)
+	w.recovers()
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -51,8 +51,8 @@
 // Request asks another member.
 type Request struct {
 	Verb    Verb
-	Job     string
-	Payload []byte   // what a worker or user sent, relayed as it came
+	Job     string   // of a ping, who sends it
+	Payload []byte   // what a worker or user sent, relayed as it came; of a ping, what its sender claims
 	Number  uint64   // the term that a promise or voucher is about, or the lease to end
 	Names   []string // the machines that are asked about, or workers' addresses
 }
@@ -61,7 +61,7 @@
 type Response struct {
 	Status  int
 	Job     wire.JobStatus
-	Payload []byte // the body for the one who asked
+	Payload []byte // the body for the one who asked; to a ping, what it claimed last
 	Leader  string // answers a ping: who leads, and in which term
 	Term    uint64
 	Names   []string // those of the machines asked about that the member may have kept
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,6 +28,7 @@
 type Peers struct {
 	client   *mesh.Client
 	endpoint map[string]string // mesh addresses by member
+	member   string
 	members  int
 	lease    time.Duration // a worker's
 	clock    clockwork.Clock
@@ -36,8 +37,19 @@
 	reach    reach
 	full     atomic.Bool // the leader has no memory for more jobs
 
-	mu    sync.Mutex
-	heard time.Time // when any other member answered a ping last, or this one began
+	right  Right
+	mu     sync.Mutex
+	heard  time.Time         // when any other member answered a ping last, or this one began
+	claims map[string][]byte // what each other member said last of its zone's right
+}
+
+// Right is this member's right to answer its zone. Its claim goes with pings, so that others remember it for the next
+// life of this process, which asks for it by its own pings.
+type Right interface {
+	// Claim is what the others are to remember; nil: nothing.
+	Claim() []byte
+	// Inherit takes in what another remembers.
+	Inherit(claim []byte)
 }
 
 // New makes the peers that the settings name. Follow must be called before
@@ -45,7 +57,7 @@
 func New(s *config.Settings, clock clockwork.Clock, log *slog.Logger) *Peers {
 	p := &Peers{
 		client: mesh.NewClient(), endpoint: map[string]string{}, members: len(s.Members),
-		lease: time.Duration(s.Cluster.Workers.LeaseS * float64(time.Second)), clock: clock, log: log,
+		lease: time.Duration(s.Cluster.Workers.LeaseS * float64(time.Second)), clock: clock, log: log, claims: map[string][]byte{}, member: s.Member,
 	}
 	for _, m := range s.Members {
 		p.endpoint[m.Name] = m.Endpoint
@@ -56,6 +68,19 @@
 // Follow has the peers know this member's elector.
 func (p *Peers) Follow(e *leadership.Elector) { p.elector = e }
 
+// Remember has the others remember a right. It must be called before Run.
+func (p *Peers) Remember(r Right) { p.right = r }
+
+// Pinged takes in what a member claims, nil if nothing, and gives what is remembered of it.
+func (p *Peers) Pinged(name string, claim []byte) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(claim) > 0 && p.Known(name) {
+		p.claims[name] = claim
+	}
+	return p.claims[name]
+}
+
 // Alone tells whether there are no other members.
 func (p *Peers) Alone() bool { return len(p.endpoint) == 0 }
 
@@ -265,8 +290,9 @@
 		var wg sync.WaitGroup
 		for name, addr := range p.endpoint {
 			wg.Go(func() {
-				r, err := p.client.Call(ctx, addr, mesh.Request{Verb: mesh.Ping})
+				r, err := p.client.Call(ctx, addr, mesh.Request{Verb: mesh.Ping, Job: p.member, Payload: p.right.Claim()})
 				if err == nil {
+					p.right.Inherit(r.Payload)
 					p.elector.Hint(r.Leader, r.Term)
 					p.hear()
 				}
