--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -17,6 +17,7 @@
 	"poppypass/internal/catalog"
 	"poppypass/internal/config"
 	"poppypass/internal/jobs"
+	"poppypass/internal/leader"
 	"poppypass/internal/standin"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -33,7 +34,8 @@
 	addr  string
 	c     *Controller
 	stop  func()
-	props string // path of the operators' properties
+	props string          // path of the operators' properties
+	hears leader.Observer // nil: nobody
 }
 
 // patience turns a test that would hang into a failure; what a test waits for
@@ -69,6 +71,9 @@
 	if w.c, err = New(s, w.own(), w.clock, slog.New(slog.DiscardHandler)); err != nil {
 		w.t.Fatal(err)
 	}
+	if w.hears != nil {
+		w.c.env.Observer = w.hears
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- w.c.Run(ctx) }()
--- a/internal/controller/meetings_test.go
+++ b/internal/controller/meetings_test.go
@@ -3,9 +3,12 @@
 import (
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"poppypass/internal/jobs"
+	"poppypass/internal/metrics"
 	"poppypass/internal/standin"
 	"poppypass/internal/tuning"
 	"poppypass/internal/wire"
@@ -74,3 +77,37 @@
 		t.Errorf("called %s, started %d times", s, k.start["job-1/0"])
 	}
 }
+
+// pausing has something happen as the answer to a report is ready.
+type pausing struct {
+	*metrics.Metrics
+	then atomic.Pointer[func()]
+}
+
+func (p *pausing) Reported(took time.Duration) {
+	p.Metrics.Reported(took)
+	if fn := p.then.Load(); fn != nil {
+		(*fn)()
+	}
+}
+
+// Guards against an answer of a leader whose right ended as it was made: the process stood still between the look at the right and the answer.
+func TestAnAnswerThatIsReadyAfterTheRightIsOver(t *testing.T) {
+	w := newWorld(t)
+	w.stop()
+	hears := &pausing{Metrics: metrics.New(1)}
+	w.hears = hears
+	w.boot()
+	k := w.worker("n-000001", "a")
+	w.until("reports are answered", func() bool { return k.beat() == http.StatusOK })
+	w.state.Slow(func() time.Duration { return time.Hour }) // no renewal is answered
+	stall := func() { w.clock.Advance(tuning.LeaseTTL) }
+	hears.then.Store(&stall)
+	if status := k.beat(); status != http.StatusServiceUnavailable {
+		t.Errorf("answered %d after the end of its right", status)
+	}
+	hears.then.Store(nil)
+	w.state.Slow(nil)
+	w.clock.Advance(time.Hour)
+	w.until("reports are answered again", func() bool { return k.beat() == http.StatusOK })
+}
