--- a/internal/airflow/dags.go
+++ b/internal/airflow/dags.go
@@ -70,7 +70,7 @@
 	NextAt      *string  `json:"next_dagrun_create_after"`
 }
 
-func (d *Door) viewDAG(g *graphs.GraphRecord) dagView {
+func (d *Handler) viewDAG(g *graphs.GraphRecord) dagView {
 	v := dagView{
 		ID: g.ID, Display: g.ID, Paused: g.Paused, Active: true, Owners: []string{g.Team}, MaxTasks: g.MaxTasks, MaxRuns: g.MaxRuns, Tags: []tag{},
 	}
@@ -96,7 +96,7 @@
 	return v
 }
 
-func (d *Door) listDAGs(r *request) (any, error) {
+func (d *Handler) listDAGs(r *request) (any, error) {
 	p, err := r.page()
 	if err != nil {
 		return nil, err
@@ -120,7 +120,7 @@
 }
 
 // wanted tells whether a graph is among those that a list asks for.
-func (d *Door) wanted(r *request, g *graphs.GraphRecord) bool {
+func (d *Handler) wanted(r *request, g *graphs.GraphRecord) bool {
 	if text := r.query.Get("paused"); text != "" && strconv.FormatBool(g.Paused) != strings.ToLower(text) {
 		return false
 	}
@@ -138,11 +138,11 @@
 	return false
 }
 
-func (d *Door) graph(r *request) (graphs.GraphRecord, error) {
+func (d *Handler) graph(r *request) (graphs.GraphRecord, error) {
 	return d.Reader.Graph(r.Context(), r.team, r.PathValue("dag"))
 }
 
-func (d *Door) getDAG(r *request) (any, error) {
+func (d *Handler) getDAG(r *request) (any, error) {
 	g, err := d.graph(r)
 	if err != nil {
 		return nil, err
@@ -150,7 +150,7 @@
 	return d.viewDAG(&g), nil
 }
 
-func (d *Door) plan(r *request) (graphs.GraphRecord, *dag.Plan, error) {
+func (d *Handler) plan(r *request) (graphs.GraphRecord, *dag.Plan, error) {
 	g, err := d.graph(r)
 	if err != nil {
 		return g, nil, err
@@ -159,7 +159,7 @@
 	return g, p, err
 }
 
-func (d *Door) getDetails(r *request) (any, error) {
+func (d *Handler) getDetails(r *request) (any, error) {
 	g, p, err := d.plan(r)
 	if err != nil {
 		return nil, err
@@ -174,7 +174,7 @@
 	}{d.viewDAG(&g), g.Catchup, stampOf(g.Start), stampOf(g.End), cmp.Or(g.Zone, "UTC"), p.Params}, nil
 }
 
-func (d *Door) getDefinition(r *request) (any, error) {
+func (d *Handler) getDefinition(r *request) (any, error) {
 	_, p, err := d.plan(r)
 	if err != nil {
 		return nil, err
@@ -183,7 +183,7 @@
 }
 
 // getRunDefinition gives the graph as the run has it: it may be registered anew since.
-func (d *Door) getRunDefinition(r *request) (any, error) {
+func (d *Handler) getRunDefinition(r *request) (any, error) {
 	v, err := d.run(r)
 	if err != nil {
 		return nil, err
@@ -199,7 +199,7 @@
 }
 
 // putDAG registers a graph. It is registered as it was before, paused or not, unless it says.
-func (d *Door) putDAG(r *request) (any, error) {
+func (d *Handler) putDAG(r *request) (any, error) {
 	raw, err := httpjson.ReadBody(r.Request, wire.MaxBody)
 	if err != nil {
 		return nil, fault(http.StatusRequestEntityTooLarge, "Payload Too Large", "%s; upload the graph in parts", httpjson.OneLine(err))
@@ -235,7 +235,7 @@
 }
 
 // putPart takes in a part of a definition.
-func (d *Door) putPart(r *request) (any, error) {
+func (d *Handler) putPart(r *request) (any, error) {
 	n, err := strconv.Atoi(r.PathValue("part"))
 	of, err2 := strconv.Atoi(r.query.Get("of"))
 	raw, err3 := io.ReadAll(io.LimitReader(r.Body, tuning.GraphPart+1))
@@ -252,7 +252,7 @@
 	}
 }
 
-func (d *Door) patchDAG(r *request) (any, error) {
+func (d *Handler) patchDAG(r *request) (any, error) {
 	var body struct {
 		Paused *bool `json:"is_paused"`
 	}
@@ -268,7 +268,7 @@
 	return d.getDAG(r)
 }
 
-func (d *Door) deleteDAG(r *request) (any, error) {
+func (d *Handler) deleteDAG(r *request) (any, error) {
 	_, err := d.order(r, graphs.DoRemove, graphs.Order{Graph: r.PathValue("dag")}, nil)
 	return nil, err
 }
@@ -318,7 +318,7 @@
 	return v
 }
 
-func (d *Door) listTasks(r *request) (any, error) {
+func (d *Handler) listTasks(r *request) (any, error) {
 	_, p, err := d.plan(r)
 	if err != nil {
 		return nil, err
@@ -338,7 +338,7 @@
 	return map[string]any{"tasks": views, "total_entries": len(p.Steps)}, nil
 }
 
-func (d *Door) getTask(r *request) (any, error) {
+func (d *Handler) getTask(r *request) (any, error) {
 	_, p, err := d.plan(r)
 	if err != nil {
 		return nil, err
--- a/internal/airflow/door.go
+++ b/internal/airflow/handler.go
@@ -42,8 +42,8 @@
 	mostLimit    = 100
 )
 
-// Door answers clients. It is safe for concurrent use.
-type Door struct {
+// Handler answers clients. It is safe for concurrent use.
+type Handler struct {
 	Reader *graphs.Reader
 	// Do has the leader carry out a command.
 	Do func(ctx context.Context, c leader.Command) (status int, body json.RawMessage)
@@ -53,8 +53,8 @@
 	Log   *slog.Logger
 }
 
-// Routes registers the door's paths.
-func (d *Door) Routes(mux *http.ServeMux) {
+// Routes registers the handler's paths.
+func (d *Handler) Routes(mux *http.ServeMux) {
 	handle := func(pattern string, fn func(*request) (any, error)) {
 		method, path, _ := strings.Cut(pattern, " ")
 		mux.HandleFunc(method+" "+PathAPI+path, func(w http.ResponseWriter, r *http.Request) { d.serve(w, r, fn) })
@@ -136,7 +136,7 @@
 }
 
 // serve answers a request of a team.
-func (d *Door) serve(w http.ResponseWriter, r *http.Request, fn func(*request) (any, error)) {
+func (d *Handler) serve(w http.ResponseWriter, r *http.Request, fn func(*request) (any, error)) {
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.SubmitTotal)
 	defer cancel()
 	req := &request{Request: r.WithContext(ctx), query: r.URL.Query()}
@@ -163,7 +163,7 @@
 	}
 }
 
-func (d *Door) fail(w http.ResponseWriter, err error) {
+func (d *Handler) fail(w http.ResponseWriter, err error) {
 	var p *problem
 	switch {
 	case errors.As(err, &p):
@@ -210,7 +210,7 @@
 }
 
 // order has the leader carry out an order.
-func (d *Door) order(r *request, verb string, o graphs.Order, out any) (int, error) {
+func (d *Handler) order(r *request, verb string, o graphs.Order, out any) (int, error) {
 	o.Team = r.team
 	raw, err := json.Marshal(o)
 	if err != nil {
@@ -278,7 +278,7 @@
 	return len(allowed) == 0 || slices.Contains(allowed, value)
 }
 
-func (d *Door) serveHealth(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) serveHealth(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), tuning.PollWait)
 	defer cancel()
 	type part struct {
--- a/internal/airflow/instances.go
+++ b/internal/airflow/instances.go
@@ -113,11 +113,11 @@
 	return &s
 }
 
-func (d *Door) run(r *request) (*graphs.RunView, error) {
+func (d *Handler) run(r *request) (*graphs.RunView, error) {
 	return d.Reader.Run(r.Context(), r.team, r.PathValue("dag"), r.PathValue("run"))
 }
 
-func (d *Door) listInstances(r *request) (any, error) {
+func (d *Handler) listInstances(r *request) (any, error) {
 	v, err := d.run(r)
 	if err != nil {
 		return nil, err
@@ -162,7 +162,7 @@
 }
 
 // step gives the step that a request names.
-func (d *Door) step(r *request) (v *graphs.RunView, step int, err error) {
+func (d *Handler) step(r *request) (v *graphs.RunView, step int, err error) {
 	if v, err = d.run(r); err != nil {
 		return nil, 0, err
 	}
@@ -173,7 +173,7 @@
 	return v, step, nil
 }
 
-func (d *Door) getInstance(r *request) (any, error) {
+func (d *Handler) getInstance(r *request) (any, error) {
 	v, step, err := d.step(r)
 	if err != nil {
 		return nil, err
@@ -195,7 +195,7 @@
 	return nil, graphs.ErrNone
 }
 
-func (d *Door) listMapped(r *request) (any, error) {
+func (d *Handler) listMapped(r *request) (any, error) {
 	v, step, err := d.step(r)
 	if err != nil {
 		return nil, err
@@ -205,7 +205,7 @@
 }
 
 // listTries gives the tries of a step that are kept, oldest first.
-func (d *Door) listTries(r *request) (any, error) {
+func (d *Handler) listTries(r *request) (any, error) {
 	v, step, err := d.step(r)
 	if err != nil {
 		return nil, err
@@ -240,7 +240,7 @@
 
 // listRunTries gives the tries of all steps of a run that are kept, in the order in which
 // they began.
-func (d *Door) listRunTries(r *request) (any, error) {
+func (d *Handler) listRunTries(r *request) (any, error) {
 	p, err := r.page()
 	if err != nil {
 		return nil, err
@@ -264,7 +264,7 @@
 // resultKey is the only key of a result, as Airflow names what a task returns.
 const resultKey = "return_value"
 
-func (d *Door) listResults(r *request) (any, error) {
+func (d *Handler) listResults(r *request) (any, error) {
 	v, step, err := d.step(r)
 	if err != nil {
 		return nil, err
@@ -283,7 +283,7 @@
 	}
 }
 
-func (d *Door) getResult(r *request) (any, error) {
+func (d *Handler) getResult(r *request) (any, error) {
 	v, step, err := d.step(r)
 	if err != nil {
 		return nil, err
@@ -296,7 +296,7 @@
 
 // postResult takes in what a step leaves for those that follow, from its job, in the form
 // of Airflow 3.
-func (d *Door) postResult(r *request) (any, error) {
+func (d *Handler) postResult(r *request) (any, error) {
 	var body struct {
 		Key   string          `json:"key"`
 		Value json.RawMessage `json:"value"`
@@ -328,7 +328,7 @@
 	Description *string `json:"description"`
 }
 
-func (d *Door) pools(r *request) ([]poolView, error) {
+func (d *Handler) pools(r *request) ([]poolView, error) {
 	status, body := d.Ask(r.Context(), graphs.PathPools+"?team="+url.QueryEscape(r.team))
 	var got []graphs.PoolView
 	if status != http.StatusOK || json.Unmarshal(body, &got) != nil {
@@ -341,7 +341,7 @@
 	return views, nil
 }
 
-func (d *Door) listPools(r *request) (any, error) {
+func (d *Handler) listPools(r *request) (any, error) {
 	p, err := r.page()
 	if err != nil {
 		return nil, err
@@ -358,7 +358,7 @@
 	return map[string]any{"pools": cut(views, p), "total_entries": len(views)}, nil
 }
 
-func (d *Door) getPool(r *request) (any, error) {
+func (d *Handler) getPool(r *request) (any, error) {
 	views, err := d.pools(r)
 	if err != nil {
 		return nil, err
--- a/internal/airflow/runs.go
+++ b/internal/airflow/runs.go
@@ -66,7 +66,7 @@
 	return time.Parse(time.RFC3339, strings.Replace(text, " ", "+", 1))
 }
 
-func (d *Door) listRuns(r *request) (any, error) {
+func (d *Handler) listRuns(r *request) (any, error) {
 	p, err := r.page()
 	if err != nil {
 		return nil, err
@@ -133,7 +133,7 @@
 	return x.Compare(y)
 }
 
-func (d *Door) postRun(r *request) (any, error) {
+func (d *Handler) postRun(r *request) (any, error) {
 	var body struct {
 		ID        string          `json:"dag_run_id"`
 		Logical   *time.Time      `json:"logical_date"`
@@ -163,7 +163,7 @@
 	return d.viewOf(r, o.Run)
 }
 
-func (d *Door) viewOf(r *request, run string) (any, error) {
+func (d *Handler) viewOf(r *request, run string) (any, error) {
 	v, err := d.Reader.Run(r.Context(), r.team, r.PathValue("dag"), run)
 	if err != nil {
 		return nil, err
@@ -171,10 +171,10 @@
 	return viewRun(&v.RunInfo), nil
 }
 
-func (d *Door) getRun(r *request) (any, error) { return d.viewOf(r, r.PathValue("run")) }
+func (d *Handler) getRun(r *request) (any, error) { return d.viewOf(r, r.PathValue("run")) }
 
 // patchRun ends a run, or has all of it go again.
-func (d *Door) patchRun(r *request) (any, error) {
+func (d *Handler) patchRun(r *request) (any, error) {
 	var body struct {
 		State string `json:"state"`
 	}
@@ -197,7 +197,7 @@
 	return d.getRun(r)
 }
 
-func (d *Door) deleteRun(r *request) (any, error) {
+func (d *Handler) deleteRun(r *request) (any, error) {
 	_, err := d.order(r, graphs.DoForget, graphs.Order{Graph: r.PathValue("dag"), Run: r.PathValue("run")}, nil)
 	return nil, err
 }
@@ -215,7 +215,7 @@
 	Past       bool     `json:"include_past"`
 }
 
-func (d *Door) clearRun(r *request) (any, error) {
+func (d *Handler) clearRun(r *request) (any, error) {
 	c := clearing{}
 	if err := r.read(&c); err != nil {
 		return nil, err
@@ -231,7 +231,7 @@
 	return d.getRun(r)
 }
 
-func (d *Door) clearInstances(r *request) (any, error) {
+func (d *Handler) clearInstances(r *request) (any, error) {
 	var c clearing
 	if err := r.read(&c); err != nil {
 		return nil, err
@@ -248,7 +248,7 @@
 }
 
 // clear has steps go again, or tells which would.
-func (d *Door) clear(r *request, c *clearing) (any, error) {
+func (d *Handler) clear(r *request, c *clearing) (any, error) {
 	v, err := d.Reader.Run(r.Context(), r.team, r.PathValue("dag"), c.Run)
 	if err != nil {
 		return nil, err
@@ -278,7 +278,7 @@
 }
 
 // postBackfill begins the runs of past intervals, in the form of Airflow 3.
-func (d *Door) postBackfill(r *request) (any, error) {
+func (d *Handler) postBackfill(r *request) (any, error) {
 	var body struct {
 		DAG  string    `json:"dag_id"`
 		From time.Time `json:"from_date"`
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,8 +56,8 @@
 	zone    *keeper.Zone
 	users   *users.Handler
 	reports *workers.Handler
-	ledger  *ledger.Door     // nil: no charges are kept
-	graphs  *airflow.Door    // nil: no graphs are served
+	ledger  *ledger.Handler     // nil: no charges are kept
+	graphs  *airflow.Handler    // nil: no graphs are served
 	metrics *metrics.Metrics // nil: they are served nowhere
 
 	leading atomic.Pointer[leader.Loop] // the leader's loop, while this member leads
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	c.ledger = &ledger.Door{Reader: reader, Ask: func(ctx context.Context, uri string) (int, json.RawMessage) { return c.users.Ask(ctx, uri) }}
+	c.ledger = &ledger.Handler{Reader: reader, Ask: func(ctx context.Context, uri string) (int, json.RawMessage) { return c.users.Ask(ctx, uri) }}
 	c.env.Accounts = true
 	c.env.Joins = append(c.env.Joins, func(log *slog.Logger) (leader.Slice, error) { return ledger.New(cfg, log) })
 	return nil
@@ -138,7 +138,7 @@
 	if descriptions != "" {
 		cfg.Source = &graphs.HTTPSource{URL: descriptions, Client: httpjson.NewClient(1, 1, 1, tuning.DescribeTimeout)}
 	}
-	c.graphs = &airflow.Door{
+	c.graphs = &airflow.Handler{
 		Reader: graphs.NewReader(c.store.Spare()), Clock: c.clock, Log: c.log,
 		Do:  func(ctx context.Context, cmd leader.Command) (int, json.RawMessage) { return c.users.Do(ctx, cmd) },
 		Ask: func(ctx context.Context, uri string) (int, json.RawMessage) { return c.users.Ask(ctx, uri) },
--- a/internal/ledger/door.go
+++ b/internal/ledger/handler.go
@@ -15,9 +15,9 @@
 	"poppypass/internal/wire"
 )
 
-// Door answers users and operators about charges, totals and budgets, as JSON or,
+// Handler answers users and operators about charges, totals and budgets, as JSON or,
 // with format=csv, as CSV. It is safe for concurrent use.
-type Door struct {
+type Handler struct {
 	// Ask has the leader answer a path and query.
 	Ask func(ctx context.Context, uri string) (status int, body json.RawMessage)
 
@@ -25,21 +25,21 @@
 	Reader *Reader
 }
 
-// Routes registers the door's paths.
-func (d *Door) Routes(mux *http.ServeMux) {
+// Routes registers the handler's paths.
+func (d *Handler) Routes(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+PathTotals, d.serveTotals)
 	mux.HandleFunc("GET "+PathBudgets, d.serveLeader)
 	mux.HandleFunc("GET "+PathStats, d.serveLeader)
 	mux.HandleFunc("GET "+wire.PathJobs+"/{id}/"+wire.EndCharges, d.serveCharges)
 }
 
-func (d *Door) serveLeader(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) serveLeader(w http.ResponseWriter, r *http.Request) {
 	status, body := d.Ask(r.Context(), r.URL.RequestURI())
 	httpjson.WriteRaw(w, status, body)
 }
 
 // serveTotals answers for one team: a team sees its own charges only.
-func (d *Door) serveTotals(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) serveTotals(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get("team") == "" {
 		httpjson.Fail(w, http.StatusBadRequest, "the parameter team is missing")
 		return
@@ -53,7 +53,7 @@
 	writeCSV(w, TotalsCSV(t))
 }
 
-func (d *Door) serveCharges(w http.ResponseWriter, r *http.Request) {
+func (d *Handler) serveCharges(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	if !wire.ValidJobID(id) {
 		httpjson.Fail(w, http.StatusNotFound, "no such job")
