--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,8 +56,8 @@
 	zone    *keeper.Zone
 	users   *users.Handler
 	reports *workers.Handler
-	ledger  *ledger.Handler     // nil: no charges are kept
-	graphs  *airflow.Handler    // nil: no graphs are served
+	ledger  *ledger.Handler  // nil: no charges are kept
+	graphs  *airflow.Handler // nil: no graphs are served
 	metrics *metrics.Metrics // nil: they are served nowhere
 
 	leading atomic.Pointer[leader.Loop] // the leader's loop, while this member leads
--- a/internal/lab/meetings/later_test.go
+++ b/internal/lab/meetings/later_test.go
@@ -523,7 +523,7 @@
 		}
 		return n == only
 	})
-	w.pass(15 * time.Second) // the others hear its claim, and all workers come
+	w.pass(15 * time.Second)     // the others hear its claim, and all workers come
 	busy := map[*worker]uint64{} // those with tasks, and their sessions
 	w.mu.Lock()
 	for _, k := range w.workers {
