--- a/internal/lab/meetings/later_test.go
+++ b/internal/lab/meetings/later_test.go
@@ -163,9 +163,7 @@
 			}
 			w.pass(w.leases(0.3, 0.8))
 		}
-		for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
-			w.cancels(id)
-		}
+		w.cancelsServices()
 		w.recovers()
 	})
 }
@@ -386,9 +384,7 @@
 			}
 		}
 		w.copies = 0
-		for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
-			w.cancels(id)
-		}
+		w.cancelsServices()
 		w.recovers()
 	})
 }
@@ -422,7 +418,7 @@
 				refused(w, w.leads())
 			case 2:
 				lead := w.leads()
-				w.lasts(w.seconds(4, 15), func() { lead.standsStill(true) }, func() { lead.standsStill(false) })
+				lead.stalls(w.seconds(4, 15))
 			}
 			for range 5 { // mostly jobs whose starts are on their way
 				w.cancels(fmt.Sprintf("job-%d", n-1-w.r.IntN(6)))
@@ -433,14 +429,10 @@
 			}
 			w.pass(w.seconds(1, 6))
 			if round%8 == 7 { // what stays would leave no room for starts
-				for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
-					w.cancels(id)
-				}
+				w.cancelsServices()
 			}
 		}
-		for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
-			w.cancels(id)
-		}
+		w.cancelsServices()
 		w.holdsUp(0)
 		w.recovers()
 	})
@@ -458,20 +450,20 @@
 		for round := range 12 {
 			lead := w.leads()
 			most := []float64{10, 30, 30}[round%3] // one that hears nobody for longer than 10 s sends its users on
-			w.lasts(w.seconds(2, most), func() { lead.standsStill(true) }, func() { lead.standsStill(false) })
+			lead.stalls(w.seconds(2, most))
 			w.cancels(fmt.Sprintf("job-%d", round))
 			w.submits(fmt.Sprintf("job-%d", 12+round), spec{tasks: 2, runS: w.seconds(3, 20).Seconds()})
 			w.pass(w.seconds(0.2, 6))
 			switch round % 3 {
 			case 1: // the next one too, perhaps as it is elected
 				n := w.nodes[w.r.IntN(len(w.nodes))]
-				w.lasts(w.seconds(1, 10), func() { n.standsStill(true) }, func() { n.standsStill(false) })
+				n.stalls(w.seconds(1, 10))
 			case 2:
 				w.lasts(w.leases(0.3, 1.5), func() { w.state.Refuse(true) }, func() { w.state.Refuse(false) })
 			}
 			if round%4 == 2 { // all at once
 				for _, n := range w.nodes {
-					w.lasts(w.leases(0.2, 1.3), func() { n.standsStill(true) }, func() { n.standsStill(false) })
+					n.stalls(w.leases(0.2, 1.3))
 				}
 			}
 			w.pass(w.seconds(3, 20))
@@ -499,7 +491,7 @@
 				refused(w, w.leaderOrAny())
 			case 5:
 				n := w.leaderOrAny()
-				w.lasts(w.seconds(3, 12), func() { n.standsStill(true) }, func() { n.standsStill(false) })
+				n.stalls(w.seconds(3, 12))
 			}
 			w.pass(w.seconds(1, 6))
 		}
--- a/internal/lab/meetings/letter_test.go
+++ b/internal/lab/meetings/letter_test.go
@@ -192,9 +192,7 @@
 			w.pass(seconds(w.site.lease))
 		}
 		// Services hold their teams' room until they are cancelled.
-		for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
-			w.cancels(id)
-		}
+		w.cancelsServices()
 		w.recovers()
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -319,9 +317,7 @@
 			w.pass(w.leases(0.6, 1.6))
 		}
 		w.forNext = 0
-		for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
-			w.cancels(id)
-		}
+		w.cancelsServices()
 		w.recovers()
 	})
 }
--- a/internal/lab/meetings/troubles_test.go
+++ b/internal/lab/meetings/troubles_test.go
@@ -140,8 +140,13 @@
 	if n.stop == nil {
 		return
 	}
-	w.say("%s stands still", n.name)
-	w.lasts(w.seconds(1, 30), func() { n.standsStill(true) }, func() { w.say("%s goes on", n.name); n.standsStill(false) })
+	n.stalls(w.seconds(1, 30))
+}
+
+// stalls has a controller stand still for a while.
+func (n *node) stalls(d time.Duration) {
+	n.w.say("%s stands still", n.name)
+	n.w.lasts(d, func() { n.standsStill(true) }, func() { n.w.say("%s goes on", n.name); n.standsStill(false) })
 }
 
 // requestsLost has what is asked of leases, and reads, go without an answer; some of the former are carried out late.
--- a/internal/lab/meetings/users_test.go
+++ b/internal/lab/meetings/users_test.go
@@ -360,6 +360,13 @@
 	}
 }
 
+// cancelsServices has the users of all services want them cancelled: they hold their teams' room until then.
+func (w *world) cancelsServices() {
+	for _, id := range w.ids(func(j *job) bool { return j.kind == "service" }) {
+		w.cancels(id)
+	}
+}
+
 // completes takes in that a task has completed on its machine. The lock is held.
 func (w *world) completes(j *job, task string) {
 	j.completed[task] = true
--- a/internal/lab/meetings/world_test.go
+++ b/internal/lab/meetings/world_test.go
@@ -190,6 +190,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.held = held
+	g.changed()
+}
+
+// changed wakes what waits on the link. The lock is held.
+func (g *link) changed() {
 	close(g.wake)
 	g.wake = make(chan struct{})
 }
@@ -198,8 +203,7 @@
 func (g *link) set(shut bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	close(g.wake)
-	g.wake = make(chan struct{})
+	g.changed()
 	if g.shut = shut; shut {
 		for _, c := range g.open {
 			c.Close()
