--- a/review/_standin/explore.go
+++ b/review/_standin/explore.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"time"
 )
 
@@ -48,6 +50,79 @@
 		w.copyLogs(true, 60)
 		return n == 20, fmt.Sprintf("%d of 20 jobs are done; rejections %s", n, w.state.rejections())
 	}
+	scenarios["limits2"] = func(rec *record, trouble bool) (bool, string) {
+		set := ecuador()
+		set.Next = &stateLimits{150, 35, 2, 13}
+		w := newWorld(rec, set)
+		w.startAll()
+		w.submit(&job{ID: "job-000001", Team: "routes-team", Shape: "service", Urgency: "production", Seats: 4, CPUs: 1, MemGB: 1.6, Image: "img-0", ImageGB: 0.5})
+		time.Sleep(5 * time.Second)
+		if trouble {
+			w.rec.log("state", "the limits are lowered")
+			w.state.setLimits(*set.Next)
+		}
+		w.submit(&job{ID: "job-000002", Team: "fares-team", Shape: "array", Urgency: "low", Seats: 160, CPUs: 1, MemGB: 1.6, Image: "img-1", ImageGB: 0.5, Run: 10 * time.Second})
+		time.Sleep(10 * time.Second)
+		w.submit(&job{ID: "job-000003", Team: "sales-team", Shape: "array", Urgency: "urgent", Seats: 3, CPUs: 1, MemGB: 1.6, Image: "img-0", ImageGB: 0.5, Run: 5 * time.Second})
+		for range 12 {
+			time.Sleep(5 * time.Second)
+			w.poll("job-000001", false)
+			w.poll("job-000002", false)
+			w.poll("job-000003", false)
+		}
+		w.copyLogs(false, 60)
+		return w.doneOf("job-000002") == 160, fmt.Sprintf("%d done; rejections %s", w.doneOf("job-000002"), w.state.rejections())
+	}
+	scenarios["mem"] = func(rec *record, trouble bool) (bool, string) {
+		set := ecuador()
+		w := newWorld(rec, set)
+		w.startAll()
+		n := 0
+		for i := range 60 {
+			if w.submit(&job{ID: fmt.Sprintf("job-%06d", 100+i), Team: "fares-team", Shape: "array", Urgency: "low", Seats: 100000, CPUs: 0.25, MemGB: 0.1, Image: "img-1", ImageGB: 0.1, Run: 5 * time.Second}) {
+				n++
+			}
+			for _, x := range w.nodes {
+				if r := peakMiB(x.cmd.Process.Pid); r > 0 {
+					rec.log(x.name, "peak %.0f MiB", r)
+				}
+			}
+			if time.Since(rec.start) > 70*time.Second {
+				break
+			}
+		}
+		for range 5 {
+			time.Sleep(2 * time.Second)
+			for _, x := range w.nodes {
+				rec.log(x.name, "peak %.0f MiB", peakMiB(x.cmd.Process.Pid))
+			}
+		}
+		return true, fmt.Sprint(n)
+	}
+	scenarios["zero"] = func(rec *record, trouble bool) (bool, string) {
+		set := ecuador()
+		w := newWorld(rec, set)
+		w.startAll()
+		w.submit(&job{ID: "job-000001", Team: "routes-team", Shape: "service", Urgency: "production", Seats: 2, CPUs: 1, MemGB: 1, Image: "img-0", ImageGB: 0.1})
+		time.Sleep(4 * time.Second)
+		w.submit(&job{ID: "job-000002", Team: "fares-team", Shape: "array", Urgency: "low", Seats: 20000, CPUs: 0, MemGB: 0, Image: "img-1", ImageGB: 0.1, Run: 5 * time.Second})
+		for i := range 12 {
+			time.Sleep(5 * time.Second)
+			w.submit(&job{ID: fmt.Sprintf("job-%06d", 10+i), Team: "sales-team", Shape: "array", Urgency: "urgent", Seats: 2, CPUs: 1, MemGB: 1, Image: "img-0", ImageGB: 0.1, Run: 3 * time.Second})
+			w.poll("job-000002", false)
+			w.poll("job-000001", false)
+			for _, m := range w.cloud.workers() {
+				m.mu.Lock()
+				rec.log(m.name, "shift %d seats %d maxreport %d tooLong %d expiries %d", m.shift, len(m.seats), m.maxReport, m.tooLong, m.expiries)
+				m.mu.Unlock()
+			}
+		}
+		for i := range 12 {
+			w.poll(fmt.Sprintf("job-%06d", 10+i), false)
+		}
+		w.copyLogs(false, 60)
+		return true, fmt.Sprint(w.doneOf("job-000002"), " done ", w.ends)
+	}
 	scenarios["tiny"] = func(rec *record, trouble bool) (bool, string) {
 		set := ecuador()
 		set.Capacity = 2
@@ -89,3 +164,17 @@
 		return true, fmt.Sprint(w.doneOf("job-000002"), " done ", w.ends)
 	}
 }
+
+func peakMiB(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(raw), "\n") {
+		var kiB float64
+		if _, err := fmt.Sscanf(line, "VmRSS: %f kB", &kiB); err == nil {
+			return kiB / 1024
+		}
+	}
+	return 0
+}
--- a/review/_standin/machines.go
+++ b/review/_standin/machines.go
@@ -266,13 +266,14 @@
 	muteUntil  time.Time
 	hangUntil  time.Time
 	// lateCommands, if set, decides whether a direct command is held up and executed later, unanswered.
-	lateCommands func() (time.Duration, bool)
-	maxReport    int
-	lastRaw      []byte
-	maxSeats     int
-	tooLong      int // reports longer than 64 KiB
-	refused400   int
-	expiries     int
+	lateCommands  func() (time.Duration, bool)
+	maxReport     int
+	lastRaw       []byte
+	maxSeats      int
+	tooLong       int // reports longer than 64 KiB
+	refused400    int
+	directTooLong int
+	expiries      int
 }
 
 func newWorker(w *world, name string, typ *machineType, yard string, standby bool) *worker {
@@ -406,9 +407,10 @@
 		m.mu.Unlock()
 		sent := time.Now()
 		status, answer := 0, []byte(nil)
+		withheld := m.w.withhold && len(raw) > 64<<10
 		if mute {
 			time.Sleep(4 * time.Second)
-		} else {
+		} else if !withheld { // with withhold, a worker sends no report that is longer than a request body may be
 			status, answer = m.post(client, m.w.nodeAddr(names[node]), raw)
 		}
 		if len(raw) > 64<<10 {
@@ -523,7 +525,10 @@
 		return
 	}
 	if len(body) > 64<<10 {
-		m.w.rec.log(m.name, "direct request of %d bytes refused: a request body may be at most 64 KiB", len(body))
+		m.w.rec.log(m.name, "a controller sends a direct request of %d bytes; it is answered 400: a request body may be at most 64 KiB", len(body))
+		m.mu.Lock()
+		m.directTooLong++
+		m.mu.Unlock()
 		send(w, 400, errorOf("too long"))
 		return
 	}
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -101,14 +101,15 @@
 	cloud *cloud
 	nodes []*node
 
-	mu     sync.Mutex
-	jobs   map[string]*job
-	on     map[string]map[*worker]uint64 // by task: the machines that it is on, and the attempt
-	broken []string                      // rules that were broken
-	use    map[string]float64            // CPUs by team
-	starts map[string]int                // by task
-	done   map[string]time.Time          // by job: when its last task completed
-	ends   int                           // controllers that ended by themselves
+	mu       sync.Mutex
+	jobs     map[string]*job
+	on       map[string]map[*worker]uint64 // by task: the machines that it is on, and the attempt
+	broken   []string                      // rules that were broken
+	use      map[string]float64            // CPUs by team
+	starts   map[string]int                // by task
+	done     map[string]time.Time          // by job: when its last task completed
+	ends     int                           // controllers that ended by themselves
+	withhold bool                          // workers send no report that is longer than a request body may be
 }
 
 var current *world
@@ -458,7 +459,7 @@
 		}
 		lines := 0
 		for line := range strings.Lines(string(raw)) {
-			if !all && !strings.Contains(line, "level=ERROR") && !strings.Contains(line, "level=WARN") && !strings.Contains(line, "panic") {
+			if !all && !strings.Contains(line, "level=ERROR") && !strings.Contains(line, "level=WARN") && !strings.Contains(line, "panic") && !strings.Contains(line, "DATA RACE") {
 				continue
 			}
 			if lines++; lines > most {
