--- a/review/_standin/chaos.go
+++ b/review/_standin/chaos.go
@@ -328,6 +328,17 @@
 		}
 		left := allOver()
 		close(stop)
+		time.Sleep(3 * time.Second)
+		lostCharges, twiceCharges := 0, 0
+		for _, j := range ids {
+			if v := views[j.ID]; v.accepted && v.final != "" {
+				lost, twice := w.checkCharges(j)
+				if len(lost)+len(twice) > 0 {
+					rec.log("charges", "%s %s %s: lost %v, twice %v", j.ID, j.Shape, v.final, lost, twice)
+				}
+				lostCharges, twiceCharges = lostCharges+len(lost), twiceCharges+len(twice)
+			}
+		}
 		w.copyLogs(os.Getenv("CASE_LOG_LEVEL") != "", 20000)
 		for _, j := range ids {
 			v := views[j.ID]
@@ -335,6 +346,6 @@
 				rec.log("left", "%s %s done %d of %d cancelled %v", j.ID, j.Shape, len(j.doneTasks), j.Seats, v.cancelled)
 			}
 		}
-		return len(w.broken) == 0 && left == 0 && w.ends == 0, fmt.Sprintf("%d jobs; broken %v; left %d; ends %d", len(ids), w.broken, left, w.ends)
+		return len(w.broken) == 0 && left == 0 && w.ends == 0, fmt.Sprintf("%d jobs; broken %v; left %d; ends %d; charges lost %d, twice %d", len(ids), w.broken, left, w.ends, lostCharges, twiceCharges)
 	}
 }
--- a/review/_standin/machines.go
+++ b/review/_standin/machines.go
@@ -51,6 +51,7 @@
 	SamePlace, Apart, Standby bool
 	Run                       time.Duration // of each task
 	StubS, StampS             float64
+	Fails                     bool // each attempt ends with an error after Run
 	// What users and workers saw.
 	mu        sync.Mutex
 	doneTasks map[int]bool // results that are kept
@@ -680,6 +681,10 @@
 	}
 	if s.job.Shape == "array" {
 		m.after(s, time.Duration(float64(s.job.Run)*(0.9+0.2*rand.Float64())), func(s *seat) {
+			if s.job.Fails {
+				m.exit(s, "error", false)
+				return
+			}
 			s.job.mu.Lock()
 			s.job.doneTasks[s.index] = true
 			s.job.mu.Unlock()
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -103,13 +103,14 @@
 
 	mu       sync.Mutex
 	jobs     map[string]*job
-	on       map[string]map[*worker]uint64 // by task: the machines that it is on, and the attempt
-	broken   []string                      // rules that were broken
-	use      map[string]float64            // CPUs by team
-	starts   map[string]int                // by task
-	done     map[string]time.Time          // by job: when its last task completed
-	ends     int                           // controllers that ended by themselves
-	withhold bool                          // workers send no report that is longer than a request body may be
+	on       map[string]map[*worker]uint64   // by task: the machines that it is on, and the attempt
+	broken   []string                        // rules that were broken
+	use      map[string]float64              // CPUs by team
+	starts   map[string]int                  // by task
+	done     map[string]time.Time            // by job: when its last task completed
+	ends     int                             // controllers that ended by themselves
+	attempts map[string]map[string]time.Time // by job, then task#attempt: when it began to run
+	withhold bool                            // workers send no report that is longer than a request body may be
 }
 
 var current *world
@@ -124,13 +125,18 @@
 	_ = os.RemoveAll(current.dir)
 }
 
-func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fatal(err)
+// freeAddrs returns loopback addresses on which nothing listens.
+func freeAddrs(n int) []string {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			fatal(err)
+		}
+		defer l.Close() // after all have been found, so that they differ
+		out = append(out, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return out
 }
 
 func newWorld(rec *record, set setup) *world {
@@ -138,14 +144,15 @@
 	if err != nil {
 		fatal(err)
 	}
-	w := &world{rec: rec, set: set, dir: dir, jobs: map[string]*job{}, on: map[string]map[*worker]uint64{}, use: map[string]float64{}, starts: map[string]int{}, done: map[string]time.Time{}}
+	w := &world{rec: rec, set: set, dir: dir, jobs: map[string]*job{}, on: map[string]map[*worker]uint64{}, use: map[string]float64{}, starts: map[string]int{}, done: map[string]time.Time{}, attempts: map[string]map[string]time.Time{}}
 	current = w
 	w.state = newStateService(rec, set.State)
 	var cloudAddr string
 	w.cloud, cloudAddr = newCloud(w, set.Types, set.Capacity, set.CloudRPS, time.Duration(set.ListLag*float64(time.Second)))
+	addrs := freeAddrs(2 * set.Members)
 	for i := range set.Members {
 		name := fmt.Sprintf("stall-%d", i)
-		w.nodes = append(w.nodes, &node{name: name, zone: set.Zones[i%len(set.Zones)], bind: freeAddr(), mesh: freeAddr(), state: w.state.listen(name)})
+		w.nodes = append(w.nodes, &node{name: name, zone: set.Zones[i%len(set.Zones)], bind: addrs[2*i], mesh: addrs[2*i+1], state: w.state.listen(name)})
 	}
 	for _, n := range w.nodes {
 		n.settings = filepath.Join(dir, n.name+".toml")
@@ -302,6 +309,10 @@
 		}
 	}
 	on[m] = s.Boarding
+	if w.attempts[s.job.ID] == nil {
+		w.attempts[s.job.ID] = map[string]time.Time{}
+	}
+	w.attempts[s.job.ID][fmt.Sprint(s.Seat, "#", s.Boarding)] = time.Now()
 	w.starts[s.Seat]++
 	w.use[s.job.Team] += s.job.CPUs
 	for _, t := range w.set.Teams {
@@ -470,3 +481,45 @@
 		}
 	}
 }
+
+// checkCharges compares a finished job's charges with the attempts that its workers ran.
+func (w *world) checkCharges(j *job) (lost, twice []string) {
+	seen := map[string]int{}
+	after := ""
+	for range 50 {
+		path := "/v2/runs/" + j.ID + "/charges"
+		if after != "" {
+			path += "?after=" + after
+		}
+		status, out := w.ask(userClient, w.anyNode(), "GET", path, nil)
+		if status != 200 {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		list, _ := out["charges"].([]any)
+		for _, c := range list {
+			m := c.(map[string]any)
+			seen[fmt.Sprint(m["task"], "#", m["attempt"], ".", m["part"])]++
+			if m["team"] != j.Team {
+				twice = append(twice, fmt.Sprint("team ", m["team"]))
+			}
+		}
+		after, _ = out["next"].(string)
+		if after == "" {
+			break
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for a := range w.attempts[j.ID] {
+		if seen[a+".0"] == 0 {
+			lost = append(lost, a)
+		}
+	}
+	for a, n := range seen {
+		if n > 1 {
+			twice = append(twice, a)
+		}
+	}
+	return lost, twice
+}
