--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -207,6 +207,9 @@
 		fatal(err)
 	}
 	args := strings.Fields(os.Getenv("RUN_COMMAND"))
+	if first := strings.Fields(os.Getenv("FIRST_COMMAND")); len(first) > 0 && n.cmd == nil {
+		args = first // a roll: the first process of each controller is of an older version
+	}
 	if len(args) == 0 {
 		fatal(fmt.Errorf("RUN_COMMAND is not set"))
 	}
