--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -13,7 +13,9 @@
 type scenario func(rec *Record, trouble bool) (broken bool, seen string, err error)
 
 var scenarios = map[string]scenario{
-	"sweeps": sweeps,
+	"sweeps":  sweeps,
+	"results": results,
+	"lostrun": lostRun,
 }
 
 func main() {
--- a/review/_standin2/sweeps.go
+++ b/review/_standin2/sweeps.go
@@ -36,20 +36,30 @@
 	return raw
 }
 
-// sweeps has one team trigger runs of a sweep, and another team submit a plain job later. The rule is broken if, in the
-// last minute, the controllers are still killed for memory and none of the members ends or the plain job does not run.
+// sweeps has one team trigger runs of a sweep, with the disruption four times as many as without, and another team submit a
+// plain job at 20 s. The rule is broken if
+// controllers keep ending for memory in the last minute and none of the accepted runs goes on in it.
 func sweeps(rec *Record, trouble bool) (bool, string, error) {
-	const lookFrom, end = 55 * time.Second, 114 * time.Second
-	var lateEnds atomic.Int32 // members that were done since lookFrom
+	const submitAt, lookFrom, end = 20 * time.Second, 55 * time.Second, 115 * time.Second
+	plain := Job{Ref: "job-000001", Lane: "fare-check", Desk: "sales-team", Shape: "array", Urgency: "standard", Seats: 4, CPUs: 1, MemGB: 1, RideS: 5}
+	var plainStarts, members, late atomic.Int32 // tasks of the plain job that started; members done; of these in the last minute
 	fleet := &Fleet{
 		Describe: func(task string, _ uint64) (TaskSpec, bool) {
 			return TaskSpec{CPUs: 1, MemGB: 1, Bundle: "b", ImageGB: 0.5, Run: 5 * time.Second, Cause: "done"}, true
 		},
-		OnStart: func(machine, task string, attempt uint64) { rec.Log("%s runs %s attempt %d", machine, task, attempt) },
+		OnStart: func(machine, task string, attempt uint64) {
+			rec.Log("%s runs %s attempt %d", machine, task, attempt)
+			if strings.HasPrefix(task, plain.Ref+"/") {
+				plainStarts.Add(1)
+			}
+		},
 		OnEnd: func(machine, task string, attempt uint64, cause string) {
 			rec.Log("%s ends %s attempt %d: %s", machine, task, attempt, cause)
-			if cause == "done" && time.Since(rec.start) > lookFrom {
-				lateEnds.Add(1)
+			if cause == "done" {
+				members.Add(1)
+				if time.Since(rec.start) > lookFrom {
+					late.Add(1)
+				}
 			}
 		},
 	}
@@ -65,28 +75,38 @@
 	if status, _ := c.Ask(10*time.Second, 5*time.Second, http.MethodPut, "/api/v1/dags/sweep"+team, sweepGraph("sweep")); status != http.StatusCreated && status != http.StatusOK {
 		return false, "", fmt.Errorf("the graph was not registered: %d", status)
 	}
-	runs := 10
+	runs := 30
 	if trouble {
-		runs = 130
+		runs = 4 * 30
 	}
-	accepted := 0
-	for i := 0; i < runs && time.Since(rec.start) < lookFrom-5*time.Second; i++ {
-		body := fmt.Sprintf(`{"dag_run_id":"route-%03d","described":true}`, i)
-		status, _ := c.Ask(20*time.Second, 5*time.Second, http.MethodPost, "/api/v1/dags/sweep/dagRuns"+team, []byte(body))
-		if status == http.StatusOK || status == http.StatusCreated || status == http.StatusConflict {
-			accepted++
+	var accepted atomic.Int32
+	triggered := make(chan struct{})
+	go func() {
+		defer close(triggered)
+		for i := 0; i < runs && time.Since(rec.start) < lookFrom; i++ {
+			body := fmt.Sprintf(`{"dag_run_id":"route-%03d","described":true}`, i)
+			status, _ := c.Ask(20*time.Second, 5*time.Second, http.MethodPost, "/api/v1/dags/sweep/dagRuns"+team, []byte(body))
+			if status == http.StatusOK || status == http.StatusCreated || status == http.StatusConflict {
+				accepted.Add(1)
+			}
 		}
+	}()
+	time.Sleep(submitAt - time.Since(rec.start))
+	if !c.Submit(plain) {
+		return false, "", fmt.Errorf("the plain job was not accepted")
 	}
+	<-triggered
 	time.Sleep(lookFrom - time.Since(rec.start))
-	killsBefore := c.memoryKills()
+	before := c.memoryKills()
 	time.Sleep(end - time.Since(rec.start))
-	kills := c.memoryKills() - killsBefore
-	peaks := []string{}
+	kills := c.memoryKills() - before
+	nodes := []string{}
 	for _, n := range c.Nodes {
-		peaks = append(peaks, fmt.Sprintf("%s at most %d MiB, killed %d times", n.name, n.peakKB/1024, n.memoryKills))
+		nodes = append(nodes, fmt.Sprintf("%s held at most %d MiB and was killed for it %d times", n.name, n.peakKB/1024, n.memoryKills))
 	}
-	seen := fmt.Sprintf("%d runs accepted; in the last %.0f s %d controllers killed for memory, %d members done; %s", accepted, (end - lookFrom).Seconds(), kills, lateEnds.Load(), strings.Join(peaks, "; "))
-	return kills >= 3 && lateEnds.Load() == 0, seen, nil
+	seen := fmt.Sprintf("%d runs accepted, %d tasks done in all; in the last minute %d ends of controllers for memory and %d tasks done; %d of 4 tasks of the plain job started; %s",
+		accepted.Load(), members.Load(), kills, late.Load(), plainStarts.Load(), strings.Join(nodes, "; "))
+	return kills >= 3 && late.Load() == 0, seen, nil
 }
 
 func (c *Cluster) memoryKills() (sum int) {
