--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -1,4 +1,4 @@
-// Standin2 plays the cases 4 to 7 of the review. It starts controllers as processes of their own, with stand-ins of the state
+// Standin2 plays the cases 4 to 8 of the review. It starts controllers as processes of their own, with stand-ins of the state
 // service, the cloud, the workers, the users and the platform that keeps the processes running.
 package main
 
@@ -17,6 +17,7 @@
 	"lostrun":  lostRun,
 	"slowread": slowRead,
 	"again":    again,
+	"past":     past,
 }
 
 func main() {
--- a/review/_standin2/slowread.go
+++ b/review/_standin2/slowread.go
@@ -12,10 +12,10 @@
 
 // slowRead has sixteen runs of a pipeline go on. With the disruption the state service answers slowly for 39 s, as the
 // operators' days have it (30 times its 2 ms, one request in twenty 25 times that), and the leader is killed twice in
-// this time, 18 s apart. The rule is broken if a run has failed, although none of its jobs has, or has not ended a minute
+// this time, at least 12 s apart, each time after some twenty steps have ended. The rule is broken if a run has failed, although none of its jobs has, or has not ended a minute
 // after the troubles' end.
 func slowRead(rec *Record, trouble bool) (bool, string, error) {
-	const runs, chains, length = 16, 4, 4
+	const runs, chains, length = 16, 6, 3
 	tasks := []object{}
 	for i := range chains {
 		for k := range length {
@@ -42,10 +42,8 @@
 	lastStart := time.Now()
 	fleet := &Fleet{
 		Describe: func(task string, _ uint64) (TaskSpec, bool) {
-			id := task[:strings.IndexByte(task, '/')]
-			_, ok := jobs[id]
-			run := time.Duration(2000+1000*int(id[len(id)-1]-'0')) * time.Millisecond // 2 to 11 s
-			return TaskSpec{CPUs: 1, MemGB: 1, Bundle: "img-settle", ImageGB: 0.25, Run: run, Cause: "done"}, ok
+			_, ok := jobs[task[:strings.IndexByte(task, '/')]]
+			return TaskSpec{CPUs: 1, MemGB: 1, Bundle: "img-settle", ImageGB: 0.25, Run: 6 * time.Second, Cause: "done"}, ok
 		},
 		OnStart: func(machine, task string, attempt uint64) {
 			rec.Log("%s runs %s attempt %d (%s)", machine, task, attempt, jobs[task[:strings.IndexByte(task, '/')]])
@@ -88,13 +86,23 @@
 			return 60 * time.Millisecond
 		})
 	}
-	time.Sleep(3 * time.Second)
+	slowFrom := time.Now()
 	for range 2 {
+		mu.Lock()
+		before := len(done)
+		mu.Unlock()
+		for ended := 0; ended < 20 && time.Since(slowFrom) < 32*time.Second; {
+			time.Sleep(50 * time.Millisecond)
+			mu.Lock()
+			ended = len(done) - before
+			mu.Unlock()
+		}
 		if trouble {
 			c.Kill(c.State.Leader())
 		}
-		time.Sleep(18 * time.Second)
+		time.Sleep(12 * time.Second)
 	}
+	time.Sleep(time.Until(slowFrom.Add(39 * time.Second)))
 	c.State.SetLatency(func() time.Duration { return 3 * time.Millisecond })
 	rec.Log("all troubles are over")
 	states := map[string]int{}
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 4 to 7. The program itself is built as deploy/service.toml says.
+# Builds the stand-ins of the cases 4 to 8. The program itself is built as deploy/service.toml says.
 set -e
 cd "$(dirname "$0")/.."
 go build -o target/standin2 ./review/_standin2
