--- a/review/_standin2/platform.go
+++ b/review/_standin2/platform.go
@@ -137,6 +137,7 @@
 	}
 	for _, n := range c.Nodes {
 		if err := c.launch(n); err != nil {
+			c.Stop()
 			return nil, err
 		}
 	}
