--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -6,12 +6,16 @@
 	"flag"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
 // A scenario returns whether the rule was broken, and what was seen. The error means that the case could not run.
 type scenario func(rec *Record, trouble bool) (broken bool, seen string, err error)
 
+// current is the cluster that runs.
+var current atomic.Pointer[Cluster]
+
 var scenarios = map[string]scenario{
 	"sweeps":   sweeps,
 	"lostrun":  lostRun,
@@ -40,6 +44,13 @@
 		os.Exit(2)
 	}
 	rec := &Record{file: file, start: time.Now()}
+	time.AfterFunc(118*time.Second, func() { // no run takes longer than the limit of a case
+		if c := current.Load(); c != nil {
+			c.Stop()
+		}
+		fmt.Println("could not run: it takes too long")
+		os.Exit(2)
+	})
 	broken, seen, err := play(rec, *trouble)
 	verdict, code := "held", 0
 	switch {
--- a/review/_standin2/platform.go
+++ b/review/_standin2/platform.go
@@ -91,6 +91,7 @@
 // StartCluster starts the stand-ins and the controllers.
 func StartCluster(rec *Record, d Deployment, fleet *Fleet) (*Cluster, error) {
 	c := &Cluster{Record: rec, Fleet: fleet, RAMMiB: d.RAMMiB, RestartDelay: time.Duration(d.RestartS * float64(time.Second))}
+	current.Store(c)
 	var err error
 	if c.dir, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
--- a/review/_standin2/sweeps.go
+++ b/review/_standin2/sweeps.go
@@ -36,7 +36,7 @@
 	return raw
 }
 
-// sweeps has one team trigger runs of a sweep, with the disruption four times as many as without, and another team submit a
+// sweeps has one team trigger runs of a sweep, with the disruption four times as often as without, and another team submit a
 // plain job at 20 s. The rule is broken if
 // controllers keep ending for memory: six ends or more in the last minute.
 func sweeps(rec *Record, trouble bool) (bool, string, error) {
@@ -84,6 +84,7 @@
 	go func() {
 		defer close(triggered)
 		for i := 0; i < runs && time.Since(rec.start) < lookFrom; i++ {
+			time.Sleep(time.Until(rec.start.Add(time.Duration(i) * 20 * time.Second / time.Duration(runs))))
 			body := fmt.Sprintf(`{"dag_run_id":"route-%03d","described":true}`, i)
 			status, _ := c.Ask(20*time.Second, 5*time.Second, http.MethodPost, "/api/v1/dags/sweep/dagRuns"+team, []byte(body))
 			if status == http.StatusOK || status == http.StatusCreated || status == http.StatusConflict {
