--- a/review/_standin2/platform.go
+++ b/review/_standin2/platform.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -79,13 +80,18 @@
 	Extra    string // more of the settings
 }
 
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddrs returns n loopback addresses on which nothing listens. Their ports are below those that the system gives to
+// outgoing connections, so none of these takes one before a controller does.
+func freeAddrs(n int) (addrs []string) {
+	for len(addrs) < n {
+		l, listenErr := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000)))
+		if listenErr != nil {
+			continue
+		}
+		defer l.Close() // open until all are found, so that they differ
+		addrs = append(addrs, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addrs
 }
 
 // StartCluster starts the stand-ins and the controllers.
@@ -101,14 +107,9 @@
 	}
 	fleet.Record, fleet.Controllers = rec, map[string]string{}
 	fleet.ReportEvery, fleet.Lease = time.Duration(d.ReportS*float64(time.Second)), time.Duration(d.LeaseS*float64(time.Second))
+	addrs := freeAddrs(2 * len(d.Zones))
 	for i := range d.Zones {
-		n := &Node{name: fmt.Sprintf("stall-%d", i)}
-		if n.bind, err = freeAddr(); err != nil {
-			return nil, err
-		}
-		if n.mesh, err = freeAddr(); err != nil {
-			return nil, err
-		}
+		n := &Node{name: fmt.Sprintf("stall-%d", i), bind: addrs[2*i], mesh: addrs[2*i+1]}
 		c.Nodes = append(c.Nodes, n)
 		fleet.Controllers[n.name] = n.bind
 		fleet.Order = append(fleet.Order, n.name)
