Graphs: a run's record keeps its bound; results without room get records of their own

Cause: all results of a run were in its one record of 16 KiB, but only each by itself was bounded. encodeRun cancelled a run whose record was too long, and the cancelled run was too long as well.

Evidence: the case's record has one term, no failed attempt and no cancellation; the leader logs "record of a run is too long" with 16576, 16492 and 16398 bytes, and halts the tasks 60 ms after the sixth result. That rules out a user's cancellation, failures, a change of the leader and the limit of memory.

Change: a result without room in the run's record has a record of its own (graph/result/), written before the run's record names it. What cannot move out is bounded where it comes in (trigger, list, clear) with room for what jobs do later, so that the new piece alone is refused, with the limit. The compact form (format 2) has columns whose sizes have bounds without compression; earlier builds refuse it and leave such a run alone. Format 1 is written whenever it suffices. A record that is too long all the same holds its run back; nothing is cancelled, and other runs are stored. Transactions are bounded by what is added to them; before, a step's job was added whatever its length. The fake state service refuses values over 16 KiB and transactions over 64 KiB, as the real one does.

Why it works: no path from an accepted piece to a withdrawal is left, and the bound holds for every state that the run can reach without a further command (TestRunRecordStaysWithinItsBound, 2,000 random runs by hand).

Seen red on: TestResultsWithinTheirLimitDoNotEndTheRun (sixth result: no answer), TestRetriesOfManyStepsDoNotEndTheRun (a job was withdrawn), TestClearOfManyStepsDoesNotEndTheRun (no answer), TestRunWhoseRecordWouldBeTooLongIsRefused (201 for a run without room).

--- a/internal/graphs/airflow/results.go
+++ b/internal/graphs/airflow/results.go
@@ -15,9 +15,13 @@
 	if err != nil {
 		return nil, err
 	}
+	result, err := h.Reader.Result(r.Context(), run, step)
+	if err != nil {
+		return nil, err
+	}
 	entries := []map[string]any{}
-	if run.Run.Result(step) != nil {
-		entries = append(entries, viewResult(run, step))
+	if result != nil {
+		entries = append(entries, viewResult(run, step, result))
 	}
 	return listBody("xcom_entries", entries, len(entries)), nil
 }
@@ -27,14 +31,21 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.PathValue("key") != resultKey || run.Run.Result(step) == nil {
+	if r.PathValue("key") != resultKey {
+		return nil, runner.ErrNotFound
+	}
+	result, err := h.Reader.Result(r.Context(), run, step)
+	switch {
+	case err != nil:
+		return nil, err
+	case result == nil:
 		return nil, runner.ErrNotFound
 	}
-	return viewResult(run, step), nil
+	return viewResult(run, step, result), nil
 }
 
 // viewResult returns a step's result in the API's form, where the value is a string that contains JSON.
-func viewResult(run *runner.RunView, step int) map[string]any {
+func viewResult(run *runner.RunView, step int, result json.RawMessage) map[string]any {
 	return map[string]any{
 		"key":            resultKey,
 		"timestamp":      timestamp(run.Queued),
@@ -42,7 +53,7 @@
 		"task_id":        run.Run.Plan.Steps[step].ID,
 		"dag_id":         run.Graph,
 		"map_index":      unmapped,
-		"value":          string(run.Run.Result(step)),
+		"value":          string(result),
 	}
 }
 
--- a/internal/graphs/dag/formats_test.go
+++ b/internal/graphs/dag/formats_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"poppypass/internal/platform/golden"
 )
 
@@ -77,3 +79,45 @@
 		byte(None), byte(Scheduled), byte(Queued), byte(Running), byte(UpForRetry), byte(Success), byte(Failed), byte(Skipped), byte(UpstreamFailed),
 	})
 }
+
+// Both stored forms of a run are decoded to the same run, whether results are stored elsewhere or not. Earlier versions
+// refuse the compact form: they must not continue a run without its results.
+func TestCompactStoredRun(t *testing.T) {
+	job := &Job{Class: "train", CPUs: 1, MemoryGB: 1, Image: "img-07"}
+	plan, err := NewPlan(&Graph{ID: "nightly", Team: "vision", Steps: []Step{
+		{ID: "first", Kind: KindJob, Job: job},
+		{ID: "second", Kind: KindJob, Job: job, Map: &Map{List: []json.RawMessage{json.RawMessage("1"), json.RawMessage("2")}}},
+		{ID: "third", Kind: KindJob, Job: job, Upstream: []string{"first", "second"}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := NewRun(plan, "manual__1")
+	run.orphans = []string{"job-7"}
+	run.nodes[0].generation = 2
+	run.nodes[0].result, run.nodes[2].result = json.RawMessage(`{"a":1}`), json.RawMessage(`3`)
+	run.nodes[0].instances[0] = Instance{State: UpForRetry, Failures: 3, RetryAt: time.UnixMilli(1_780_000_000_000)}
+	run.nodes[1].instances[1] = Instance{State: Failed, Failures: 4}
+	raw := run.EncodeCompact(CompactOptions{Separate: func(step int) bool { return step == 0 }})
+	golden.Hex(t, "compact-run", raw)
+	if err := cbor.Unmarshal(raw, &storedRun{}); err == nil {
+		t.Error("earlier versions decode the compact form")
+	}
+	decoded, err := DecodeRun(plan, raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if decoded.Result(0) != nil {
+		t.Errorf("a result that is stored elsewhere is decoded as %s", decoded.Result(0))
+	}
+	decoded.RestoreResult(0, run.Result(0))
+	golden.Hex(t, "compact-run-in-full", decoded.Encode())
+	golden.Equal(t, "compact-run-in-full", decoded.Encode(), run.Encode())
+	shortest, err := DecodeRun(plan, run.EncodeCompact(CompactOptions{Separate: func(int) bool { return false }, DropFailures: true}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if running, ended := shortest.nodes[0].instances[0], shortest.nodes[1].instances[1]; running != run.nodes[0].instances[0] || ended != (Instance{State: Failed}) {
+		t.Errorf("the shortest form is decoded to %+v and %+v", running, ended)
+	}
+}
--- a/internal/graphs/dag/results.go
+++ b/internal/graphs/dag/results.go
@@ -26,6 +26,17 @@
 	return nil
 }
 
+// RestoreResult sets a step's result to one that SetResult accepted earlier; nil removes the result.
+func (r *Run) RestoreResult(step int, result json.RawMessage) { r.nodes[step].result = result }
+
+// decodeList decodes a result that a step may be mapped over. ok is false if it is no list or too long.
+func decodeList(result json.RawMessage) (list []json.RawMessage, ok bool) {
+	if json.Unmarshal(result, &list) != nil || len(list) > MaxMappedInstances {
+		return nil, false
+	}
+	return list, true
+}
+
 // mapElements returns the list that a mapped step is mapped over. known is false while there is no valid list;
 // there may never be one.
 func (r *Run) mapElements(i int) (list []json.RawMessage, known bool) {
@@ -37,10 +48,7 @@
 	if source.state != Success || source.result == nil {
 		return nil, false
 	}
-	if json.Unmarshal(source.result, &list) != nil || len(list) > MaxMappedInstances {
-		return nil, false
-	}
-	return list, true
+	return decodeList(source.result)
 }
 
 // Element returns the list element of an instance of a mapped step; nil for a step that is not mapped.
--- a/internal/graphs/dag/runcodec.go
+++ b/internal/graphs/dag/runcodec.go
@@ -65,40 +65,50 @@
 }
 
 // Encode returns the run's stored form, which DecodeRun reads.
-func (r *Run) Encode() []byte {
-	stored := storedRun{Format: runFormat, ID: r.ID, Cancelled: r.cancelled, States: make([]byte, len(r.nodes)), Orphans: r.orphans}
+func (r *Run) Encode() []byte { return r.EncodeWithout(func(int) bool { return false }) }
+
+// EncodeWithout returns the run's stored form without the results of the steps for which separate returns true. They are
+// stored elsewhere, and the decoder's caller restores them (RestoreResult) if it needs them.
+func (r *Run) EncodeWithout(separate func(step int) bool) []byte {
+	stored := storedRun{Format: runFormat, ID: r.ID, Cancelled: r.cancelled, States: r.encodeStates(), Orphans: r.orphans}
 	for i := range r.nodes {
-		stored.States[i] = byte(r.nodes[i].state)
-		if !r.stateSuffices(i) {
-			stored.Steps = append(stored.Steps, r.encodeStep(i))
+		n := r.nodes[i]
+		if separate(i) {
+			n.result = nil
+		}
+		if n.generation > 0 || !n.stateSuffices(r.Plan.Steps[i].Map != nil) {
+			stored.Steps = append(stored.Steps, n.encodeStep(i))
 		}
 	}
-	raw, err := cbor.Marshal(stored)
-	if err != nil {
-		panic(fmt.Sprintf("encoding a run as CBOR failed: %v", err))
+	return mustMarshal(stored)
+}
+
+// encodeStates returns the states of all steps, one byte for each.
+func (r *Run) encodeStates() []byte {
+	states := make([]byte, len(r.nodes))
+	for i := range r.nodes {
+		states[i] = byte(r.nodes[i].state)
 	}
-	return raw
+	return states
 }
 
-// stateSuffices reports whether a step can be restored from its state alone. That is so for most steps: they
-// have at most one instance, which is in the same state and has no details.
-func (r *Run) stateSuffices(i int) bool {
-	n := &r.nodes[i]
-	if n.generation > 0 || len(n.result) > 0 {
+// stateSuffices reports whether a step can be restored from its state and generation alone. That is so for most steps:
+// they have at most one instance, which is in the same state and has no details.
+func (n *node) stateSuffices(mapped bool) bool {
+	if len(n.result) > 0 {
 		return false
 	}
 	switch len(n.instances) {
 	case 0:
 		return true
 	case 1:
-		return n.instances[0].State == n.state && !n.instances[0].hasDetails() && r.Plan.Steps[i].Map == nil
+		return n.instances[0].State == n.state && !n.instances[0].hasDetails() && !mapped
 	}
 	return false
 }
 
-// encodeStep returns the storedStep of a step.
-func (r *Run) encodeStep(i int) storedStep {
-	n := &r.nodes[i]
+// encodeStep returns the storedStep of the step with index i.
+func (n *node) encodeStep(i int) storedStep {
 	stored := storedStep{Step: i, Generation: n.generation, Result: n.result}
 	for k, inst := range n.instances {
 		stored.States = append(stored.States, byte(inst.State))
@@ -111,13 +121,27 @@
 	return stored
 }
 
-// DecodeRun restores a run of a plan from the form that Encode returns. Each error wraps ErrStoredRun.
+// DecodeRun restores a run of a plan from a form that Encode, EncodeWithout or EncodeCompact returns. Each error wraps
+// ErrStoredRun.
 func DecodeRun(p *Plan, raw []byte) (*Run, error) {
+	var fields []cbor.RawMessage
+	var format int
+	if cbor.Unmarshal(raw, &fields) == nil && len(fields) > 0 && cbor.Unmarshal(fields[0], &format) == nil && format == compactRunFormat {
+		return decodeCompactRun(p, raw)
+	}
 	var stored storedRun
 	if err := cbor.Unmarshal(raw, &stored); err != nil {
 		return nil, fmt.Errorf("%w of %s is malformed: %w", ErrStoredRun, p.ID, err)
 	}
-	if stored.Format != runFormat || len(stored.States) != len(p.Steps) {
+	if stored.Format != runFormat {
+		return nil, fmt.Errorf("%w %s of %s does not fit its graph", ErrStoredRun, stored.ID, p.ID)
+	}
+	return restoreRun(p, &stored)
+}
+
+// restoreRun restores a run of a plan from its decoded stored form.
+func restoreRun(p *Plan, stored *storedRun) (*Run, error) {
+	if len(stored.States) != len(p.Steps) {
 		return nil, fmt.Errorf("%w %s of %s does not fit its graph", ErrStoredRun, stored.ID, p.ID)
 	}
 	r := &Run{Plan: p, ID: stored.ID, nodes: make([]node, len(p.Steps)), cancelled: stored.Cancelled, orphans: stored.Orphans}
--- a/internal/graphs/runner/dags.go
+++ b/internal/graphs/runner/dags.go
@@ -23,6 +23,8 @@
 	onStored []func() // called when it is stored
 	deleting bool     // it is being deleted
 
+	onRunsDeleted func() // called when its last run is deleted; nil unless deleting is set
+
 	schedule          *dag.Schedule
 	lastIntervalEnd   time.Time   // end of the newest data interval that has a run
 	notDueBefore      time.Time   // no run is due before this time
@@ -42,6 +44,7 @@
 	defHash              string          // hash of its definition
 	live                 *liveRun        // nil if the run is finished and stored as finished
 	failedPastDependents map[string]bool // the result of failedPastDependents; nil while the run is live
+	hasResultRecords     bool            // results of it may be stored in records of their own; false while the run is live
 	deleting             bool            // its record is being deleted
 }
 
@@ -166,15 +169,20 @@
 		return
 	}
 	gr.deleting = true
+	// The graph's own record is deleted last, because a new leader ignores runs whose graph is not stored.
+	gr.onRunsDeleted = func() {
+		g.enqueueDeletions(func() {
+			delete(g.graphs, gr.key)
+			g.releaseDefinition(gr.rec.Def)
+			respond.succeed(http.StatusNoContent)
+		}, gr.key)
+	}
+	if len(gr.history) == 0 {
+		gr.onRunsDeleted()
+	}
 	for _, e := range gr.history {
 		if !e.deleting {
 			g.deleteRun(gr, e, nil)
 		}
 	}
-	// The graph's own record is deleted last, because a new leader ignores runs whose graph is not stored.
-	g.enqueueDeletions(func() {
-		delete(g.graphs, gr.key)
-		g.releaseDefinition(gr.rec.Def)
-		respond.succeed(http.StatusNoContent)
-	}, gr.key)
 }
--- a/internal/graphs/runner/formats_test.go
+++ b/internal/graphs/runner/formats_test.go
@@ -17,13 +17,14 @@
 	golden.JSONRoundTrip(t, "graph", golden.Fill(new(GraphRecord)))
 	golden.JSONRoundTrip(t, "part", golden.Fill(new(partRecord)))
 	golden.JSONRoundTrip(t, "run", golden.Fill(new(runRecord)))
+	golden.JSONRoundTrip(t, "result", golden.Fill(new(resultRecord)))
 	golden.CBORRoundTrip(t, "try", &Try{Step: 1, Index: 2, Generation: 3, BeginMS: 4, EndMS: 5, State: dag.Success})
 }
 
 func TestStoredKeys(t *testing.T) {
 	golden.Lines(t, "keys",
-		PrefixDefinition, PrefixGraph, PrefixRun,
-		keyGraph("vision", "nightly"), keyRun("vision", "nightly", "manual__2026-12-01T12:00:00+00:00"),
+		PrefixDefinition, PrefixGraph, PrefixRun, PrefixResult,
+		keyGraph("vision", "nightly"), keyRun("vision", "nightly", "manual__2026-12-01T12:00:00+00:00"), keyResult("graph/run/1/nightly/one", 7),
 		strings.Join(partKeys("00112233445566778899aabbccddeeff", 2), "\n"),
 		DefaultRunID(RunTypeManual, exampleTime), DefaultRunID(RunTypeScheduled, exampleTime), DefaultRunID(RunTypeBackfill, exampleTime), DefaultPool,
 	)
--- a/internal/graphs/runner/orders.go
+++ b/internal/graphs/runner/orders.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"poppypass/internal/accounting/charge"
 	"poppypass/internal/graphs/dag"
 	"poppypass/internal/platform/tuning"
 	"poppypass/internal/scheduler/leader"
@@ -238,21 +239,11 @@
 	}
 	plan, parts := def.plan, def.parts
 	go func() {
-		var rec runRecord
-		item, ok, err := g.store.Get(g.termCtx, entry.key)
-		if err == nil && !ok {
-			err = errors.New("the record does not exist")
-		}
-		if err == nil {
-			err = json.Unmarshal(item.Value, &rec)
-		}
-		if err == nil && plan == nil {
-			plan, err = fetch(g.termCtx, g.store, entry.defHash, parts)
-		}
+		stored, err := g.readFinishedRun(entry, plan, parts)
 		_ = g.runOnLoop(func() { // fails only when the leadership has ended; the client gets no answer then
-			var run *dag.Run
+			var live *liveRun
 			if err == nil {
-				run, err = decodeRun(g.codec, &rec, plan)
+				live, err = newLiveRun(gr, stored.run, entry.key, entry.defHash, stored.record.runMeta, stored.record.Results)
 			}
 			switch {
 			case err != nil:
@@ -263,15 +254,50 @@
 			case entry.live != nil: // another clear command has made the run live in the meantime
 				g.clearSteps(entry.live, cmd, respond)
 			default:
-				g.cachePlan(entry.defHash, def.parts, plan)
-				live := newLiveRun(gr, run, entry.key, entry.defHash, rec.runMeta)
+				g.cachePlan(entry.defHash, def.parts, stored.run.Plan)
 				g.addLive(live)
-				live.version, live.entry, live.tries = item.Version, entry, readTries(g.codec, &rec)
+				live.version, live.entry, live.tries = stored.version, entry, readTries(g.codec, &stored.record)
 				live.meta.StartMS, live.meta.EndMS = 0, 0
-				entry.live, entry.failedPastDependents = live, nil
+				entry.live, entry.failedPastDependents, entry.hasResultRecords = live, nil, false
 				g.clearSteps(live, cmd, respond)
 				g.markDirty(live)
 			}
 		})
 	}()
 }
+
+// finishedRun is a finished run as it is stored, with all its results.
+type finishedRun struct {
+	record  runRecord
+	version uint64
+	run     *dag.Run
+}
+
+// readFinishedRun reads a finished run. plan is its plan if that is in memory, and parts the number of the parts of its
+// definition. It is safe for concurrent use.
+func (g *Graphs) readFinishedRun(entry *runEntry, plan *dag.Plan, parts int) (*finishedRun, error) {
+	item, ok, err := g.store.Get(g.termCtx, entry.key)
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, errors.New("the record does not exist")
+	}
+	out := &finishedRun{version: item.Version}
+	if err := json.Unmarshal(item.Value, &out.record); err != nil {
+		return nil, err
+	}
+	if plan == nil {
+		if plan, err = fetch(g.termCtx, g.store, entry.defHash, parts); err != nil {
+			return nil, err
+		}
+	}
+	codec, err := charge.NewCodec() // g.codec belongs to the loop's goroutine
+	if err != nil {
+		return nil, err
+	}
+	if out.run, err = decodeRun(codec, &out.record, plan); err != nil {
+		return nil, err
+	}
+	return out, restoreResults(g.termCtx, g.store, entry.key, out.run, out.record.Results)
+}
--- a/internal/graphs/runner/read.go
+++ b/internal/graphs/runner/read.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"poppypass/internal/accounting/charge"
@@ -148,15 +149,38 @@
 	}); err != nil {
 		return err
 	}
-	_, err := store.ListAll(ctx, PrefixRun, func(items []wire.Item) error {
+	if _, err := store.ListAll(ctx, PrefixRun, func(items []wire.Item) error {
 		for _, item := range items {
 			if err := l.addRun(item); err != nil {
 				l.log.Error("decoding a run failed; ignoring the run in this term", "record", item.Key, "err", err)
 			}
 		}
 		return nil
-	})
-	return err
+	}); err != nil {
+		return err
+	}
+	return l.readResults(ctx, store)
+}
+
+// readResults reads the results of live runs that are stored in records of their own. A run without all of its results
+// must not go on, so it is left out.
+func (l *loader) readResults(ctx context.Context, store *statestore.Client) error {
+	var complete []*liveRun
+	for _, live := range l.runs {
+		switch err := restoreResults(ctx, store, live.key, live.run, live.separate); {
+		case errors.Is(err, errMissingResult):
+			l.log.Error("a result of a run is missing; ignoring the run in this term", "record", live.key)
+			live.graph.history = slices.DeleteFunc(live.graph.history, func(e *runEntry) bool { return e == live.entry })
+			l.definitions[live.defHash].refs--
+		case err != nil:
+			return err
+		default:
+			live.size.update(live)
+			complete = append(complete, live)
+		}
+	}
+	l.runs = complete
+	return nil
 }
 
 // plan returns the plan of a definition.
@@ -214,7 +238,7 @@
 	if gr == nil {
 		return errors.New("the run's graph is not registered or could not be decoded")
 	}
-	entry := &runEntry{key: item.Key, id: rec.ID, logicalMS: rec.LogicalMS, hasInterval: rec.ToMS != 0, defHash: rec.Def}
+	entry := &runEntry{key: item.Key, id: rec.ID, logicalMS: rec.LogicalMS, hasInterval: rec.ToMS != 0, defHash: rec.Def, hasResultRecords: len(rec.Results) > 0}
 	if rec.finished() && !gr.hasPastDependents {
 		l.addRunEntry(gr, entry) // the definition need not be decoded for a finished run
 		return nil
@@ -230,8 +254,11 @@
 	if rec.finished() {
 		entry.failedPastDependents = failedPastDependents(run)
 	} else {
-		live := newLiveRun(gr, run, item.Key, rec.Def, rec.runMeta)
-		live.version, live.entry, live.recordBytes, live.tries = item.Version, entry, len(item.Value), readTries(l.codec, &rec)
+		live, err := newLiveRun(gr, run, item.Key, rec.Def, rec.runMeta, rec.Results)
+		if err != nil {
+			return err
+		}
+		live.version, live.entry, live.tries = item.Version, entry, readTries(l.codec, &rec)
 		entry.live = live
 		l.runs = append(l.runs, live)
 	}
--- a/internal/graphs/runner/reader.go
+++ b/internal/graphs/runner/reader.go
@@ -134,8 +134,11 @@
 // RunView is a run with the states of its steps.
 type RunView struct {
 	RunInfo
-	Run   *dag.Run
-	Tries []Try // the newest ones; times are relative to Queued
+	Run   *dag.Run // without the results that have records of their own; Reader.Result reads those
+	Tries []Try    // the newest ones; times are relative to Queued
+
+	key      string
+	separate stepSet
 }
 
 // Run returns a run of a team's graph. The error is ErrNotFound if there is no such run.
@@ -144,7 +147,8 @@
 		return nil, ErrNotFound
 	}
 	var rec runRecord
-	if err := r.get(ctx, keyRun(team, graph, id), &rec); err != nil {
+	key := keyRun(team, graph, id)
+	if err := r.get(ctx, key, &rec); err != nil {
 		return nil, err
 	}
 	plan, err := r.Plan(ctx, rec.Def)
@@ -159,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &RunView{RunInfo: rec.info(), Run: run, Tries: readTries(r.codec, &rec)}, nil
+	return &RunView{RunInfo: rec.info(), Run: run, Tries: readTries(r.codec, &rec), key: key, separate: rec.Results}, nil
 }
 
 // Plan returns the plan of a stored definition.
--- a/internal/graphs/runner/records.go
+++ b/internal/graphs/runner/records.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -26,6 +25,8 @@
 	PrefixGraph = "graph/dag/"
 	// PrefixRun is the prefix of runs. Each record contains the states of all steps of its run.
 	PrefixRun = "graph/run/"
+	// PrefixResult is the prefix of the results of steps that have no room in the record of their run.
+	PrefixResult = "graph/result/"
 )
 
 // DefaultPool is the name of the pool of steps that do not specify one.
@@ -102,24 +103,6 @@
 	Zstd  []byte `json:"z"`     // part of the compressed definition
 }
 
-// runRecord is the stored form of a run.
-type runRecord struct {
-	Team  string `json:"team"`
-	Graph string `json:"graph"`
-	ID    string `json:"id"`
-	Def   string `json:"def"` // hash of its definition
-	State string `json:"state"`
-	runMeta
-	// Open is true if jobs of the run are not finished. They may still be unfinished after the run has ended.
-	Open bool   `json:"open,omitempty"`
-	Zstd []byte `json:"z"` // stored form of a dag.Run, compressed
-	// Tries is the list of the newest tries of the run's steps, encoded and compressed.
-	Tries []byte `json:"tries,omitempty"`
-}
-
-// finished reports whether the run is finished: it has ended, and so have all its jobs.
-func (r *runRecord) finished() bool { return r.State != dag.RunRunning.String() && !r.Open }
-
 // Pack returns the hash of a definition, and its compressed form in parts of at most tuning.GraphPartMaxBytes.
 func Pack(codec *charge.Codec, g *dag.Graph) (hash string, parts [][]byte, err error) {
 	raw, err := json.Marshal(g)
@@ -188,36 +171,6 @@
 	}
 }
 
-// encodeRunRecord encodes a run's record. To stay within limit bytes, it discards the oldest tries, and if necessary
-// all of them. If the record is still longer, encodeRunRecord returns it nevertheless.
-func encodeRunRecord(codec *charge.Codec, live *liveRun, limit int) (json.RawMessage, error) {
-	rec := runRecord{
-		Team: live.graph.rec.Team, Graph: live.graph.rec.ID, ID: live.run.ID, Def: live.defHash, State: live.run.RunState().String(), runMeta: live.meta,
-		Open: live.activeJobs > 0, Zstd: codec.Encode(live.run.Encode()),
-	}
-	if n := int(tuning.TriesRecordShare*float64(limit)) / tuning.TryBytes; len(live.tries) > n {
-		live.tries = slices.Clone(live.tries[len(live.tries)-n:])
-	}
-	if len(live.tries) > 0 {
-		rec.Tries = codec.Encode(live.tries)
-	}
-	value, err := json.Marshal(rec)
-	if err == nil && len(value) > limit && rec.Tries != nil {
-		rec.Tries, live.tries = nil, nil
-		value, err = json.Marshal(rec)
-	}
-	return value, err
-}
-
-// decodeRun decodes the states of a run's steps.
-func decodeRun(codec *charge.Codec, rec *runRecord, plan *dag.Plan) (*dag.Run, error) {
-	var raw []byte
-	if err := codec.Decode(rec.Zstd, &raw); err != nil {
-		return nil, fmt.Errorf("run %s of %s: %w", rec.ID, rec.Graph, err)
-	}
-	return dag.DecodeRun(plan, raw)
-}
-
 // instanceJob returns the job of an instance, and the job's stored record. nowMS is the time when the job is accepted, as
 // a Unix time in milliseconds.
 func instanceJob(r *dag.Run, ref dag.InstanceRef, nowMS int64) (wire.Job, json.RawMessage, error) {
--- a/internal/graphs/runner/retention.go
+++ b/internal/graphs/runner/retention.go
@@ -11,13 +11,48 @@
 // deleteRun deletes a finished run. then, if not nil, is called when its record is deleted.
 func (g *Graphs) deleteRun(gr *graph, entry *runEntry, then func()) {
 	entry.deleting = true
-	g.enqueueDeletions(func() {
+	deleted := func() {
 		gr.history = slices.DeleteFunc(gr.history, func(e *runEntry) bool { return e == entry })
 		g.releaseDefinition(entry.defHash)
 		if then != nil {
 			then()
 		}
-	}, entry.key)
+		if gr.deleting && len(gr.history) == 0 {
+			gr.onRunsDeleted()
+		}
+	}
+	if !entry.hasResultRecords {
+		g.enqueueDeletions(deleted, entry.key)
+		return
+	}
+	// The run's own record is deleted last: a new leader finds the results that are left by it.
+	g.listResultKeys(entry.key, func(keys []string) { g.enqueueDeletions(deleted, append(keys, entry.key)...) })
+}
+
+// listResultKeys lists the keys of a run's results that are stored in records of their own, and then calls then on the
+// loop's goroutine. It repeats a listing that fails until the leadership ends.
+func (g *Graphs) listResultKeys(runKey string, then func(keys []string)) {
+	ctx, runOnLoop, store := g.termCtx, g.runOnLoop, g.store
+	go func() {
+		for pause := tuning.StateRetryPause; ctx.Err() == nil; pause = min(2*pause, tuning.StateRetryPauseMax) {
+			var keys []string
+			_, err := store.ListAll(ctx, resultPrefix(runKey), func(items []wire.Item) error {
+				for _, item := range items {
+					keys = append(keys, item.Key)
+				}
+				return nil
+			})
+			if err == nil {
+				_ = runOnLoop(func() { then(keys) }) // fails only when the leadership has ended
+				return
+			}
+			g.log.Debug("listing the results of a run failed; deleting the run after a pause", "run", runKey, "err", err)
+			select {
+			case <-g.cfg.Clock.After(pause):
+			case <-ctx.Done():
+			}
+		}
+	}()
 }
 
 // applyRetention deletes finished runs of a graph, except for the newest tuning.GraphRetainedRunsMax.
@@ -87,7 +122,7 @@
 	n := 0
 	for n < len(g.deletions) && b.fits(1, 0) {
 		b.txn.Then = append(b.txn.Then, wire.Change{Delete: g.deletions[n].key})
-		b.bytes += 2 * len(g.deletions[n].key)
+		b.bytes += 2*len(g.deletions[n].key) + tuning.TxnChangeOverheadBytes
 		n++
 	}
 	if n > 0 {
--- a/internal/graphs/runner/runs.go
+++ b/internal/graphs/runner/runs.go
@@ -29,7 +29,7 @@
 	storeLaterSince time.Time // when it was added to Graphs.storeLater
 	finished        bool      // it and its jobs have ended, and its record says so
 	submitOneByOne  bool      // a transaction with some of its jobs failed a condition, so its jobs are submitted one by one
-	recordBytes     int       // size of its newest record, in bytes
+	heldBack        bool      // its newest state could not be stored, because its record would be too long
 	activeJobs      int       // submitted, unfinished jobs
 
 	waitingForPool map[*pool][]dag.InstanceRef // ready instances that wait for slots of a pool
@@ -37,18 +37,33 @@
 	picked         []pickedStep                // described instances that hold slots and are to be submitted
 	unansweredJobs map[string]wire.JobState    // jobs in an unanswered transaction, by ID, with their final states if known
 	tries          []Try                       // the newest ones, in the order in which they began
+
+	size            recordSize
+	separate        stepSet // steps whose results are stored in records of their own
+	unstoredResults []int   // steps whose results are still to be written to records of their own
+	resultBytes     int     // size of all its results
 }
 
-// newLiveRun creates a live run, which is not yet added to its graph's history or to Graphs.runs.
-func newLiveRun(gr *graph, r *dag.Run, key, def string, m runMeta) *liveRun {
-	return &liveRun{
+// newLiveRun creates a live run, which is not yet added to its graph's history or to Graphs.runs. separate contains the
+// steps whose results are stored in records of their own.
+func newLiveRun(gr *graph, r *dag.Run, key, def string, m runMeta, separate stepSet) (*liveRun, error) {
+	live := &liveRun{
 		run: r, graph: gr, key: key, defHash: def, meta: m, waitingForPool: map[*pool][]dag.InstanceRef{}, unansweredJobs: map[string]wire.JobState{},
+		separate: separate,
+	}
+	headerBytes, err := live.maxHeaderBytes()
+	if err != nil {
+		return nil, err
 	}
+	live.size.headerBytes = headerBytes
+	live.size.update(live)
+	return live, nil
 }
 
 // addLive adds a run to the live runs.
 func (g *Graphs) addLive(live *liveRun) {
 	g.memoryBytes += len(live.run.Plan.Steps) * tuning.RunStepBytes
+	g.addResultBytes(live, totalResultBytes(live.run))
 	g.runs[live.key] = live
 }
 
@@ -64,7 +79,15 @@
 	if meta.LogicalMS == 0 {
 		meta.LogicalMS = meta.QueuedMS
 	}
-	live := newLiveRun(gr, dag.NewRun(def.plan, id), key, gr.rec.Def, meta)
+	live, err := newLiveRun(gr, dag.NewRun(def.plan, id), key, gr.rec.Def, meta, nil)
+	if err != nil {
+		respond.refuse(http.StatusBadRequest, "the run cannot be stored: %s", err)
+		return
+	}
+	if needed := live.recordBound(tuning.RunMinSubmitted); needed > g.maxValueBytes() {
+		respond.refuse(http.StatusBadRequest, "the run's record would have up to %d bytes with its conf, its note and %d instances of steps; %d are allowed", needed, live.size.instances(), g.maxValueBytes())
+		return
+	}
 	g.addLive(live)
 	def.refs++
 	live.entry = &runEntry{key: key, id: id, logicalMS: meta.LogicalMS, hasInterval: meta.ToMS != 0, defHash: live.defHash, live: live}
@@ -139,7 +162,8 @@
 	live.finished = true
 	delete(g.runs, live.key)
 	delete(g.storeLater, live)
-	g.memoryBytes -= len(live.run.Plan.Steps) * tuning.RunStepBytes
+	g.memoryBytes -= len(live.run.Plan.Steps)*tuning.RunStepBytes + live.resultBytes
+	live.entry.hasResultRecords = len(live.separate) > 0
 	live.entry.live, live.entry.failedPastDependents = nil, failedPastDependents(live.run)
 	if live.meta.StartMS != 0 {
 		gr.startedRuns--
@@ -188,8 +212,17 @@
 		respond.refuse(http.StatusBadRequest, "%s", err)
 		return
 	}
+	size := live.size
+	size.generationBytes = dag.ColumnBytes(live.run.GenerationsAfterClear(steps))
+	orphaned := live.submittedOf(steps)
+	if status, reason := g.refusalOfSize(live, size, live.submitted()-orphaned, len(live.run.Orphans())+orphaned); status != 0 {
+		respond.refuse(status, "%s", reason)
+		return
+	}
 	live.run.Clear(steps)
 	live.detachOrphans(g)
+	g.resultsCleared(live, steps)
+	live.size.update(live)
 	live.onStored = append(live.onStored, func() { respond.succeed(http.StatusOK) })
 	g.cancelUnneeded(live)
 	g.markDirty(live)
@@ -209,19 +242,17 @@
 	}
 }
 
-// setResult sets the result of a step, which steps downstream read.
-func (g *Graphs) setResult(live *liveRun, cmd *Command, respond responder) {
-	i, ok := live.run.Plan.Index[cmd.Step]
-	if !ok {
-		respond.refuse(http.StatusNotFound, "no such step")
-		return
-	}
-	if err := live.run.SetResult(i, cmd.Result); err != nil {
-		respond.refuse(http.StatusConflict, "%s", err)
-		return
+// submittedOf returns how many jobs of the given steps are submitted and not over.
+func (live *liveRun) submittedOf(steps []int) (count int) {
+	for _, i := range steps {
+		_, instances := live.run.StepState(i)
+		for k := range instances {
+			if s := instances[k].State; s != dag.Scheduled && !s.Final() {
+				count++
+			}
+		}
 	}
-	live.onStored = append(live.onStored, func() { respond.succeed(http.StatusOK) })
-	g.markDirty(live)
+	return count
 }
 
 // runMeta is the part of a run's record that does not concern single steps.
--- a/internal/graphs/runner/submit.go
+++ b/internal/graphs/runner/submit.go
@@ -30,8 +30,9 @@
 	g.pickNext(live)
 	// Each picked instance increments activeInstances, and nothing between the two reads decrements it.
 	allocated := live.graph.activeInstances != activeBefore
+	recordRoom := g.hasRecordRoom(live) // without it the run waits for its own jobs, and must not hold up other runs
 	for _, p := range g.pools {
-		p.waitQueue.update(g, live, len(live.waitingForPool[p]) > 0, allocated, p.used < p.slots)
+		p.waitQueue.update(g, live, len(live.waitingForPool[p]) > 0 && recordRoom, allocated, p.used < p.slots)
 	}
 	gr := live.graph
 	gr.waitQueue.update(g, live, !gr.hasRoom() && (live.run.ReadyCount() > 0 || len(live.waitingForPool) > 0), allocated, gr.hasRoom())
@@ -40,6 +41,12 @@
 // hasRoom reports whether one more step of the graph may be submitted.
 func (gr *graph) hasRoom() bool { return gr.activeInstances < gr.rec.MaxTasks }
 
+// mayPick reports whether one more step of a run may be submitted, as far as the graph's limit and the run's record are
+// concerned.
+func (g *Graphs) mayPick(live *liveRun) bool {
+	return live.graph.hasRoom() && !live.heldBack && g.hasRecordRoom(live)
+}
+
 // recheckPast moves instances that wait for the previous run to those that wait for their pools, if the same step
 // succeeded or was skipped in that run.
 func (g *Graphs) recheckPast(live *liveRun) {
@@ -59,7 +66,7 @@
 // pickWaitingForPool picks the instances that waited for a pool and for which it has free slots now.
 func (g *Graphs) pickWaitingForPool(live *liveRun) {
 	for p, refs := range live.waitingForPool {
-		for len(refs) > 0 && live.graph.hasRoom() && (!live.run.IsReady(refs[0]) || p.fits(live, refs[0].Step)) {
+		for len(refs) > 0 && g.mayPick(live) && (!live.run.IsReady(refs[0]) || p.fits(live, refs[0].Step)) {
 			if live.run.IsReady(refs[0]) {
 				g.pickStep(live, refs[0])
 			}
@@ -74,7 +81,7 @@
 // pickNext picks instances that became ready since the last call, or adds them to those that wait for their pool or
 // the previous run.
 func (g *Graphs) pickNext(live *liveRun) {
-	for live.graph.hasRoom() {
+	for g.mayPick(live) {
 		refs := live.run.TakeReady(1)
 		if len(refs) == 0 {
 			return
@@ -148,7 +155,7 @@
 			g.runQueue = append([]*liveRun{live}, g.runQueue...)
 			return
 		}
-		if len(live.picked) > 0 {
+		if len(live.picked) > 0 && !live.heldBack {
 			g.enqueueRun(live) // at the end, so that a run of 10,000 ready steps does not block the others
 		}
 	}
@@ -159,34 +166,72 @@
 	if !live.dirty && len(live.picked) == 0 {
 		return true
 	}
-	if !b.fits(2, live.recordBytes+tuning.RecordOverheadBytes) || live.submitOneByOne && len(b.txn.Then) > 0 {
+	if live.submitOneByOne && len(b.txn.Then) > 0 {
+		return false
+	}
+	g.separateAllResults(live)
+	if !g.putResults(live, b) || !b.fits(1, g.maxRecordBytes(live)) {
 		return false
 	}
+	before := b.mark()
 	submitted := g.submitPicked(live, b, now)
 	g.cancelUnneeded(live)
 	if live.submitOneByOne && len(live.picked) == 0 && len(submitted) == 0 {
 		live.submitOneByOne = false
 	}
+	if !live.dirty && len(submitted) == 0 {
+		return len(live.picked) == 0 || live.heldBack // the next transaction has room for an instance
+	}
 	live.updateEnd(now)
-	value, ok := g.encodeRun(live, b.maxValueBytes)
-	if !ok {
-		return true // it is not stored; the next leader continues from the last stored record
+	live.trimTries(b.maxValueBytes)
+	value, err := encodeRunRecord(g.codec, live, min(b.maxValueBytes, tuning.TxnMaxBytes-b.bytes))
+	if err != nil || len(value) > b.maxValueBytes {
+		b.resetTo(before)
+		g.holdBack(live, submitted, len(value), err)
+		return true
+	}
+	if live.heldBack {
+		live.heldBack = false
+		g.enqueueRun(live) // its steps are submitted again
 	}
 	g.putRun(live, b, value, submitted)
 	return true
 }
 
+// maxRecordBytes returns the greatest length that the record of a run may have in the next transaction.
+func (g *Graphs) maxRecordBytes(live *liveRun) int {
+	return min(g.maxValueBytes(), live.recordBound(live.submitted())+base64Length(live.size.inlineBytes)) + tuning.RecordOverheadBytes
+}
+
+// holdBack handles a run whose record would be too long to be stored: the bounds on a run's record are meant to
+// exclude that, but a record of an earlier version may be beyond them. Nothing that was accepted is withdrawn. The run's
+// jobs go on, their ends are stored with the jobs, and no more of its steps are submitted. Each change of the run tries
+// to store it again; the next leader continues from its last stored record.
+func (g *Graphs) holdBack(live *liveRun, submitted []pickedStep, bytes int, err error) {
+	if !live.heldBack {
+		g.log.Error("record of a run is too long or cannot be encoded; submitting none of its steps until it can be stored", "run", live.key, "bytes", bytes, "err", err)
+	}
+	live.heldBack = true
+	for _, p := range submitted {
+		g.revertSubmission(p, false)
+	}
+	live.submitOneByOne = false
+}
+
 // submitPicked adds the jobs of picked instances to a transaction, as many as fit, and returns these instances. If
 // submitOneByOne is set, it adds only one.
 func (g *Graphs) submitPicked(live *liveRun, b *batch, now time.Time) (submitted []pickedStep) {
-	for len(live.picked) > 0 && b.fits(2, live.recordBytes+2*tuning.RecordOverheadBytes) && (!live.submitOneByOne || len(submitted) == 0) {
+	for len(live.picked) > 0 && !live.heldBack && (!live.submitOneByOne || len(submitted) == 0) {
 		picked := live.picked[0]
+		_, value, err := instanceJob(live.run, picked.ref, now.UnixMilli())
+		if !b.fits(2, g.maxRecordBytes(live)+len(value)+tuning.RecordOverheadBytes) {
+			break
+		}
 		live.picked = live.picked[1:]
 		if !live.run.IsReadyWithJob(picked.ref, picked.jobID) {
 			g.releaseSlots(live, picked.ref.Step) // the step was cleared or cancelled in the meantime
 			continue
 		}
-		_, value, err := instanceJob(live.run, picked.ref, now.UnixMilli())
 		if err != nil || len(value) > b.maxValueBytes {
 			g.log.Error("record of a step's job is too long or cannot be encoded; marking the step failed", "graph", live.graph.rec.ID, "run", live.run.ID, "job", picked.jobID, "err", err)
 			g.releaseSlots(live, picked.ref.Step)
@@ -215,24 +260,9 @@
 	}
 }
 
-// encodeRun returns a run's record of at most the given number of bytes. A run whose record is longer is cancelled; ok
-// is false if it is too long even then.
-func (g *Graphs) encodeRun(live *liveRun, maxBytes int) (value json.RawMessage, ok bool) {
-	value, err := encodeRunRecord(g.codec, live, maxBytes)
-	if err == nil && len(value) <= maxBytes {
-		return value, true
-	}
-	g.log.Error("record of a run is too long or cannot be encoded; cancelling the run", "run", live.key, "bytes", len(value), "err", err)
-	live.run.Cancel()
-	g.cancelUnneeded(live)
-	value, err = encodeRunRecord(g.codec, live, maxBytes)
-	return value, err == nil && len(value) <= maxBytes
-}
-
 // putRun adds a run's record to a transaction that submits the given instances, with callbacks for the cases
 // that the transaction is committed and that a condition does not hold.
 func (g *Graphs) putRun(live *liveRun, b *batch, value json.RawMessage, submitted []pickedStep) {
-	live.recordBytes = len(value)
 	onStored, storeLaterSince := live.onStored, live.storeLaterSince
 	live.dirty, live.onStored = false, nil
 	delete(g.storeLater, live)
--- a/internal/graphs/runner/tries.go
+++ b/internal/graphs/runner/tries.go
@@ -1,10 +1,12 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"poppypass/internal/accounting/charge"
 	"poppypass/internal/graphs/dag"
+	"poppypass/internal/platform/tuning"
 )
 
 // Try is one try of an instance of a step, from when the leader saw its job running until it saw the attempt end. There
@@ -26,6 +28,13 @@
 	})
 }
 
+// trimTries discards the oldest tries, so that the others take up to tuning.TriesRecordShare of a record.
+func (live *liveRun) trimTries(maxValueBytes int) {
+	if n := int(tuning.TriesRecordShare*float64(maxValueBytes)) / tuning.TryBytes; len(live.tries) > n {
+		live.tries = slices.Clone(live.tries[len(live.tries)-n:])
+	}
+}
+
 // tryEnded records the end of the newest try of an instance. It does nothing if the start of that try was not recorded.
 func (live *liveRun) tryEnded(ref dag.InstanceRef, now time.Time, state dag.State) {
 	for i := len(live.tries) - 1; i >= 0; i-- {
--- a/internal/graphs/runner/world_test.go
+++ b/internal/graphs/runner/world_test.go
@@ -266,7 +266,7 @@
 	a := h.send(verb, cmd)
 	h.settle()
 	if a.status != want {
-		h.t.Fatalf("command %s %+v: answered with %d %q, want %d", verb, cmd, a.status, a.text, want)
+		h.t.Fatalf("command %s of run %q, step %q: answered with %d %q, want %d", verb, cmd.Run, cmd.Step, a.status, a.text, want)
 	}
 	return a.text
 }
--- a/internal/platform/tuning/graphs.go
+++ b/internal/platform/tuning/graphs.go
@@ -42,6 +42,19 @@
 	// may have 16 KiB.
 	TryBytes         = 20
 	TriesRecordShare = 0.5
+	// The following bound the parts of a run's record in its compact form, before base64, in bytes unless the name
+	// says otherwise. RunStateBits is for the state of a step, of which there are nine, and whether its instances
+	// are stored, or for an instance of a mapped step. RunSubmittedBytes is for an instance whose job is not over,
+	// RunOrphanBytes for the ID of a job of a cleared step, RunInlineResultBytes for a result without the result
+	// itself, and RunRecordOverheadBytes for the rest.
+	RunStateBits           = 5
+	RunSubmittedBytes      = 20
+	RunOrphanBytes         = 40
+	RunInlineResultBytes   = 16
+	RunRecordOverheadBytes = 80
+	// RunMinSubmitted is the number of submitted steps for which the record of every accepted run has room, the
+	// default of max_active_tasks.
+	RunMinSubmitted = GraphDefaultMaxActiveTasks
 	// DescribeBatchSteps is the number of steps that one call describes, and DescribeTimeout bounds that call.
 	DescribeBatchSteps = 100
 	DescribeTimeout    = 5 * time.Second
--- a/internal/platform/tuning/jobs.go
+++ b/internal/platform/tuning/jobs.go
@@ -35,6 +35,9 @@
 	// TxnMaxBytes bounds the changes of a transaction, in bytes, including the longest record that is added
 	// last. It is 64 KiB less the size of the transaction's conditions.
 	TxnMaxBytes = 58 << 10
+	// TxnChangeOverheadBytes is the encoded size of a change and its condition, in bytes, without the value and
+	// without the key, which occurs in both.
+	TxnChangeOverheadBytes = 64
 	// TaskEntryMaxBytes, ChargeMaxBytes and RecordOverheadBytes bound the size, in bytes, of a task's entry, of a charge and
 	// of the rest of a progress record and its transaction. They allow for names of machines and zones of
 	// some 20 bytes, charges of up to 30 bytes in base64, and names of teams and classes.
--- a/internal/scheduler/jobs/batchbuilder.go
+++ b/internal/scheduler/jobs/batchbuilder.go
@@ -8,10 +8,6 @@
 	"poppypass/internal/platform/wire"
 )
 
-// changeOverhead is the encoded size of a change and its condition, in bytes, without the value and without
-// the key, which occurs in both.
-const changeOverhead = 64
-
 // batchBuilder gathers changes into one transaction, within the limits on its changes and bytes.
 type batchBuilder struct {
 	queue         *writeQueue
@@ -60,14 +56,14 @@
 func (b *batchBuilder) put(key string, version uint64, value json.RawMessage) {
 	b.require(key, version)
 	b.batch.Txn.Then = append(b.batch.Txn.Then, wire.Change{Put: key, Value: value})
-	b.bytes += len(value) + 2*len(key) + changeOverhead
+	b.bytes += len(value) + 2*len(key) + tuning.TxnChangeOverheadBytes
 }
 
 // deleteKey adds a change that deletes a key, on the condition that the key has the given version.
 func (b *batchBuilder) deleteKey(key string, version uint64) {
 	b.require(key, version)
 	b.batch.Txn.Then = append(b.batch.Txn.Then, wire.Change{Delete: key})
-	b.bytes += 2*len(key) + changeOverhead
+	b.bytes += 2*len(key) + tuning.TxnChangeOverheadBytes
 }
 
 // require adds the condition that a key has the given version. Version 0 means that the key does not exist.
--- a/internal/sim/fakes/store.go
+++ b/internal/sim/fakes/store.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -18,6 +19,12 @@
 	"poppypass/internal/platform/wire"
 )
 
+// The store's limits on sizes, in bytes: those of every deployment so far. A transaction beyond them is answered with 400.
+const (
+	MaxValueBytes = 16 << 10 // of a value
+	MaxTxnBytes   = 64 << 10 // of a transaction
+)
+
 // Store is an in-memory fake of the consensus-backed key-value store. Its leases expire by the clock given to NewStore.
 // It is safe for concurrent use.
 type Store struct {
@@ -179,8 +186,10 @@
 }
 
 func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(r.Body)
 	var txn wire.Txn
-	if !decode(w, r, &txn) {
+	if err != nil || json.Unmarshal(raw, &txn) != nil || len(raw) > MaxTxnBytes || slices.ContainsFunc(txn.Then, tooLong) {
+		answer(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
 		return
 	}
 	s.mu.Lock()
@@ -197,6 +206,9 @@
 	answer(w, status, body)
 }
 
+// tooLong reports whether a change stores a value that is longer than a value may be.
+func tooLong(c wire.Change) bool { return len(c.Value) > MaxValueBytes }
+
 // execute applies a transaction if its conditions hold, and returns the answer. The caller holds the lock.
 func (s *Store) execute(txn wire.Txn) (status int, body any) {
 	var failed []string
