Graphs: a graph whose record cannot be stored is refused before it is in force

Cause: register changed the leader's memory before it was known whether the record, with its copy of the description and the tags, fits a value. storeGraphs gave a longer record up and left the graph registered in memory; the next leader ignores runs of a graph that is not stored.

Evidence: the leader logs "record of a graph is too long" at the registration; the run is stored, the graph is not. A shorter description, or no end of the leader, and the same run succeeds.

Change: the length that the record can reach (paused, newest interval) is checked first; beyond the limit the registration is answered 400 with the limit, and a graph registered before keeps its definition. A pause that the record of an earlier build has no room for is answered 409.

Why it works: nothing is in force that is not stored or about to be.

--- a/internal/graphs/runner/dags.go
+++ b/internal/graphs/runner/dags.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -69,7 +70,15 @@
 	key := keyGraph(cmd.Team, cmd.Graph)
 	gr := g.graphs[key]
 	status := http.StatusOK
+	paused := gr != nil && gr.rec.Paused
+	if cmd.Paused != nil {
+		paused = *cmd.Paused
+	}
+	needed := maxGraphRecordBytes(newGraphRecord(plan, cmd.Def, paused, 0))
 	switch {
+	case needed > g.maxValueBytes():
+		respond.refuse(http.StatusBadRequest, "the graph's record would have up to %d bytes with its description and its tags; %d are allowed", needed, g.maxValueBytes())
+		return
 	case len(key) > tuning.MaxKeyBytes:
 		respond.refuse(http.StatusBadRequest, "the graph's name is too long")
 		return
@@ -86,10 +95,6 @@
 	default:
 		g.releaseDefinition(gr.rec.Def)
 	}
-	paused := gr.rec.Paused
-	if cmd.Paused != nil {
-		paused = *cmd.Paused
-	}
 	gr.setDefinition(plan, cmd.Def, paused)
 	gr.enqueueRuns(g) // its limits may have changed
 	g.definitions[cmd.Def].refs++
@@ -98,16 +103,28 @@
 
 // setDefinition updates a graph's record and schedule from a definition.
 func (gr *graph) setDefinition(plan *dag.Plan, hash string, paused bool) {
-	gr.rec = GraphRecord{
-		Team: plan.Team, ID: plan.ID, Def: hash, Paused: paused, LastMS: gr.rec.LastMS, Description: plan.Description, Schedule: plan.Schedule, Zone: plan.Timezone,
-		Start: plan.Start, End: plan.End, Catchup: plan.Catchup, MaxRuns: cmp.Or(plan.MaxRuns, tuning.GraphDefaultMaxActiveRuns), MaxTasks: cmp.Or(plan.MaxTasks, tuning.GraphDefaultMaxActiveTasks),
-		Tags: plan.Tags, Steps: len(plan.Steps),
-	}
+	gr.rec = newGraphRecord(plan, hash, paused, gr.rec.LastMS)
 	gr.schedule, _ = dag.ParseSchedule(plan.Schedule, plan.Timezone) // NewPlan has validated it
 	gr.notDueBefore = time.Time{}
 	gr.hasPastDependents = slices.ContainsFunc(plan.Steps, func(s dag.Step) bool { return s.DependsOnPast })
 }
 
+// newGraphRecord returns the record of a graph with the given definition.
+func newGraphRecord(plan *dag.Plan, hash string, paused bool, lastMS int64) GraphRecord {
+	return GraphRecord{
+		Team: plan.Team, ID: plan.ID, Def: hash, Paused: paused, LastMS: lastMS, Description: plan.Description, Schedule: plan.Schedule, Zone: plan.Timezone,
+		Start: plan.Start, End: plan.End, Catchup: plan.Catchup, MaxRuns: cmp.Or(plan.MaxRuns, tuning.GraphDefaultMaxActiveRuns), MaxTasks: cmp.Or(plan.MaxTasks, tuning.GraphDefaultMaxActiveTasks),
+		Tags: plan.Tags, Steps: len(plan.Steps),
+	}
+}
+
+// maxGraphRecordBytes returns the greatest length that a graph's record has with any of the changes that follow its
+// registration.
+func maxGraphRecordBytes(rec GraphRecord) int {
+	rec.Paused, rec.LastMS = true, math.MaxInt64
+	return len(wire.EncodeRecord(rec))
+}
+
 // storeGraph marks a graph as changed. onStored, if not nil, is called when the graph is stored.
 func (g *Graphs) storeGraph(gr *graph, onStored func()) {
 	gr.dirty = true
@@ -146,8 +163,14 @@
 
 // setPaused pauses a graph, or resumes it. While it is paused, no scheduled runs are created and no steps submitted.
 func (g *Graphs) setPaused(gr *graph, paused bool, respond responder) {
+	changed := gr.rec
+	changed.Paused = paused
+	if needed := len(wire.EncodeRecord(changed)); needed > g.maxValueBytes() { // an earlier version accepted the graph
+		respond.refuse(http.StatusConflict, "the graph's record would have %d bytes; %d are allowed: register it with a shorter description", needed, g.maxValueBytes())
+		return
+	}
 	if gr.rec.Paused != paused {
-		gr.rec.Paused = paused
+		gr.rec = changed
 		gr.enqueueRuns(g)
 	}
 	g.storeGraph(gr, func() { respond.succeed(http.StatusOK) })
--- a/internal/graphs/runner/graphs_test.go
+++ b/internal/graphs/runner/graphs_test.go
@@ -212,3 +212,24 @@
 		}
 	})
 }
+
+// Guards against a graph that is in force without being stored: its description is longer than a value may be, so runs
+// of it were accepted and lost at the next change of leaders.
+func TestGraphWhoseRecordWouldBeTooLongIsRefused(t *testing.T) {
+	h := newHarness(t)
+	defer h.close()
+	describe := func(bytes int) func(*dag.Graph) {
+		return func(g *dag.Graph) { g.Description = strings.Repeat("d", bytes) }
+	}
+	if a := h.register(newPlanWith(t, describe(17_690), step("a"))); a.status != http.StatusBadRequest || !strings.Contains(a.text, "16384 are allowed") {
+		t.Errorf("registering a graph with a long description: %+v, want 400 with the limit", a)
+	}
+	h.sendAndSettle(CommandTrigger, Command{Run: "one", Described: true}, http.StatusNotFound)
+	plan := newPlanWith(t, describe(15_000), step("a"))
+	h.registerAndTrigger(plan, "one")
+	if a := h.register(newPlanWith(t, describe(17_690), step("a"), step("b"))); a.status != http.StatusBadRequest {
+		t.Errorf("registering the graph again with a long description: %+v, want 400", a)
+	}
+	h.changeLeader()
+	h.expectSuccess(plan, "one")
+}
