Graphs: registration checks the records of runs and jobs at their full length

What callers saw: a graph was accepted whose runs were refused at each trigger and each interval of its schedule, since their records have no room for its instances; a step was accepted whose job then failed without being submitted ("record of a step's job is too long").

Cause: the check of a step's job left out the time of acceptance, 13 digits in the record, and no check looked at the record of a run.

Change: both are checked at their greatest length when the graph is registered, and the error names the limit.

Seen red on: TestStepWhoseJobWouldBeTooLongIsRefused and TestGraphWhoseRunsWouldBeTooLongIsRefused (201 in place of 400).

--- a/internal/graphs/runner/definitions.go
+++ b/internal/graphs/runner/definitions.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,6 +14,7 @@
 	"poppypass/internal/accounting/charge"
 	"poppypass/internal/clients/statestore"
 	"poppypass/internal/graphs/dag"
+	"poppypass/internal/platform/httpjson"
 	"poppypass/internal/platform/tuning"
 	"poppypass/internal/platform/wire"
 )
@@ -167,7 +169,7 @@
 		if s.Job == nil {
 			continue
 		}
-		j, value, err := instanceJob(run, dag.InstanceRef{Step: i}, 0)
+		j, value, err := instanceJob(run, dag.InstanceRef{Step: i}, math.MaxInt64)
 		if err == nil {
 			err = j.Check()
 		}
@@ -176,19 +178,35 @@
 				err = errors.New(reason)
 			}
 		}
-		if err == nil && len(value) > int(g.cfg.MaxValueKiB*1024) {
-			err = errors.New("its job's description is too long")
+		if err == nil && len(value) > g.maxValueBytes() {
+			err = fmt.Errorf("its job's record would have up to %d bytes; %d are allowed", len(value), g.maxValueBytes())
 		}
 		if err != nil {
 			return &invalidGraphError{fmt.Sprintf("step %s: %s", s.ID, err)}
 		}
 	}
+	if reason := g.runTooLong(run); reason != "" {
+		return &invalidGraphError{reason}
+	}
 	if g.cfg.DescriptionSource == nil && plan.Start != nil && plan.Schedule != "" && plan.Schedule != "None" {
 		return &invalidGraphError{noSourceText("it has a schedule and a start_date")}
 	}
 	return nil
 }
 
+// runTooLong returns why runs like the given one cannot be stored; empty if they can. It is safe for concurrent use.
+func (g *Graphs) runTooLong(run *dag.Run) string {
+	rec := newGraphRecord(run.Plan, "", false, 0)
+	live, err := newLiveRun(&graph{rec: rec}, run, "", strings.Repeat("0", hashDigits), runMeta{Type: RunTypeScheduled, LogicalMS: math.MaxInt64}, nil)
+	if err != nil {
+		return httpjson.OneLine(err)
+	}
+	if needed := live.recordBound(tuning.RunMinSubmitted); needed > g.maxValueBytes() {
+		return fmt.Sprintf("the record of its runs would have up to %d bytes with %d instances of steps; %d are allowed", needed, live.size.instances(), g.maxValueBytes())
+	}
+	return ""
+}
+
 // noSourceText returns the error text for something that requires a source of descriptions, when there is none.
 func noSourceText(what string) string {
 	return what + ", and the service knows nowhere to have its steps described (graphs.descriptions)"
--- a/internal/graphs/runner/graphs_test.go
+++ b/internal/graphs/runner/graphs_test.go
@@ -1,9 +1,11 @@
 package runner
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -233,3 +235,38 @@
 	h.changeLeader()
 	h.expectSuccess(plan, "one")
 }
+
+// Guards against a registered step whose job has no room in its record: the check left out the time of acceptance, so the
+// step was accepted and then failed without being submitted.
+func TestStepWhoseJobWouldBeTooLongIsRefused(t *testing.T) {
+	h := newHarness(t)
+	defer h.close()
+	long := step("long")
+	_, value, err := instanceJob(dag.NewRun(newPlan(t, long), "one"), dag.InstanceRef{}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	long.Job.Types = []string{strings.Repeat("t", h.graphs.maxValueBytes()-len(value)-5)} // room for a time of five digits
+	if a := h.register(newPlan(t, long)); a.status != http.StatusBadRequest {
+		t.Errorf("registering a step with a long job: %+v, want 400", a)
+	}
+}
+
+// A graph whose runs would have no room in their records is refused when it is registered.
+func TestGraphWhoseRunsWouldBeTooLongIsRefused(t *testing.T) {
+	h := newHarness(t)
+	defer h.close()
+	mapped := func(members int) *dag.Plan {
+		steps := stepsSideBySide(100)
+		for i := range steps {
+			steps[i].Map = &dag.Map{List: slices.Repeat([]json.RawMessage{json.RawMessage("1")}, members)}
+		}
+		return newPlan(t, steps...)
+	}
+	if a := h.register(mapped(1000)); a.status != http.StatusBadRequest || !strings.Contains(a.text, "16384 are allowed") {
+		t.Errorf("registering a graph of 100,000 mapped instances: %+v, want 400 with the limit", a)
+	}
+	if a := h.register(mapped(100)); a.status != http.StatusCreated {
+		t.Errorf("registering a graph of 10,000 mapped instances: %+v, want 201", a)
+	}
+}
--- a/internal/graphs/runner/records.go
+++ b/internal/graphs/runner/records.go
@@ -124,13 +124,16 @@
 // hashOf returns the hash that identifies a definition.
 func hashOf(raw []byte) string {
 	sum := sha256.Sum256(raw)
-	return hex.EncodeToString(sum[:16])
+	return hex.EncodeToString(sum[:hashDigits/2])
 }
 
+// hashDigits is the number of hexadecimal digits of a definition's hash.
+const hashDigits = 32
+
 // validHash reports whether s has the form of a definition's hash.
 func validHash(s string) bool {
 	raw, err := hex.DecodeString(s)
-	return err == nil && len(raw) == 16 && s == strings.ToLower(s)
+	return err == nil && len(raw) == hashDigits/2 && s == strings.ToLower(s)
 }
 
 // errMissingPart means that not all parts of a definition are stored.
