Jobs: kinds of machines in a progress record are bounded, as its charges are

What callers would have seen: a job that fails for hours on spot machines whose price moves ends each leader's term at the next write of its progress.

Cause: the record keeps each distinct price of its charges for good, some 60 bytes of base64, also when the charges have moved to records of their own, which were bounded by count only. The state service answers a longer record with 400, which ends the term; the next leader reads the same record.

Change: charges move when the record lacks room for them and for the kinds of running attempts, and a record of charges is bounded in bytes. A pack keeps only the kinds that its charges refer to.

Why it works: with no charges left, 64 tasks at 64 prices fit; charges are moved unchanged. With few prices the bound is not reached and charges move at 96 as before.

Seen red before the change: TestChargesAtEverNewPricesFitTheirRecords ("record run/job-1/0000 has 16848 bytes").

--- a/internal/accounting/charge/charge.go
+++ b/internal/accounting/charge/charge.go
@@ -11,7 +11,10 @@
 //	Run     milliseconds
 package charge
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Kind describes the kind of machine that an attempt ran on, and the rate of the task there.
 type Kind struct {
@@ -74,6 +77,17 @@
 	Charges []Charge
 }
 
+// Slice returns a pack with the charges from index from to index to, which is exclusive, and with those kinds alone that
+// they refer to.
+func (p *Pack) Slice(from, to int) *Pack {
+	out := &Pack{Job: p.Job, Traits: p.Traits, Charges: slices.Clone(p.Charges[from:to])}
+	for i := range out.Charges {
+		c := &out.Charges[i]
+		c.KindIndex = out.KindIndex(p.Kinds[c.KindIndex])
+	}
+	return out
+}
+
 // KindIndex returns the index of a kind in p.Kinds. It appends the kind if p.Kinds does not contain it yet.
 func (p *Pack) KindIndex(k Kind) int {
 	for i := range p.Kinds {
--- a/internal/platform/tuning/jobs.go
+++ b/internal/platform/tuning/jobs.go
@@ -38,11 +38,13 @@
 	// TxnChangeOverheadBytes is the encoded size of a change and its condition, in bytes, without the value and
 	// without the key, which occurs in both.
 	TxnChangeOverheadBytes = 64
-	// TaskEntryMaxBytes, ChargeMaxBytes and RecordOverheadBytes bound the size, in bytes, of a task's entry, of a charge and
-	// of the rest of a progress record and its transaction. They allow for names of machines and zones of
-	// some 20 bytes, charges of up to 30 bytes in base64, and names of teams and classes.
+	// TaskEntryMaxBytes, ChargeMaxBytes, KindMaxBytes and RecordOverheadBytes bound the size, in bytes, of a task's
+	// entry, of a charge, of a kind of machine and of the rest of a progress record and its transaction. They
+	// allow for names of machines, types and zones of some 20 bytes, charges of up to 30 bytes in base64, and
+	// names of teams and classes.
 	TaskEntryMaxBytes   = 140
 	ChargeMaxBytes      = 44
+	KindMaxBytes        = 72
 	RecordOverheadBytes = 1200
 	// DetachChargesMin is the number of charges in a progress record at which they are moved to a record of
 	// their own. At about 25 bytes each they fill up to 3 KB of the progress record.
--- a/internal/scheduler/jobs/batchbuilder.go
+++ b/internal/scheduler/jobs/batchbuilder.go
@@ -100,12 +100,10 @@
 
 // minChanges returns the minimum number of changes that writing a chunk needs, up to a limit. It exceeds 1
 // when the chunk has more charges than fit its record, so that some must be detached to records of their own.
-func (r chunkRef) minChanges(limit int) int {
-	return min(limit, 1+len(r.chunk().pack.Charges)/(tuning.DetachChargesMax+1))
-}
+func (r chunkRef) minChanges(limit int) int { return min(limit, 1+len(r.chargesToDetach())) }
 
 // maxBytes returns the maximum size of a chunk's write in a transaction, in bytes.
 func (r chunkRef) maxBytes() int {
 	from, to := r.taskRange()
-	return tuning.TaskEntryMaxBytes*(to-from) + tuning.ChargeMaxBytes*len(r.chunk().pack.Charges) + tuning.RecordOverheadBytes
+	return tuning.TaskEntryMaxBytes*(to-from) + maxPackBytes(&r.chunk().pack) + tuning.RecordOverheadBytes
 }
--- a/internal/scheduler/jobs/batchends.go
+++ b/internal/scheduler/jobs/batchends.go
@@ -40,12 +40,13 @@
 }
 
 // chunksWithUnwrittenCharges returns the job's dirty chunks that have charges. oversized reports whether one
-// of them has more charges than one record may hold.
+// of them has more charges than one record may hold. Kinds of machines that no charge refers to are dropped.
 func (j *Job) chunksWithUnwrittenCharges() (chunks []chunkRef, oversized bool) {
 	for n := range j.chunks {
 		if c := &j.chunks[n]; c.dirty && len(c.pack.Charges) > 0 {
+			c.dropUnusedKinds()
 			chunks = append(chunks, chunkRef{j, n})
-			oversized = oversized || len(c.pack.Charges) > tuning.DetachChargesMax
+			oversized = oversized || len(c.pack.Charges) > tuning.DetachChargesMax || exceeds(&c.pack, chargeRecordBytes)
 		}
 	}
 	return chunks, oversized
--- a/internal/scheduler/jobs/batchprogress.go
+++ b/internal/scheduler/jobs/batchprogress.go
@@ -55,7 +55,7 @@
 	if !c.dirty || ref.job.ended {
 		return
 	}
-	b.detachCharges(c)
+	b.detachCharges(ref)
 	value, uncommitted := ref.encode(b.metered)
 	c.dirty, c.urgent, c.writing = false, false, true
 	b.requireJob(ref.job)
@@ -64,17 +64,21 @@
 	b.batch.allocations = append(b.batch.allocations, uncommitted...)
 }
 
-// detachCharges moves charges of a chunk to records of their own if the chunk has many. It is called before
-// the chunk's own record is written, and leaves room for that record.
-func (b *batchBuilder) detachCharges(c *progressChunk) {
-	for b.hasRoom(2) {
-		d, value, ok := c.detachOldCharges()
-		if !ok {
+// detachCharges moves charges of a chunk to records of their own if its record has no room for them. It is called
+// before the chunk's own record is written, and leaves room for that record.
+func (b *batchBuilder) detachCharges(ref chunkRef) {
+	c := ref.chunk()
+	for _, n := range ref.chargesToDetach() {
+		if !b.hasRoom(2) {
 			return
 		}
+		d, value := c.detachOldCharges(n)
 		b.put(d.Key, 0, value)
 		b.batch.detached = append(b.batch.detached, d)
 	}
+	if exceeds(&c.pack, ref.roomForCharges()) {
+		c.dropUnusedKinds()
+	}
 }
 
 // requireJob adds the condition that the job record still has the version that was loaded. Every write of
--- a/internal/scheduler/jobs/charges.go
+++ b/internal/scheduler/jobs/charges.go
@@ -1,8 +1,8 @@
 package jobs
 
 import (
+	"encoding/base64"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"poppypass/internal/accounting/charge"
@@ -126,19 +126,80 @@
 	return nil
 }
 
-// detachOldCharges moves the oldest of a chunk's charges to a record of their own, and returns that record and
-// its encoded value. The chunk must be written in the same transaction. If the chunk has fewer than
-// DetachChargesMin charges, nothing changes and ok is false.
-func (c *progressChunk) detachOldCharges() (d DetachedCharges, value json.RawMessage, ok bool) {
-	n := min(len(c.pack.Charges), tuning.DetachChargesMax)
-	if n < tuning.DetachChargesMin {
-		return DetachedCharges{}, nil, false
+// detachOldCharges moves the oldest n of a chunk's charges to a record of their own, and returns that record and its
+// encoded value. The chunk must be written in the same transaction.
+func (c *progressChunk) detachOldCharges(n int) (d DetachedCharges, value json.RawMessage) {
+	pack := c.pack.Slice(0, n)
+	d = DetachedCharges{Key: keyDetached(pack.Job, &pack.Charges[0]), Pack: pack}
+	c.pack = *c.pack.Slice(n, len(c.pack.Charges))
+	return d, wire.EncodeRecord(detachedRecord{Charges: charge.EncodePack(pack)})
+}
+
+// chargesToDetach returns how many charges are to be moved to each of the records of their own that writing the chunk
+// needs: none, unless the chunk has many charges, or its record has no room for them and for the kinds of machines
+// that they and the allocations refer to. There is a new kind whenever the price of a type changes.
+func (r chunkRef) chargesToDetach() (counts []int) {
+	pack := &r.chunk().pack
+	r.addAllocationKinds(pack)
+	for {
+		n := r.nextDetached(pack)
+		if n == 0 {
+			return counts
+		}
+		counts = append(counts, n)
+		pack = pack.Slice(n, len(pack.Charges))
+		r.addAllocationKinds(pack)
+	}
+}
+
+// nextDetached returns how many charges of a pack, which includes the kinds of the chunk's allocations, are to be moved to
+// a record of their own; 0 if the chunk's record may contain the pack.
+func (r chunkRef) nextDetached(pack *charge.Pack) int {
+	n := len(pack.Charges)
+	switch {
+	case n >= tuning.DetachChargesMin:
+		n = min(n, tuning.DetachChargesMax)
+	case n == 0 || !exceeds(pack, r.roomForCharges()):
+		return 0
+	}
+	for n > 1 && exceeds(pack.Slice(0, n), chargeRecordBytes) {
+		n -= max(1, n/detachSizeSteps)
+	}
+	return n
+}
+
+// detachSizeSteps is in how many steps the number of charges for a record is lowered until they fit.
+const detachSizeSteps = 8
+
+// chargeRecordBytes bounds the charges in a record of their own, in bytes of base64.
+const chargeRecordBytes = tuning.LedgerMinValueKiB<<10 - tuning.RecordOverheadBytes
+
+// roomForCharges returns the room for charges and kinds of machines in the chunk's record, in bytes of base64.
+func (r chunkRef) roomForCharges() int {
+	from, to := r.taskRange()
+	return chargeRecordBytes - tuning.TaskEntryMaxBytes*(to-from)
+}
+
+// addAllocationKinds adds to a pack the kinds of the machines that the chunk's allocations refer to.
+func (r chunkRef) addAllocationKinds(pack *charge.Pack) {
+	from, to := r.taskRange()
+	for i := from; i < to; i++ {
+		if a := r.job.Tasks[i].Allocation; a != nil && a.Kind.Type != "" {
+			pack.KindIndex(a.Kind)
+		}
 	}
-	pack := c.pack
-	pack.Charges = c.pack.Charges[:n:n]
-	d = DetachedCharges{Key: keyDetached(pack.Job, &pack.Charges[0]), Pack: &pack}
-	value = wire.EncodeRecord(detachedRecord{Charges: charge.EncodePack(&pack)})
-	c.pack.Charges = slices.Clone(c.pack.Charges[n:])
-	c.pack.Kinds = slices.Clone(pack.Kinds)
-	return d, value, true
 }
+
+// exceeds reports whether a pack takes more than room bytes of base64. It encodes the pack only if an estimate does not
+// suffice.
+func exceeds(pack *charge.Pack, room int) bool {
+	return maxPackBytes(pack) > room && base64.StdEncoding.EncodedLen(len(charge.EncodePack(pack))) > room
+}
+
+// maxPackBytes returns an upper bound of the size of a pack, in bytes of base64.
+func maxPackBytes(pack *charge.Pack) int {
+	return tuning.ChargeMaxBytes*len(pack.Charges) + tuning.KindMaxBytes*len(pack.Kinds)
+}
+
+// dropUnusedKinds removes the kinds of machines that no charge of the chunk refers to. encode adds those of allocations.
+func (c *progressChunk) dropUnusedKinds() { c.pack = *c.pack.Slice(0, len(c.pack.Charges)) }
