Graphs: a step's account has to be a name, as a job's account has

Cause: a submission's account may have 200 bytes and no control characters; the account of a graph's step was not looked at. It comes with each record of charges and with each row of totals, which have no room for long ones: a step's account of 10 KB would have made its job's progress record too long, and that ends a term.

Change: one check for both (wire.Job.CheckAccount), where the graph is registered.

Seen red: TestStepWithInvalidAccountIsRefused (201 in place of 400).

--- a/internal/graphs/runner/definitions.go
+++ b/internal/graphs/runner/definitions.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -171,7 +172,7 @@
 		}
 		j, value, err := instanceJob(run, dag.InstanceRef{Step: i}, math.MaxInt64)
 		if err == nil {
-			err = j.Check()
+			err = cmp.Or(j.Check(), j.CheckAccount())
 		}
 		if err == nil && g.cfg.ImpossibleReason != nil {
 			if reason := g.cfg.ImpossibleReason(&j); reason != "" {
--- a/internal/graphs/runner/graphs_test.go
+++ b/internal/graphs/runner/graphs_test.go
@@ -252,6 +252,20 @@
 	}
 }
 
+// Guards against names of accounts that users of jobs may not have: records of charges and of totals contain them and have
+// no room for long ones.
+func TestStepWithInvalidAccountIsRefused(t *testing.T) {
+	h := newHarness(t)
+	defer h.close()
+	for _, account := range []string{strings.Repeat("a", 201), "two\nlines"} {
+		s := step("s")
+		s.Job.Account = account
+		if a := h.register(newPlan(t, s)); a.status != http.StatusBadRequest || !strings.Contains(a.text, "account") {
+			t.Errorf("registering a step with the account %.20q: %+v, want 400 that names the field", account, a)
+		}
+	}
+}
+
 // A graph whose runs would have no room in their records is refused when it is registered.
 func TestGraphWhoseRunsWouldBeTooLongIsRefused(t *testing.T) {
 	h := newHarness(t)
--- a/internal/platform/wire/job.go
+++ b/internal/platform/wire/job.go
@@ -121,9 +121,23 @@
 	if err := json.Unmarshal(body, &d); err != nil || d.Account == nil {
 		return err
 	}
-	if err := json.Unmarshal(*d.Account, &j.Account); err != nil || len(j.Account) > maxNameBytes || strings.ContainsFunc(j.Account, unicode.IsControl) {
+	err := json.Unmarshal(*d.Account, &j.Account)
+	if err == nil {
+		err = j.CheckAccount()
+	}
+	if err != nil {
 		j.Account = ""
-		return errors.New(`field "account" is not a name`)
+		return errInvalidAccount
+	}
+	return nil
+}
+
+var errInvalidAccount = errors.New(`field "account" is not a name`)
+
+// CheckAccount returns an error if the job's account is too long for a name or has control characters.
+func (j *Job) CheckAccount() error {
+	if len(j.Account) > maxNameBytes || strings.ContainsFunc(j.Account, unicode.IsControl) {
+		return errInvalidAccount
 	}
 	return nil
 }
