Records page: every stored record, its bound and what the caller gets beyond it

docs/design/records.md has a row for each stored record; TestStoredKeysHaveAnOwner fails for a key without one. A submission whose record has no room is answered with the limit; before, the text only said that it is too long. The new row of TestSubmissionsAreValidated holds that.

--- a/internal/api/userapi/store_job.go
+++ b/internal/api/userapi/store_job.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 
 	"poppypass/internal/clients/statestore"
@@ -71,8 +72,8 @@
 		return errMemoryFull
 	}
 	value, err := json.Marshal(jobs.JobRecord{Job: *job, AcceptedAtMS: h.clock.Now().UnixMilli()})
-	if err != nil || float64(len(value)) > h.settings.Cluster.State.MaxValueKiB*1024 {
-		return errTooLong
+	if limit := int(h.settings.Cluster.State.MaxValueKiB * 1024); err != nil || len(value) > limit {
+		return fmt.Errorf("%w: its record would have %d bytes; %d are allowed", errTooLong, len(value), limit)
 	}
 	_, err = h.store.Commit(ctx, wire.Txn{
 		If:   []wire.Condition{{Key: jobs.KeyJob(job.ID)}, {Key: jobs.KeyFinalState(job.ID)}},
--- a/internal/api/userapi/submit_validation_test.go
+++ b/internal/api/userapi/submit_validation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 
@@ -84,6 +85,7 @@
 		// reason for 422.
 		submissionCase{"same_place and apart", map[string]any{"same_place": true, "apart": true, "seats": 4}, http.StatusCreated, ""},
 		submissionCase{"apart in one zone", map[string]any{"yard": "a", "apart": true, "seats": 4}, http.StatusCreated, ""},
+		submissionCase{"a record longer than a value", map[string]any{"builds": append(slices.Repeat([]string{strings.Repeat("x", 199)}, 100), "g8")}, http.StatusBadRequest, "16384 are allowed"},
 		submissionCase{"a field that nobody knows", map[string]any{"colour": "red"}, http.StatusCreated, ""},
 		submissionCase{"numbers as the protocol writes them", map[string]any{"cpus": json.RawMessage("4.0"), "ride_s": json.RawMessage("1e2")}, http.StatusCreated, ""},
 	)
--- a/internal/docnames_test.go
+++ b/internal/docnames_test.go
@@ -78,10 +78,10 @@
 
 var storedKey = regexp.MustCompile(`(?m)^\s*(?:const )?(?:[kK]ey|[pP]refix)\w* += "([a-z]+/[a-z/]*)"`)
 
-// TestStoredKeysHaveAnOwner checks that docs/architecture.md names the owner of
-// each key in the state service.
+// TestStoredKeysHaveAnOwner checks that docs/architecture.md names the owner of each key in the state service, and that
+// docs/design/records.md says how long its value can become.
 func TestStoredKeysHaveAnOwner(t *testing.T) {
-	page := read(t, "../docs/architecture.md")
+	page, sizes := read(t, "../docs/architecture.md"), read(t, "../docs/design/records.md")
 	keys := 0
 	eachSource(t, func(_, file string) {
 		for _, m := range storedKey.FindAllStringSubmatch(read(t, file), -1) {
@@ -89,6 +89,9 @@
 			if !strings.Contains(page, "`"+m[1]) {
 				t.Errorf("%s: docs/architecture.md does not name the owner of the key %s", file, m[1])
 			}
+			if !strings.Contains(sizes, "`"+m[1]) {
+				t.Errorf("%s: docs/design/records.md does not say how long the value of the key %s can become", file, m[1])
+			}
 		}
 	})
 	if keys < 14 {
