Graphs: files of the runner by what they do; sixteen steps of an old run at a time

Moved without a change: commands (was orders.go), the batch, ends of jobs, storing of runs; the tests of pools and of definitions leave runs_test.go.

A run that an earlier build accepted beyond today's bounds has up to sixteen steps submitted at a time, the number for which every accepted run has room, in place of one: its record mostly compresses far below the bound, and a record that does not fit holds the run back without harm.

--- a/internal/graphs/runner/graphs.go
+++ b/internal/graphs/runner/graphs.go
@@ -14,8 +14,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -26,8 +24,6 @@
 	"poppypass/internal/platform/tuning"
 	"poppypass/internal/platform/wire"
 	"poppypass/internal/scheduler/jobs"
-	"poppypass/internal/scheduler/leader"
-	"poppypass/internal/scheduler/machines"
 )
 
 // Config is the configuration of Graphs, and the functions that it calls.
@@ -146,108 +142,6 @@
 // Placed does nothing.
 func (g *Graphs) Placed(*jobs.Allocation, bool, *wire.MachineType, time.Time) {}
 
-// Ended records a failed attempt of a step's job in the run of the step. It ignores attempts that ended otherwise.
-func (g *Graphs) Ended(o machines.Outcome, now time.Time) {
-	id := o.Allocation.Job.ID
-	job, ok := g.byJob[id]
-	if !ok || !job.current() || o.Reason != wire.ExitError || o.Allocation.Job.Cancelled() {
-		return
-	}
-	job.run.tryEnded(job.ref, now, dag.Failed)
-	job.run.run.AttemptFailed(job.ref, now, g.cfg.Jitter())
-	delete(g.withTimeout, id)
-	g.notSeenRunning[id] = job
-	g.markDirty(job.run)
-	g.cancelUnneeded(job.run)
-}
-
-// Finished records the final state of a step's job.
-func (g *Graphs) Finished(o jobs.FinishedJob, now time.Time) { g.jobFinished(o.Job.ID, o.State, now) }
-
-// jobFinished updates the run of a finished job. It ignores jobs that are not known to belong to a step.
-func (g *Graphs) jobFinished(id string, state wire.JobState, now time.Time) {
-	job, ok := g.byJob[id]
-	if !ok {
-		return
-	}
-	live := job.run
-	if recorded, pending := live.unansweredJobs[id]; pending {
-		// The transaction that stores the job is unanswered. Only its answer shows whether this is the step's
-		// job or one of another submitter with the same ID.
-		if recorded == "" {
-			live.unansweredJobs[id] = state
-		}
-		return
-	}
-	delete(g.byJob, id)
-	delete(g.notSeenRunning, id)
-	delete(g.withTimeout, id)
-	if job.ref.Step >= 0 {
-		g.releaseSlots(live, job.ref.Step)
-	} else {
-		live.activeJobs--
-	}
-	g.markDirty(live)
-	if !job.current() {
-		live.run.OrphanFinished(id)
-		return
-	}
-	tryState := dag.Success
-	if state != wire.StateDone {
-		tryState = dag.Failed
-		live.run.JobCancelled(job.ref)
-	} else if err := live.run.JobDone(job.ref); err != nil {
-		tryState = dag.Failed
-		g.log.Info("job of a step is done but its result is missing or invalid; marking the step failed", "graph", live.graph.rec.ID, "run", live.run.ID, "err", err)
-	}
-	live.tryEnded(job.ref, now, tryState)
-	g.cancelUnneeded(live)
-	if live.graph.hasPastDependents {
-		// The same step of the next run may wait for this one.
-		for _, e := range live.graph.history {
-			if e.live != nil && len(e.live.waitingForPast) > 0 {
-				g.enqueueRun(e.live)
-			}
-		}
-	}
-}
-
-// cancelUnneeded cancels the jobs that a run no longer needs.
-func (g *Graphs) cancelUnneeded(live *liveRun) {
-	for _, id := range live.run.TakeCancellations() {
-		g.jobsToCancel[id] = struct{}{}
-	}
-	g.cancelKnownJobs()
-}
-
-// cancelKnownJobs cancels those of g.jobsToCancel that are in the job store. A new job is added to the job store a
-// moment after the transaction that stores it. Until then the job remains in g.jobsToCancel.
-func (g *Graphs) cancelKnownJobs() {
-	for id := range g.jobsToCancel {
-		if _, ok := g.byJob[id]; !ok {
-			delete(g.jobsToCancel, id) // the job has finished
-		} else if j := g.jobStore.Jobs[id]; j != nil {
-			delete(g.jobsToCancel, id)
-			g.jobStore.Cancel(j, func(wire.JobState) {})
-			g.allocationsToStop = append(g.allocationsToStop, j.StopAll(charge.Cancelled)...)
-		}
-	}
-}
-
-// markDirty marks a run as changed, so that it is stored.
-func (g *Graphs) markDirty(live *liveRun) {
-	live.dirty = true
-	g.enqueueRun(live)
-}
-
-// enqueueRun adds a run to the queue of runs that may have something to store or to submit.
-func (g *Graphs) enqueueRun(live *liveRun) {
-	if !live.inQueue && !live.finished {
-		live.inQueue = true
-		g.runQueue = append(g.runQueue, live)
-	}
-}
-
 // Tick detects steps that began to run or timed out, creates scheduled runs that are due, and cleans up. It returns
 // the allocations of cancelled jobs, whose tasks are to be stopped.
 func (g *Graphs) Tick(now time.Time) []*jobs.Allocation {
@@ -299,90 +193,16 @@
 	}
 }
 
-// NextWrite returns the next transaction, with at most maxChanges changes; nil if there is nothing to write. It
-// contains changed graphs, changed runs with the jobs of their ready steps, and deletions, as many as fit.
-func (g *Graphs) NextWrite(now time.Time, maxChanges int) *leader.SubsystemWrite {
-	b := &batch{maxChanges: min(maxChanges, g.cfg.MaxTxnChanges), maxValueBytes: g.maxValueBytes()}
-	if !g.loaded || b.maxChanges < 2 {
-		return nil
-	}
-	g.storeGraphs(b)
-	g.storeRuns(b, now)
-	g.putDeletions(b)
-	g.describe()
-	if len(b.txn.Then) == 0 {
-		return nil
-	}
-	return &leader.SubsystemWrite{Txn: b.txn, Done: func(revision uint64) {
-		for _, fn := range b.onCommitted {
-			fn(revision)
-		}
-	}, Conflict: func() {
-		for _, fn := range b.onConflict {
-			fn()
-		}
-	}}
-}
-
-// batch is a transaction to which changes are being added.
-type batch struct {
-	txn           wire.Txn
-	maxChanges    int                     // largest number of changes
-	maxValueBytes int                     // largest size of a value, in bytes
-	bytes         int                     // approximate size so far, in bytes
-	onCommitted   []func(revision uint64) // called when the transaction is committed
-	onConflict    []func()                // called if a condition does not hold
-}
-
-// fits reports whether the batch has room for a number of changes with a total size in bytes. An empty batch has room
-// for any size.
-func (b *batch) fits(changes, bytes int) bool {
-	return len(b.txn.Then)+changes <= b.maxChanges && (b.bytes == 0 || b.bytes+bytes <= tuning.TxnTargetBytes)
-}
-
-// batchMark is the state of a batch to which it can be reset.
-type batchMark struct{ conditions, changes, bytes int }
-
-// mark returns the present state of the batch.
-func (b *batch) mark() batchMark { return batchMark{len(b.txn.If), len(b.txn.Then), b.bytes} }
-
-// resetTo removes the changes that were added since mark was called. They must have no callbacks yet.
-func (b *batch) resetTo(m batchMark) {
-	b.txn.If, b.txn.Then, b.bytes = b.txn.If[:m.conditions], b.txn.Then[:m.changes], m.bytes
-}
-
-// put adds a change that stores value at key, on the condition that the stored record has the given version. Version
-// 0 means that there is no record.
-func (b *batch) put(key string, version uint64, value []byte) {
-	b.txn.If = append(b.txn.If, wire.Condition{Key: key, Version: version})
-	b.txn.Then = append(b.txn.Then, wire.Change{Put: key, Value: value})
-	b.bytes += len(value) + 2*len(key) + tuning.TxnChangeOverheadBytes
+// markDirty marks a run as changed, so that it is stored.
+func (g *Graphs) markDirty(live *liveRun) {
+	live.dirty = true
+	g.enqueueRun(live)
 }
 
-// PathPools is the path of the query for a team's pools. The answer is a list of PoolView.
-const PathPools = "/graphs/pools"
-
-// Query answers queries for state that only the leader has in memory: the pools (PathPools). Everything else can be
-// read from the stored records with a Reader. For any other path the error is leader.ErrUnknownPath; there are no other
-// errors.
-func (g *Graphs) Query(uri string, _ time.Time) (leader.Answer, error) {
-	u, err := url.Parse(uri)
-	if err != nil || u.Path != PathPools {
-		return leader.Answer{}, leader.ErrUnknownPath
-	}
-	if !g.loaded {
-		return leader.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "the graphs are being read"}}, nil
-	}
-	out := []PoolView{}
-	for key, p := range g.pools {
-		if key.team != u.Query().Get("team") {
-			continue
-		}
-		v := PoolView{Name: key.name, Slots: p.slots, Used: p.used}
-		for _, live := range p.waitQueue.runs {
-			v.Waiting += len(live.waitingForPool[p])
-		}
-		out = append(out, v)
+// enqueueRun adds a run to the queue of runs that may have something to store or to submit.
+func (g *Graphs) enqueueRun(live *liveRun) {
+	if !live.inQueue && !live.finished {
+		live.inQueue = true
+		g.runQueue = append(g.runQueue, live)
 	}
-	return leader.Answer{Status: http.StatusOK, Body: out}, nil
 }
--- a/internal/graphs/runner/pools.go
+++ b/internal/graphs/runner/pools.go
@@ -2,10 +2,15 @@
 
 import (
 	"cmp"
+	"net/http"
+	"net/url"
 	"slices"
+	"time"
 
 	"poppypass/internal/graphs/dag"
 	"poppypass/internal/platform/tuning"
+	"poppypass/internal/platform/wire"
+	"poppypass/internal/scheduler/leader"
 )
 
 // poolKey identifies a pool.
@@ -98,3 +103,31 @@
 	}
 	return out
 }
+
+// PathPools is the path of the query for a team's pools. The answer is a list of PoolView.
+const PathPools = "/graphs/pools"
+
+// Query answers queries for state that only the leader has in memory: the pools (PathPools). Everything else can be
+// read from the stored records with a Reader. For any other path the error is leader.ErrUnknownPath; there are no other
+// errors.
+func (g *Graphs) Query(uri string, _ time.Time) (leader.Answer, error) {
+	u, err := url.Parse(uri)
+	if err != nil || u.Path != PathPools {
+		return leader.Answer{}, leader.ErrUnknownPath
+	}
+	if !g.loaded {
+		return leader.Answer{Status: http.StatusServiceUnavailable, Body: wire.Error{Error: "the graphs are being read"}}, nil
+	}
+	out := []PoolView{}
+	for key, p := range g.pools {
+		if key.team != u.Query().Get("team") {
+			continue
+		}
+		v := PoolView{Name: key.name, Slots: p.slots, Used: p.used}
+		for _, live := range p.waitQueue.runs {
+			v.Waiting += len(live.waitingForPool[p])
+		}
+		out = append(out, v)
+	}
+	return leader.Answer{Status: http.StatusOK, Body: out}, nil
+}
--- a/internal/graphs/runner/runrecord.go
+++ b/internal/graphs/runner/runrecord.go
@@ -170,10 +170,10 @@
 // submitted returns the number of the run's instances that are submitted or hold slots.
 func (live *liveRun) submitted() int { return live.activeJobs - len(live.run.Orphans()) }
 
-// hasRecordRoom reports whether one more instance of a run may be submitted: its record has room for it, or no other
-// is submitted.
+// hasRecordRoom reports whether one more instance of a run may be submitted: its record has room for it, or fewer are
+// submitted than every accepted run has room for. An earlier version may have accepted a run without such a bound.
 func (g *Graphs) hasRecordRoom(live *liveRun) bool {
-	return live.submitted() == 0 || live.recordBound(live.submitted()+1) <= g.maxValueBytes()
+	return live.submitted() < tuning.RunMinSubmitted || live.recordBound(live.submitted()+1) <= g.maxValueBytes()
 }
 
 // maxValueBytes returns the largest size of a value in the state service.
--- a/internal/graphs/runner/runs_test.go
+++ b/internal/graphs/runner/runs_test.go
@@ -26,53 +26,6 @@
 	return out
 }
 
-// A pool and max_active_tasks limit the submitted steps of all runs together, max_active_runs limits the started runs,
-// and waiting steps are submitted as others end.
-func TestPoolsAndLimitsApplyToAllRuns(t *testing.T) {
-	h := newHarnessWithoutLeader(t, Config{Pools: func(team, name string) (int, bool) { return 3, team == "the team" && name == "db" }})
-	h.changeLeader()
-	defer h.close()
-	var steps []dag.Step
-	for i := range 6 {
-		s := step(fmt.Sprint("s", i))
-		if s.Pool = "db"; i >= 4 {
-			s.Pool = ""
-		}
-		if i == 0 {
-			s.PoolSlots = 2
-		}
-		steps = append(steps, s)
-	}
-	plan := newPlanWith(t, func(g *dag.Graph) { g.MaxTasks, g.MaxRuns = 4, 2 }, steps...)
-	h.registerAndTrigger(plan, "one")
-	h.sendAndSettle(CommandTrigger, Command{Run: "two", Described: true}, http.StatusCreated)
-	h.sendAndSettle(CommandTrigger, Command{Run: "three", Described: true}, http.StatusCreated)
-	for round := 0; len(h.liveJobs()) > 0; round++ {
-		slots := 0
-		for id := range h.graphs.byJob {
-			ref := h.graphs.byJob[id].ref
-			if plan.Steps[ref.Step].Pool == "db" {
-				slots += slotsNeeded(plan, ref.Step)
-			}
-		}
-		if n := len(h.liveJobs()); n > 4 || slots > 3 || h.graphs.graphs[keyGraph("the team", "g")].startedRuns > 2 {
-			t.Fatalf("round %d: limits exceeded: %d steps are submitted, %d slots are used", round, n, slots)
-		}
-		if round == 3 {
-			h.changeLeader() // a new leader restores the same counts
-		}
-		h.completeJobs()
-	}
-	for _, id := range []string{"one", "two", "three"} {
-		if r := h.storedRun(plan, id); r.RunState() != dag.RunSuccess {
-			t.Errorf("run %s has not succeeded: its steps are %v", id, countByState(r))
-		}
-	}
-	if a := h.register(newPlanWith(t, func(g *dag.Graph) { g.ID = "other" }, func() dag.Step { s := step("s"); s.Pool = "theirs"; return s }())); a.status != http.StatusBadRequest || !strings.Contains(a.text, `no pool "theirs"`) {
-		t.Errorf("registering a graph with an unknown pool: %+v", a)
-	}
-}
-
 // A step that depends on the past waits for the same step of the previous run, also after a change of leaders. If that
 // step failed, it waits until the failed step is cleared and succeeds.
 func TestStepThatDependsOnPast(t *testing.T) {
@@ -343,67 +296,6 @@
 	}
 }
 
-// Guards against uploads that are never registered and stay stored forever, and against the registration of a
-// definition while its parts are about to be deleted.
-func TestUnregisteredUploadsAreDeleted(t *testing.T) {
-	h := newHarness(t)
-	defer h.close()
-	h.settle() // the first cleanUp starts the interval until the next listing
-	plan := newPlan(t, step("s"))
-	cmd := h.upload(plan)
-	h.clock.Advance(tuning.GraphDeleteAfter)
-	h.graphs.Tick(h.clock.Now())
-	h.runLoopFunc() // the listing has found the definition
-	for range 2 {
-		h.clock.Advance(tuning.GraphDeleteAfter)
-		h.graphs.Tick(h.clock.Now())
-	}
-	if !h.graphs.isBeingDeleted(cmd.Def) {
-		t.Fatal("the unregistered definition is not being deleted")
-	}
-	if a := h.send(CommandRegister, cmd); a.status != http.StatusServiceUnavailable {
-		t.Errorf("registering a definition whose parts are about to be deleted: %+v, want 503", a)
-	}
-	h.settle()
-	if left := h.list(PrefixDefinition); len(left) != 0 {
-		t.Errorf("%d parts are left, want none", len(left))
-	}
-	if a := h.register(plan); a.status != http.StatusCreated {
-		t.Errorf("registering the definition after its deletion: %+v", a)
-	}
-}
-
-// A stored definition that does not match its hash is deleted, so that it does not block a valid one with that hash. A
-// definition of one team cannot be registered by another.
-func TestCorruptDefinitionIsDeleted(t *testing.T) {
-	h := newHarness(t)
-	defer h.close()
-	plan := newPlan(t, step("s"))
-	cmd := h.upload(plan)
-	h.sendAndSettle(CommandRegister, Command{Def: "x", Parts: 1}, http.StatusBadRequest)
-	key := partKeys(cmd.Def, 1)[0]
-	h.commit(wire.Txn{Then: []wire.Change{{Put: key, Value: []byte(`{"parts":1,"z":"AAAA"}`)}}})
-	a := h.send(CommandRegister, cmd)
-	h.runLoopFunc()
-	h.settle()
-	if _, exists := h.state.Value(key); a.status != http.StatusBadRequest || exists {
-		t.Errorf("registering a corrupt definition: %+v, want 400; still stored: %v", a, exists)
-	}
-	a = h.send(CommandRegister, cmd)
-	h.runLoopFunc()
-	if h.settle(); a.status != http.StatusConflict {
-		t.Errorf("registering the deleted definition without an upload: %+v, want 409", a)
-	}
-	if a := h.register(plan); a.status != http.StatusCreated {
-		t.Errorf("registering the definition after another upload: %+v", a)
-	}
-	other := h.upload(plan)
-	other.Team = "others"
-	if a := h.send(CommandRegister, other); a.status != http.StatusForbidden {
-		t.Errorf("registering the definition of another team: %+v, want 403", a)
-	}
-}
-
 // Commands on a graph of another team get the same answer as commands on a graph that does not exist.
 func TestGraphOfAnotherTeam(t *testing.T) {
 	h := newHarness(t)
@@ -426,33 +318,3 @@
 		t.Errorf("run read by its team: %+v, %v", v, err)
 	}
 }
-
-// Guards against runs that are lost if all controllers fail: the next leader reads 1,000 live runs and submits their
-// steps as others end.
-func TestFailoverWithThousandLiveRuns(t *testing.T) {
-	h := newHarness(t)
-	defer h.close()
-	p := newPlanWith(t, func(g *dag.Graph) { g.MaxRuns, g.MaxTasks = 600, 500 }, step("a"), step("b", "a"))
-	if a := h.register(p); a.status != http.StatusCreated {
-		t.Fatalf("registering the graph: %+v", a)
-	}
-	for i := range 1000 {
-		h.send(CommandTrigger, Command{Run: fmt.Sprint("run", i), Described: true})
-	}
-	for write := h.graphs.NextWrite(h.clock.Now(), 1000); write != nil; write = h.graphs.NextWrite(h.clock.Now(), 1000) {
-		write.Done(h.commit(write.Txn))
-	}
-	h.changeLeader()
-	gr := h.graphs.graphs[keyGraph("the team", "g")]
-	if len(h.graphs.runs) != 1000 || len(h.graphs.byJob) != 128 || gr.startedRuns != 600 || gr.activeInstances != 128 {
-		t.Fatalf("the new leader has %d runs, %d jobs, %d started runs and %d active steps", len(h.graphs.runs), len(h.graphs.byJob), gr.startedRuns, gr.activeInstances)
-	}
-	// Each time a step ends, one step of the first waiting run is submitted.
-	for round := range 20 {
-		h.endAttempt(h.startTask(h.liveJobs()[round]), wire.ExitDone)
-		h.settle()
-		if n := len(h.graphs.byJob); n != 128 {
-			t.Fatalf("round %d: %d steps are submitted, want 128", round, n)
-		}
-	}
-}
