Pipelines load test: steps leave results, checked in the descriptions after them

--results N has each step leave a result of N bytes; an accepted one has to be in the description of each step after it. The exit status is 1 if a job is not done once, a run fails or a result is missing.

--- a/internal/sim/pipelines/main.go
+++ b/internal/sim/pipelines/main.go
@@ -2,13 +2,18 @@
 // leader is killed repeatedly. It prints how long both waited to start, whether every job was done exactly once, and the
 // controllers' peak memory.
 //
+// With --results each step leaves a result of that size, and each step after it has to be described with it. The exit
+// status is 1 if a job is not done once, a run fails, or an accepted result does not reach the step after it.
+//
 //	go run ./internal/sim/pipelines --program target/poppypass --for 3m --kill-every 40s
+//	go run ./internal/sim/pipelines --for 2m --kill-every 12s --steps 24 --results 2048
 package main
 
 import (
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -37,6 +42,7 @@
 	steps     int           // of each graph, without its first and last step
 	wideSteps int           // steps of the wide graph, all of which are ready at once; 0: no wide graph
 	cluster   *testcluster.Cluster
+	results   *resultCheck
 
 	mu        sync.Mutex
 	readyAt   map[string]time.Time // by job ID: when the job began to wait; for a step, when its description arrived
@@ -50,18 +56,27 @@
 	l := &loadTest{readyAt: map[string]time.Time{}, kind: map[string]string{}, startedAt: map[string]time.Time{}, doneCount: map[string]int{}}
 	cmd := &cobra.Command{
 		Use: "pipelines", Short: "Have graphs and plain jobs compete", SilenceUsage: true, Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error { return l.run(cmd.Context()) },
 	}
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return l.run(cmd.Context()) }
 	cmd.Flags().StringVar(&l.program, "program", "target/poppypass", "the program to run")
 	cmd.Flags().DurationVar(&l.duration, "for", 3*time.Minute, "how long jobs are submitted")
 	cmd.Flags().DurationVar(&l.killEvery, "kill-every", 40*time.Second, "how often the leader is killed; 0: never")
 	cmd.Flags().IntVar(&l.wideSteps, "crowd", 0, "steps of one more graph that are all ready at the start; then services of another team come too, and nothing is waited for at the end")
+	resultBytes := cmd.Flags().Int("results", 0, "bytes of the result that each step leaves; 0: none")
 	cmd.Flags().IntVar(&l.steps, "steps", 6, "steps of each graph, in two rows behind a first one")
+	cobra.OnInitialize(func() { l.results = newResultCheck(*resultBytes, l.sendResult) })
 	if err := cmd.ExecuteContext(context.Background()); err != nil {
 		os.Exit(1)
 	}
 }
 
+// sendResult sends the result of a step, and reports whether it was accepted.
+func (l *loadTest) sendResult(ctx context.Context, step runner.Description, result string) bool {
+	path := airflow.PathAPI + "/dags/" + step.Graph + "/dagRuns/" + step.Run + "/taskInstances/" + step.Step + "/xcomEntries?team=team-0"
+	status, _ := l.cluster.Send(ctx, http.MethodPost, path, wire.EncodeRecord(map[string]any{"key": "return_value", "value": result}))
+	return status == http.StatusCreated
+}
+
 // receiveDescriptions is the HTTP handler to which the leader sends the descriptions of steps. A step begins to wait when
 // its description arrives.
 func (l *loadTest) receiveDescriptions(_ http.ResponseWriter, r *http.Request) {
@@ -69,6 +84,7 @@
 	if json.NewDecoder(r.Body).Decode(&steps) != nil {
 		return
 	}
+	l.results.described(steps)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range steps {
@@ -99,6 +115,7 @@
 // on both chains.
 func (l *loadTest) graphDefinition(id string) map[string]any {
 	step := func(name string, upstream ...string) map[string]any {
+		l.results.follows(name, upstream)
 		return map[string]any{"task_id": name, "kind": "job", "upstream": upstream, "retries": 2, "retry_delay": 2, "job": map[string]any{
 			"class": "c", "cpus": 1, "memory_gb": 1, "image": "i", "image_gb": 1, "estimate_s": 6, "spot": true}}
 	}
@@ -180,6 +197,7 @@
 			if strings.HasPrefix(task, "job-9") && len(fakes.JobOf(task)) == len("job-9000000") {
 				return 15 * time.Second, wire.ExitDone, "team-1" // a replica of a service
 			}
+			l.results.begun(ctx, fakes.JobOf(task))
 			return 6 * time.Second, wire.ExitDone, "team-0"
 		},
 	}
@@ -217,7 +235,7 @@
 	}
 	states := map[string]int{}
 	if l.wideSteps > 0 {
-		l.printResults(states)
+		_ = l.printResults(states) // nothing is waited for, so jobs are not done
 		return nil
 	}
 	for _, id := range runs {
@@ -236,12 +254,12 @@
 	for l.cluster.HasKeys("job/") && ctx.Err() == nil {
 		time.Sleep(500 * time.Millisecond)
 	}
-	l.printResults(states)
-	return nil
+	return l.printResults(states)
 }
 
-// printResults prints the results. states counts the finished graph runs by state.
-func (l *loadTest) printResults(states map[string]int) {
+// printResults prints the results. states counts the finished graph runs by state. It returns an error if something that
+// was accepted was not done.
+func (l *loadTest) printResults(states map[string]int) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	waits := map[string][]time.Duration{}
@@ -269,4 +287,10 @@
 				kind, len(sorted), sorted[len(sorted)/2].Seconds(), sorted[len(sorted)*9/10].Seconds(), sorted[len(sorted)-1].Seconds())
 		}
 	}
+	accepted, missing := l.results.counts()
+	fmt.Printf("%d results accepted, %d of them missing in a description\n", accepted, missing)
+	if neverDone+doneTwice+states["failed"]+missing > 0 {
+		return errors.New("a job was not done once, a run failed, or a result is missing")
+	}
+	return nil
 }
