Graphs: one set of steps for both packages; a result that cannot be decoded counts as missing

dag.StepSet serves the stored form and the records of results. A result's record that is malformed no longer keeps a new leader from reading all graphs: its run rests, as with a missing one.

--- a/internal/graphs/dag/formats_test.go
+++ b/internal/graphs/dag/formats_test.go
@@ -98,7 +98,7 @@
 	run.nodes[0].result, run.nodes[2].result = json.RawMessage(`{"a":1}`), json.RawMessage(`3`)
 	run.nodes[0].instances[0] = Instance{State: UpForRetry, Failures: 3, RetryAt: time.UnixMilli(1_780_000_000_000)}
 	run.nodes[1].instances[1] = Instance{State: Failed, Failures: 4}
-	raw := run.EncodeCompact(CompactOptions{Separate: func(step int) bool { return step == 0 }})
+	raw := run.EncodeCompact(CompactOptions{Separate: StepSet{1}})
 	golden.Hex(t, "compact-run", raw)
 	if err := cbor.Unmarshal(raw, &storedRun{}); err == nil {
 		t.Error("earlier versions decode the compact form")
@@ -113,7 +113,7 @@
 	decoded.RestoreResult(0, run.Result(0))
 	golden.Hex(t, "compact-run-in-full", decoded.Encode())
 	golden.Equal(t, "compact-run-in-full", decoded.Encode(), run.Encode())
-	shortest, err := DecodeRun(plan, run.EncodeCompact(CompactOptions{Separate: func(int) bool { return false }, DropFailures: true}))
+	shortest, err := DecodeRun(plan, run.EncodeCompact(CompactOptions{DropFailures: true}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/graphs/dag/runcodec.go
+++ b/internal/graphs/dag/runcodec.go
@@ -65,15 +65,15 @@
 }
 
 // Encode returns the run's stored form, which DecodeRun reads.
-func (r *Run) Encode() []byte { return r.EncodeWithout(func(int) bool { return false }) }
+func (r *Run) Encode() []byte { return r.EncodeWithout(nil) }
 
-// EncodeWithout returns the run's stored form without the results of the steps for which separate returns true. They are
-// stored elsewhere, and the decoder's caller restores them (RestoreResult) if it needs them.
-func (r *Run) EncodeWithout(separate func(step int) bool) []byte {
+// EncodeWithout returns the run's stored form without the results of some steps. These are stored elsewhere, and the
+// decoder's caller restores them (RestoreResult) if it needs them.
+func (r *Run) EncodeWithout(separate StepSet) []byte {
 	stored := storedRun{Format: runFormat, ID: r.ID, Cancelled: r.cancelled, States: r.encodeStates(), Orphans: r.orphans}
 	for i := range r.nodes {
 		n := r.nodes[i]
-		if separate(i) {
+		if separate.Has(i) {
 			n.result = nil
 		}
 		if n.generation > 0 || !n.stateSuffices(r.Plan.Steps[i].Map != nil) {
--- a/internal/graphs/dag/runcompact.go
+++ b/internal/graphs/dag/runcompact.go
@@ -17,7 +17,7 @@
 	Cancelled      bool
 	States         []byte            // packed, by step
 	Generations    column            // by step
-	HasInstances   []byte            // bit i%8 of byte i/8 is set if InstanceCounts has an entry for step i
+	HasInstances   StepSet           // steps for which InstanceCounts has an entry
 	InstanceCounts column            // number of instances, by step with instances
 	InstanceStates []byte            // packed, by step with instances and index
 	Details        []compactInstance // of the instances that their states do not fully describe
@@ -48,8 +48,8 @@
 
 // CompactOptions says what the compact form of a run leaves out.
 type CompactOptions struct {
-	// Separate reports whether a step's result is stored elsewhere. The decoder's caller restores it (RestoreResult).
-	Separate func(step int) bool
+	// Separate contains the steps whose results are stored elsewhere. The decoder's caller restores them (RestoreResult).
+	Separate StepSet
 	// DropFailures leaves out how often ended instances failed. Nothing depends on it; it is only displayed.
 	DropFailures bool
 }
@@ -57,8 +57,7 @@
 // EncodeCompact returns the run's compact stored form, which DecodeRun also reads.
 func (r *Run) EncodeCompact(options CompactOptions) []byte {
 	stored := compactRun{
-		Format: compactRunFormat, ID: r.ID, Cancelled: r.cancelled, Generations: encodeColumn(r.GenerationsAfterClear(nil)),
-		HasInstances: make([]byte, (len(r.nodes)+7)/8), Orphans: r.orphans,
+		Format: compactRunFormat, ID: r.ID, Cancelled: r.cancelled, Generations: encodeColumn(r.Generations()), Orphans: r.orphans,
 	}
 	var states, instanceStates []State
 	var counts []int
@@ -66,7 +65,7 @@
 		n := &r.nodes[i]
 		states = append(states, n.state)
 		if r.hasInstanceStates(i, options) {
-			stored.HasInstances[i/8] |= 1 << (i % 8)
+			stored.HasInstances.Add(i)
 			counts = append(counts, len(n.instances))
 			for k := range n.instances {
 				instanceStates = append(instanceStates, n.instances[k].State)
@@ -90,7 +89,7 @@
 
 // addStep adds a step's result and the details of its instances.
 func (c *compactRun) addStep(i int, n *node, options CompactOptions) {
-	if n.result != nil && !options.Separate(i) {
+	if n.result != nil && !options.Separate.Has(i) {
 		c.Results = append(c.Results, compactResult{Step: i, Result: n.result})
 	}
 	for k, inst := range n.instances {
@@ -150,7 +149,7 @@
 func (c *compactRun) addInstanceStates(steps []storedStep) (ok bool) {
 	var withInstances []int
 	for i := range steps {
-		if i/8 < len(c.HasInstances) && c.HasInstances[i/8]&(1<<(i%8)) != 0 {
+		if c.HasInstances.Has(i) {
 			withInstances = append(withInstances, i)
 		}
 	}
@@ -175,6 +174,9 @@
 	return true
 }
 
+// Generations returns how often each step was cleared, by step.
+func (r *Run) Generations() []int { return r.GenerationsAfterClear(nil) }
+
 // GenerationsAfterClear returns the generations that all steps would have after a Clear of the given steps, by step.
 func (r *Run) GenerationsAfterClear(steps []int) []int {
 	generations := make([]int, len(r.nodes))
--- a/internal/graphs/runner/reader.go
+++ b/internal/graphs/runner/reader.go
@@ -138,7 +138,7 @@
 	Tries []Try    // the newest ones; times are relative to Queued
 
 	key      string
-	separate stepSet
+	separate dag.StepSet
 }
 
 // Run returns a run of a team's graph. The error is ErrNotFound if there is no such run.
--- a/internal/graphs/runner/results.go
+++ b/internal/graphs/runner/results.go
@@ -21,27 +21,6 @@
 // them. Any other result is in a record of its own, and the run's record names its step (runRecord.Results). A result's
 // record is written before the record of its run names it or in the same transaction. It is deleted with its run.
 
-// stepSet is a set of steps, given by their indexes: bit i%8 of byte i/8 is set for step i.
-type stepSet []byte
-
-// has reports whether the set contains a step.
-func (s stepSet) has(step int) bool { return step/8 < len(s) && s[step/8]&(1<<(step%8)) != 0 }
-
-// add adds a step.
-func (s *stepSet) add(step int) {
-	for len(*s) <= step/8 {
-		*s = append(*s, 0)
-	}
-	(*s)[step/8] |= 1 << (step % 8)
-}
-
-// remove removes a step. The length of the set does not change, so it still shows that the run has had such results.
-func (s stepSet) remove(step int) {
-	if s.has(step) {
-		s[step/8] &^= 1 << (step % 8)
-	}
-}
-
 // resultRecord is the stored form of a result that is not stored in its run's record.
 type resultRecord struct {
 	Generation int    `json:"generation"` // of the step; a result of another generation is void
@@ -115,7 +94,7 @@
 
 // placeResult decides where the new result of a step is stored. old is the result that it replaces; nil if none.
 func (g *Graphs) placeResult(live *liveRun, step int, old json.RawMessage) {
-	if live.separate.has(step) {
+	if live.separate.Has(step) {
 		live.unstoredResults = append(live.unstoredResults, step)
 		return
 	}
@@ -135,7 +114,7 @@
 // separateResult has the result of a step stored in a record of its own instead of the run's record.
 func (live *liveRun) separateResult(step int) {
 	live.size.inlineBytes -= inlineResultBytes(live.run.Result(step))
-	live.separate.add(step)
+	live.separate.Add(step)
 	live.unstoredResults = append(live.unstoredResults, step)
 }
 
@@ -146,7 +125,7 @@
 		return
 	}
 	for i := range live.run.Plan.Steps {
-		if live.run.Result(i) != nil && !live.separate.has(i) {
+		if live.run.Result(i) != nil && !live.separate.Has(i) {
 			live.separateResult(i)
 		}
 	}
@@ -162,7 +141,7 @@
 			return false
 		}
 		live.unstoredResults = live.unstoredResults[1:]
-		if !live.separate.has(step) {
+		if !live.separate.Has(step) {
 			continue // the step was cleared in the meantime
 		}
 		key := keyResult(live.key, step)
@@ -182,7 +161,7 @@
 // resultsCleared updates what follows from a run's results after steps were cleared.
 func (g *Graphs) resultsCleared(live *liveRun, steps []int) {
 	for _, step := range steps {
-		live.separate.remove(step)
+		live.separate.Remove(step)
 	}
 	g.addResultBytes(live, totalResultBytes(live.run)-live.resultBytes)
 }
@@ -199,8 +178,8 @@
 var errMissingResult = errors.New("a result of the run is missing")
 
 // restoreResults reads the results of a run that are stored in records of their own, and restores them. The error is
-// errMissingResult if one is not stored.
-func restoreResults(ctx context.Context, store *statestore.Client, runKey string, run *dag.Run, separate stepSet) error {
+// errMissingResult if one is not stored or cannot be decoded.
+func restoreResults(ctx context.Context, store *statestore.Client, runKey string, run *dag.Run, separate dag.StepSet) error {
 	if len(separate) == 0 {
 		return nil
 	}
@@ -208,14 +187,11 @@
 	if _, err := store.ListAll(ctx, prefix, func(items []wire.Item) error {
 		for _, item := range items {
 			step, err := strconv.Atoi(strings.TrimPrefix(item.Key, prefix))
-			if err != nil || step >= len(run.Plan.Steps) || !separate.has(step) {
+			if err != nil || step >= len(run.Plan.Steps) || !separate.Has(step) {
 				continue // left by an earlier run of that name or an earlier generation of the step
 			}
 			var rec resultRecord
-			if err := json.Unmarshal(item.Value, &rec); err != nil {
-				return err
-			}
-			if rec.Generation == run.Generation(step) {
+			if json.Unmarshal(item.Value, &rec) == nil && rec.Generation == run.Generation(step) {
 				run.RestoreResult(step, rec.Result)
 			}
 		}
@@ -224,7 +200,7 @@
 		return err
 	}
 	for i := range run.Plan.Steps {
-		if separate.has(i) && run.Result(i) == nil {
+		if separate.Has(i) && run.Result(i) == nil {
 			return errMissingResult
 		}
 	}
@@ -233,7 +209,7 @@
 
 // Result returns the result of a step of a run; nil if there is none.
 func (r *Reader) Result(ctx context.Context, view *RunView, step int) (json.RawMessage, error) {
-	if !view.separate.has(step) {
+	if !view.separate.Has(step) {
 		return view.Run.Result(step), nil
 	}
 	var rec resultRecord
--- a/internal/graphs/runner/results_test.go
+++ b/internal/graphs/runner/results_test.go
@@ -312,7 +312,7 @@
 			rt.Fatal(err)
 		}
 		for i := range plan.Steps {
-			live.separate.add(i)
+			live.separate.Add(i)
 		}
 		live.activeJobs = len(run.Orphans())
 		for i := range plan.Steps {
--- a/internal/graphs/runner/runrecord.go
+++ b/internal/graphs/runner/runrecord.go
@@ -24,7 +24,7 @@
 	// Tries is the list of the newest tries of the run's steps, encoded and compressed.
 	Tries []byte `json:"tries,omitempty"`
 	// Results is the set of the steps whose results are stored in records of their own (keyResult).
-	Results stepSet `json:"results,omitempty"`
+	Results dag.StepSet `json:"results,omitempty"`
 }
 
 // finished reports whether the run is finished: it has ended, and so have all its jobs.
@@ -53,7 +53,7 @@
 // with results in records of their own is always in the compact form. Earlier versions refuse to decode it, so they do
 // not continue the run without these results.
 func (live *liveRun) recordForms() []recordForm {
-	separate := live.separate.has
+	separate := live.separate
 	full := func() []byte { return live.run.EncodeWithout(separate) }
 	compact := func() []byte { return live.run.EncodeCompact(dag.CompactOptions{Separate: separate}) }
 	shortest := func() []byte {
@@ -123,10 +123,10 @@
 	s.idBytes = len(live.run.ID)
 	s.steps = len(live.run.Plan.Steps)
 	s.setInstanceCounts(live.run.ExpectedInstanceCounts())
-	s.generationBytes = dag.ColumnBytes(live.run.GenerationsAfterClear(nil))
+	s.generationBytes = dag.ColumnBytes(live.run.Generations())
 	s.inlineBytes = 0
 	for i := range s.steps {
-		if !live.separate.has(i) {
+		if !live.separate.Has(i) {
 			s.inlineBytes += inlineResultBytes(live.run.Result(i))
 		}
 	}
--- a/internal/graphs/runner/runs.go
+++ b/internal/graphs/runner/runs.go
@@ -39,14 +39,14 @@
 	tries          []Try                       // the newest ones, in the order in which they began
 
 	size            recordSize
-	separate        stepSet // steps whose results are stored in records of their own
-	unstoredResults []int   // steps whose results are still to be written to records of their own
-	resultBytes     int     // size of all its results
+	separate        dag.StepSet // steps whose results are stored in records of their own
+	unstoredResults []int       // steps whose results are still to be written to records of their own
+	resultBytes     int         // size of all its results
 }
 
 // newLiveRun creates a live run, which is not yet added to its graph's history or to Graphs.runs. separate contains the
 // steps whose results are stored in records of their own.
-func newLiveRun(gr *graph, r *dag.Run, key, def string, m runMeta, separate stepSet) (*liveRun, error) {
+func newLiveRun(gr *graph, r *dag.Run, key, def string, m runMeta, separate dag.StepSet) (*liveRun, error) {
 	live := &liveRun{
 		run: r, graph: gr, key: key, defHash: def, meta: m, waitingForPool: map[*pool][]dag.InstanceRef{}, unansweredJobs: map[string]wire.JobState{},
 		separate: separate,
