--- a/internal/graphs/runner/results_test.go
+++ b/internal/graphs/runner/results_test.go
@@ -110,16 +110,26 @@
 	}
 }
 
-// A run that lacks one of its results must not go on without it.
+// A run that lacks one of its results must not go on without it, and must not keep other runs from being read.
 func TestRunWithMissingResultRests(t *testing.T) {
-	h := newHarness(t)
-	defer h.close()
-	storeLargeResults(h, "one", 12)
-	h.commit(wire.Txn{Then: []wire.Change{{Delete: h.list(PrefixResult)[0].Key}}})
-	h.changeLeader()
-	h.settle()
-	if len(h.graphs.runs) != 0 {
-		t.Error("the run goes on without one of its results")
+	for name, damage := range map[string]wire.Change{"missing": {}, "malformed": {Value: json.RawMessage(`{"generation":"x"}`)}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			defer h.close()
+			storeLargeResults(h, "one", 12)
+			h.sendAndSettle(CommandTrigger, Command{Run: "two", Described: true}, http.StatusCreated)
+			if key := h.list(PrefixResult)[0].Key; damage.Value == nil {
+				damage.Delete = key
+			} else {
+				damage.Put = key
+			}
+			h.commit(wire.Txn{Then: []wire.Change{damage}})
+			h.changeLeader()
+			h.settle()
+			if live := h.graphs.runs[keyRun("the team", "g", "two")]; len(h.graphs.runs) != 1 || live == nil {
+				t.Errorf("%d runs are live, want the other one alone", len(h.graphs.runs))
+			}
+		})
 	}
 }
 
