Graphs: a long description is shortened in the graph's record, not refused

The record's copy of the description is there for lists only; the definition, stored in parts, has all of it. So the copy is shortened, lists show it with an ellipsis, and the details show all. Tags beyond the record are refused as before.

--- a/internal/graphs/airflow/dags.go
+++ b/internal/graphs/airflow/dags.go
@@ -160,6 +160,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if record.Description != "" {
+		record.Description = plan.Description // the record's copy may be shortened
+	}
 	return detailsView{
 		dagView:  viewDAG(&record, h.Clock.Now()),
 		Catchup:  record.Catchup,
--- a/internal/graphs/runner/dags.go
+++ b/internal/graphs/runner/dags.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"poppypass/internal/graphs/dag"
@@ -77,7 +78,7 @@
 	needed := maxGraphRecordBytes(newGraphRecord(plan, cmd.Def, paused, 0))
 	switch {
 	case needed > g.maxValueBytes():
-		respond.refuse(http.StatusBadRequest, "the graph's record would have up to %d bytes with its description and its tags; %d are allowed", needed, g.maxValueBytes())
+		respond.refuse(http.StatusBadRequest, "the graph's record would have up to %d bytes with its tags; %d are allowed", needed, g.maxValueBytes())
 		return
 	case len(key) > tuning.MaxKeyBytes:
 		respond.refuse(http.StatusBadRequest, "the graph's name is too long")
@@ -109,13 +110,31 @@
 	gr.hasPastDependents = slices.ContainsFunc(plan.Steps, func(s dag.Step) bool { return s.DependsOnPast })
 }
 
-// newGraphRecord returns the record of a graph with the given definition.
+// newGraphRecord returns the record of a graph with the given definition. Its copy of the description, which lists of
+// graphs show, is shortened if it would make the record longer than every state service allows.
 func newGraphRecord(plan *dag.Plan, hash string, paused bool, lastMS int64) GraphRecord {
-	return GraphRecord{
+	rec := GraphRecord{
 		Team: plan.Team, ID: plan.ID, Def: hash, Paused: paused, LastMS: lastMS, Description: plan.Description, Schedule: plan.Schedule, Zone: plan.Timezone,
 		Start: plan.Start, End: plan.End, Catchup: plan.Catchup, MaxRuns: cmp.Or(plan.MaxRuns, tuning.GraphDefaultMaxActiveRuns), MaxTasks: cmp.Or(plan.MaxTasks, tuning.GraphDefaultMaxActiveTasks),
 		Tags: plan.Tags, Steps: len(plan.Steps),
 	}
+	if excess := maxGraphRecordBytes(rec) - tuning.GraphMinValueKiB<<10; excess > 0 {
+		rec.Description = shortened(rec.Description, excess)
+	}
+	return rec
+}
+
+// ellipsis is the end of a shortened description.
+const ellipsis = "…"
+
+// shortened returns a text that is shorter by at least the given number of bytes and ends with an ellipsis. It is empty if
+// the text is not long enough.
+func shortened(text string, bytes int) string {
+	n := len(text) - bytes - len(ellipsis)
+	if n <= 0 {
+		return ""
+	}
+	return strings.ToValidUTF8(text[:n], "") + ellipsis
 }
 
 // maxGraphRecordBytes returns the greatest length that a graph's record has with any of the changes that follow its
--- a/internal/graphs/runner/records.go
+++ b/internal/graphs/runner/records.go
@@ -85,7 +85,7 @@
 	LastMS int64  `json:"last_ms,omitempty"` // end of the newest data interval that has a run
 
 	// Copied from its definition, so that graphs can be listed without decoding it.
-	Description string     `json:"description,omitempty"`
+	Description string     `json:"description,omitempty"` // may be shortened
 	Schedule    string     `json:"schedule,omitempty"`
 	Zone        string     `json:"zone,omitempty"`
 	Start       *time.Time `json:"start,omitempty"`
