Graphs: a finished run stays as it is when a clear of it is refused

Cause: reopenRun made the run live and reset its times before the clear was checked, so an unknown step, or now a record without room, left the run stored with other times.

Change: the check comes first (stepsToClear), and the run becomes live only if the clear is carried out.

Seen red: TestRefusedClearLeavesFinishedRunAsItIs (the stored record had new times).

--- a/internal/graphs/runner/commands.go
+++ b/internal/graphs/runner/commands.go
@@ -254,18 +254,28 @@
 			case entry.live != nil: // another clear command has made the run live in the meantime
 				g.clearSteps(entry.live, cmd, respond)
 			default:
-				g.cachePlan(entry.defHash, def.parts, stored.run.Plan)
-				g.addLive(live)
 				live.version, live.entry, live.tries = stored.version, entry, readTries(g.codec, &stored.record)
-				live.meta.StartMS, live.meta.EndMS = 0, 0
-				entry.live, entry.failedPastDependents, entry.hasResultRecords = live, nil, false
-				g.clearSteps(live, cmd, respond)
-				g.markDirty(live)
+				g.reopenAndClear(live, def.parts, cmd, respond)
 			}
 		})
 	}()
 }
 
+// reopenAndClear makes a finished run live again and clears steps of it. parts is the number of the parts of its
+// definition. If the clear is refused, the run stays as it is.
+func (g *Graphs) reopenAndClear(live *liveRun, parts int, cmd *Command, respond responder) {
+	if _, status, reason := g.stepsToClear(live, cmd); status != 0 {
+		respond.refuse(status, "%s", reason)
+		return
+	}
+	g.cachePlan(live.defHash, parts, live.run.Plan)
+	g.addLive(live)
+	live.meta.StartMS, live.meta.EndMS = 0, 0
+	live.entry.live, live.entry.failedPastDependents, live.entry.hasResultRecords = live, nil, false
+	g.clearSteps(live, cmd, respond)
+	g.markDirty(live)
+}
+
 // finishedRun is a finished run as it is stored, with all its results.
 type finishedRun struct {
 	record  runRecord
--- a/internal/graphs/runner/runs.go
+++ b/internal/graphs/runner/runs.go
@@ -207,15 +207,8 @@
 
 // clearSteps resets steps of a live run, so that they run again as new jobs.
 func (g *Graphs) clearSteps(live *liveRun, cmd *Command, respond responder) {
-	steps, err := live.run.StepsToClear(cmd.Steps, cmd.Downstream, cmd.OnlyFailed)
-	if err != nil {
-		respond.refuse(http.StatusBadRequest, "%s", err)
-		return
-	}
-	size := live.size
-	size.generationBytes = dag.ColumnBytes(live.run.GenerationsAfterClear(steps))
-	orphaned := live.submittedOf(steps)
-	if status, reason := g.refusalOfSize(live, size, live.submitted()-orphaned, len(live.run.Orphans())+orphaned); status != 0 {
+	steps, status, reason := g.stepsToClear(live, cmd)
+	if status != 0 {
 		respond.refuse(status, "%s", reason)
 		return
 	}
@@ -242,6 +235,20 @@
 	}
 }
 
+// stepsToClear returns the steps that a command clears, or the status and reason with which it is refused; status 0 if it is
+// not refused.
+func (g *Graphs) stepsToClear(live *liveRun, cmd *Command) (steps []int, status int, reason string) {
+	steps, err := live.run.StepsToClear(cmd.Steps, cmd.Downstream, cmd.OnlyFailed)
+	if err != nil {
+		return nil, http.StatusBadRequest, err.Error()
+	}
+	size := live.size
+	size.generationBytes = dag.ColumnBytes(live.run.GenerationsAfterClear(steps))
+	orphaned := live.submittedOf(steps)
+	status, reason = g.refusalOfSize(live, size, live.submitted()-orphaned, len(live.run.Orphans())+orphaned)
+	return steps, status, reason
+}
+
 // submittedOf returns how many jobs of the given steps are submitted and not over.
 func (live *liveRun) submittedOf(steps []int) (count int) {
 	for _, i := range steps {
--- a/internal/graphs/runner/runs_test.go
+++ b/internal/graphs/runner/runs_test.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// Guards against a finished run whose stored times change although the clear of its steps is refused.
+func TestRefusedClearLeavesFinishedRunAsItIs(t *testing.T) {
+	h := newHarnessWithoutLeader(t, Config{DescriptionSource: sourceFunc(acceptAll)})
+	h.changeLeader()
+	defer h.close()
+	plan := newPlan(t, step("a"))
+	h.registerAndTrigger(plan, "one")
+	h.expectSuccess(plan, "one")
+	before, _ := h.state.Value(keyRun("the team", "g", "one"))
+	h.clock.Advance(time.Hour)
+	a := h.send(CommandClear, Command{Run: "one", Steps: []string{"none"}})
+	h.runLoopFunc() // the run is finished, so it is read first
+	h.settle()
+	if after, _ := h.state.Value(before.Key); a.status != http.StatusBadRequest || string(after.Value) != string(before.Value) {
+		t.Errorf("the clear is answered with %+v, want 400; the run is stored as %s, want %s", a, after.Value, before.Value)
+	}
+}
+
 // When a running step is cleared, its old job is cancelled, by the next leader if this one fails before that. The end
 // of the old job does not change the state of the step's next generation.
 func TestClearOfRunningStep(t *testing.T) {
