--- a/internal/graphs/runner/results.go
+++ b/internal/graphs/runner/results.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -108,7 +109,7 @@
 // run may have at a time.
 func (g *Graphs) fitsInline(live *liveRun) bool {
 	submitted := max(live.submitted(), min(live.size.instances(), live.graph.rec.MaxTasks))
-	return live.recordBound(submitted)+base64Length(live.size.inlineBytes) <= g.maxValueBytes()
+	return live.recordBound(submitted)+base64.StdEncoding.EncodedLen(live.size.inlineBytes) <= g.maxValueBytes()
 }
 
 // separateResult has the result of a step stored in a record of its own instead of the run's record.
@@ -121,7 +122,7 @@
 // separateAllResults has all results of a run stored in records of their own, if the run's record may have no room for
 // them. An earlier version may have stored more in it than this one does, and a later result may need the room.
 func (g *Graphs) separateAllResults(live *liveRun) {
-	if live.size.inlineBytes == 0 || live.recordBound(live.submitted())+base64Length(live.size.inlineBytes) <= g.maxValueBytes() {
+	if live.size.inlineBytes == 0 || live.recordBound(live.submitted())+base64.StdEncoding.EncodedLen(live.size.inlineBytes) <= g.maxValueBytes() {
 		return
 	}
 	for i := range live.run.Plan.Steps {
--- a/internal/graphs/runner/runrecord.go
+++ b/internal/graphs/runner/runrecord.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -156,12 +157,9 @@
 func (s *recordSize) bound(submitted, orphans int) int {
 	raw := tuning.RunRecordOverheadBytes + s.idBytes + (s.steps+s.mappedInstances)*tuning.RunStateBits/8 + s.countBytes + s.generationBytes +
 		submitted*tuning.RunSubmittedBytes + orphans*tuning.RunOrphanBytes
-	return s.headerBytes + base64Length(raw) + base64Length(s.steps/8+1)
+	return s.headerBytes + base64.StdEncoding.EncodedLen(raw) + base64.StdEncoding.EncodedLen(s.steps/8+1)
 }
 
-// base64Length returns the length of n bytes in base64.
-func base64Length(n int) int { return (n + 2) / 3 * 4 }
-
 // recordBound returns the bound of a run's record while the given number of its instances are submitted.
 func (live *liveRun) recordBound(submitted int) int {
 	return live.size.bound(submitted, len(live.run.Orphans()))
--- a/internal/graphs/runner/storeruns.go
+++ b/internal/graphs/runner/storeruns.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"time"
 
@@ -66,7 +67,7 @@
 
 // maxRecordBytes returns the greatest length that the record of a run may have in the next transaction.
 func (g *Graphs) maxRecordBytes(live *liveRun) int {
-	return min(g.maxValueBytes(), live.recordBound(live.submitted())+base64Length(live.size.inlineBytes)) + tuning.RecordOverheadBytes
+	return min(g.maxValueBytes(), live.recordBound(live.submitted())+base64.StdEncoding.EncodedLen(live.size.inlineBytes)) + tuning.RecordOverheadBytes
 }
 
 // holdBack handles a run whose record would be too long to be stored: the bounds on a run's record are meant to
