Graphs: a live run is measured once when it is read; the pause by clock.Sleep

A new leader measured every live run twice; the second time is needed only where results were restored, which may be lists that steps are mapped over. listResultKeys wrote clock.Sleep again.

Behaviour is unchanged.

--- a/internal/graphs/runner/read.go
+++ b/internal/graphs/runner/read.go
@@ -167,6 +167,10 @@
 func (l *loader) readResults(ctx context.Context, store *statestore.Client) error {
 	var complete []*liveRun
 	for _, live := range l.runs {
+		if len(live.separate) == 0 {
+			complete = append(complete, live)
+			continue
+		}
 		switch err := restoreResults(ctx, store, live.key, live.run, live.separate); {
 		case errors.Is(err, errMissingResult):
 			l.log.Error("a result of a run is missing; ignoring the run in this term", "record", live.key)
@@ -175,7 +179,7 @@
 		case err != nil:
 			return err
 		default:
-			live.size.update(live)
+			live.size.update(live) // the restored results may be lists that steps are mapped over
 			complete = append(complete, live)
 		}
 	}
--- a/internal/graphs/runner/retention.go
+++ b/internal/graphs/runner/retention.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"poppypass/internal/platform/clock"
 	"poppypass/internal/platform/tuning"
 	"poppypass/internal/platform/wire"
 )
@@ -47,10 +48,7 @@
 				return
 			}
 			g.log.Debug("listing the results of a run failed; deleting the run after a pause", "run", runKey, "err", err)
-			select {
-			case <-g.cfg.Clock.After(pause):
-			case <-ctx.Done():
-			}
+			clock.Sleep(ctx, g.cfg.Clock, pause)
 		}
 	}()
 }
