Load test: the properties file is written once, not anew for each controller

Seen: two starts of the load test ended at their first request with "404 page not found". Cause, by reading: each started controller had the shared properties file written anew, and one that read it just then found it empty and ran without graphs. No trace shows it.

--- a/internal/sim/testcluster/cluster.go
+++ b/internal/sim/testcluster/cluster.go
@@ -67,6 +67,10 @@
 			*addrs = append(*addrs, addr)
 		}
 	}
+	// Written once: a controller that starts must not find the file empty while it is written again for another.
+	if err := os.WriteFile(c.propertiesPath(), []byte(c.Properties), 0o600); err != nil {
+		return err
+	}
 	c.processes = make([]*exec.Cmd, c.Members)
 	for i := range c.Members {
 		if err := c.startController(ctx, i); err != nil {
@@ -106,17 +110,16 @@
 	return b.String()
 }
 
+// propertiesPath returns the path of the properties file, which all controllers read.
+func (c *Cluster) propertiesPath() string { return filepath.Join(c.dir, "operator.properties") }
+
 // startController starts the controller of member i.
 func (c *Cluster) startController(ctx context.Context, i int) error {
-	propertiesPath := filepath.Join(c.dir, "operator.properties")
 	settingsPath := filepath.Join(c.dir, fmt.Sprintf("m%d.toml", i))
-	if err := os.WriteFile(propertiesPath, []byte(c.Properties), 0o600); err != nil {
-		return err
-	}
 	if err := os.WriteFile(settingsPath, []byte(c.settings(i)), 0o600); err != nil {
 		return err
 	}
-	process := exec.CommandContext(ctx, c.Program, "serve", "--properties", propertiesPath, "--config", settingsPath)
+	process := exec.CommandContext(ctx, c.Program, "serve", "--properties", c.propertiesPath(), "--config", settingsPath)
 	process.Env = append(os.Environ(), "LOG_LEVEL=error")
 	process.Stderr = os.Stderr
 	c.processes[i] = process
